ledger: ownership, slots, reservations, orders, drains and a first fuzz

Cause: the first usable version for the glue. Conclusion: next come livelier walks and the baselines that must be caught.

--- a/ledger/action.go
+++ b/ledger/action.go
@@ -40,9 +40,12 @@
 }
 
 // AskUnsent asks the issuer of an order whether it may still reach the engine; answered by UnsentAnswered.
+// When another incarnation answers at the address, or the host has left the host list,
+// the issuer is told as dead in the next PeersChanged.
 type AskUnsent struct {
 	OrderID string
 	Issuer  model.Incarnation
+	Name    string // name of the issuer's host
 	Address string // peer address of the issuer, empty when unknown
 }
 
--- /dev/null
+++ b/ledger/backend.go
@@ -0,0 +1,285 @@
+package ledger
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+// Intervals and delays of ownership and observation.
+const (
+	observeInterval = time.Second
+	observeTimeout  = 3 * time.Second
+	observeSettle   = time.Second // between two observations without a model that together void an order of unknown end
+	askInterval     = time.Second
+	pollInterval    = 2 * time.Second  // the assigned host reads a record that it does not own that often
+	ownedInterval   = 30 * time.Second // and the owner that often
+	takeoverDelay   = 3 * time.Second  // an owner that is not listed for that long is succeeded
+	handoverDelay   = 5 * time.Second  // the assigned owner must have been live for that long
+	goneDelay       = 20 * time.Second
+	sweepInterval   = 10 * time.Second
+	forgetAfter     = 30 * time.Second
+	intentTimeout   = 10 * time.Second
+)
+
+// backend is what a Host knows of one backend server. The maps are emptied when its owner or term changes.
+type backend struct {
+	name       string
+	cell       cell
+	record     model.BackendRecord
+	assignment Assignment
+	assigned   bool // the assignment is current
+	goneAt     time.Time
+	usedAt     time.Time
+	missingAt  time.Time // since when the owner has not been listed, zero when it is
+
+	epoch     int64 // raised with each change of the record
+	observe   observeCall
+	observeAt time.Time // when the next observation is due
+	latest    model.Observation
+	latestAt  time.Time // when the latest observation was asked for
+	latestIn  int64     // the epoch that it was asked for in
+	answered  bool      // observed since the owner or the term changed
+
+	wants     map[model.ModelKey]want
+	intents   map[model.ModelKey]*intent
+	drains    map[model.ModelKey]*drain
+	arrived   map[string]bool      // orders whose effect the engine has shown
+	confirmed map[string]time.Time // orders whose issuer will not send them
+	absentAt  map[string]time.Time // when the first observation without the model was asked for
+	askedAt   map[string]time.Time
+	reissues  map[string]string // new order for an old one
+}
+
+// observeCall is an observation under way.
+type observeCall struct {
+	token   int64
+	epoch   int64
+	askedAt time.Time
+}
+
+// backend returns the state for a backend server, which is created when needed.
+func (h *Host) backend(now time.Time, name string) *backend {
+	b, ok := h.backends[name]
+	if !ok {
+		b = &backend{name: name, cell: newCell("backend/" + name)}
+		b.cell.readWanted = true
+		b.reset()
+		h.backends[name] = b
+	}
+	b.usedAt = now
+	return b
+}
+
+// reset forgets what is only true under one owner and term.
+func (b *backend) reset() {
+	b.answered = false
+	b.observe = observeCall{}
+	b.wants = map[model.ModelKey]want{}
+	b.intents = map[model.ModelKey]*intent{}
+	b.drains = map[model.ModelKey]*drain{}
+	b.arrived = map[string]bool{}
+	b.confirmed = map[string]time.Time{}
+	b.absentAt = map[string]time.Time{}
+	b.askedAt = map[string]time.Time{}
+	b.reissues = map[string]string{}
+}
+
+// owns reports whether the known record names this host as the owner.
+func (h *Host) owns(b *backend) bool {
+	return b.cell.known && b.record.Owner == h.Incarnation
+}
+
+// fresh reports whether the latest observation was made under the known record.
+func (b *backend) fresh() bool {
+	return b.answered && b.latestIn == b.epoch
+}
+
+// adoptBackend takes over a newer content of the record.
+func (h *Host) adoptBackend(now time.Time, b *backend, content []byte) {
+	record := model.BackendRecord{Backend: b.name, Zone: h.Zone}
+	if content != nil {
+		if err := json.Unmarshal(content, &record); err != nil {
+			h.violate("record readable", "%s: %v", b.cell.key, err)
+			return
+		}
+	}
+	old := b.record
+	b.record = record
+	b.epoch++
+	if old.Owner != record.Owner || old.Term != record.Term {
+		h.loseBackend(b)
+		b.observeAt = now
+	}
+	for _, r := range old.Reservations {
+		if findKey(record, r.Key) < 0 {
+			h.model(r.Key).check = true
+		}
+	}
+	for key, i := range b.intents {
+		if findOrder(record, i.orderID) >= 0 {
+			delete(b.intents, key)
+		}
+	}
+	h.checkBackend(old, record)
+}
+
+// loseBackend closes every order that was not sent, because the owner or the term has changed.
+func (h *Host) loseBackend(b *backend) {
+	for key, i := range b.intents {
+		h.orders.close(i.orderID)
+		h.model(key).check = true
+	}
+	for _, d := range b.drains {
+		h.orders.close(d.orderID)
+	}
+	for key := range b.wants {
+		h.emit(LoadRefused{Key: key, Backend: b.name, Reason: RefusedNotOwner})
+	}
+	for _, r := range b.record.Reservations {
+		h.orders.close(r.OrderID)
+	}
+	b.reset()
+}
+
+// checkBackend asserts what holds for every record and every change of it.
+func (h *Host) checkBackend(old, record model.BackendRecord) {
+	if reservedBytes(record) > record.MemoryBytes && len(record.Reservations) > len(old.Reservations) {
+		h.violate("memory", "%s: %d bytes reserved of %d", record.Backend, reservedBytes(record), record.MemoryBytes)
+	}
+	if record.Term < old.Term {
+		h.violate("term rises", "%s: term %d after %d", record.Backend, record.Term, old.Term)
+	}
+	for i, r := range record.Reservations {
+		if findKey(record, r.Key) != i {
+			h.violate("one reservation a model", "%s: %s", record.Backend, r.Key)
+		}
+	}
+}
+
+// reconcileBackend brings one backend server a step nearer to what is wanted.
+func (h *Host) reconcileBackend(now time.Time, b *backend) {
+	b.cell.expire(now)
+	if !h.owns(b) {
+		h.watchOwner(now, b)
+	} else {
+		h.workBackend(now, b)
+	}
+	h.actions = append(h.actions, b.cell.read(now, h.token)...)
+}
+
+// workBackend does an owner's work.
+func (h *Host) workBackend(now time.Time, b *backend) {
+	if now.Sub(b.cell.readAt) >= ownedInterval {
+		b.cell.readWanted = true
+	}
+	h.planIntents(now, b)
+	h.send(b)
+	h.observeBackend(now, b)
+	h.askIssuers(now, b)
+	if !b.cell.idle(now) {
+		return
+	}
+	next := cloneBackend(b.record)
+	if h.planRecord(now, b, &next) || b.cell.touchWanted {
+		h.writeBackend(now, b, next)
+	}
+}
+
+// planRecord changes the record as far as is due, and reports whether it did.
+func (h *Host) planRecord(now time.Time, b *backend, next *model.BackendRecord) bool {
+	if h.planRelease(now, b, next) || h.planGone(now, b, next) {
+		return true
+	}
+	if !b.answered {
+		return false
+	}
+	changed := false
+	if b.fresh() {
+		changed = h.planIdentity(b, next)
+		changed = h.planResolve(now, b, next) || changed
+	}
+	changed = h.planUnload(now, b, next) || changed
+	changed = h.planStanding(b, next) || changed
+	return h.planReserve(b, next) || changed
+}
+
+// planIdentity records what the engine says of itself.
+func (h *Host) planIdentity(b *backend, next *model.BackendRecord) bool {
+	checks := b.latest.Term >= b.record.Term
+	if next.EngineIdentity == b.latest.Incarnation && next.MemoryBytes == b.latest.MemoryBytes && next.ChecksFencing == checks {
+		return false
+	}
+	next.EngineIdentity, next.MemoryBytes, next.ChecksFencing = b.latest.Incarnation, b.latest.MemoryBytes, checks
+	return true
+}
+
+func (h *Host) writeBackend(now time.Time, b *backend, next model.BackendRecord) {
+	next.Nonce = h.unique()
+	value, err := json.Marshal(next)
+	if err != nil {
+		h.violate("record writable", "%s: %v", b.cell.key, err)
+		return
+	}
+	h.emit(b.cell.write(now, h.token(), value))
+}
+
+// observeBackend asks for an observation when one is due.
+func (h *Host) observeBackend(now time.Time, b *backend) {
+	if b.observe.token != 0 && now.Sub(b.observe.askedAt) >= observeTimeout {
+		b.observe = observeCall{}
+	}
+	if b.observe.token != 0 || now.Before(b.observeAt) || !b.goneAt.IsZero() {
+		return
+	}
+	if b.latest.Term < b.record.Term && h.hasOlderOrder(b) {
+		h.emit(FenceEngine{Backend: b.name, Term: b.record.Term})
+	}
+	b.observeAt = now.Add(observeInterval)
+	b.observe = observeCall{token: h.token(), epoch: b.epoch, askedAt: now}
+	h.emit(ObserveEngine{Token: b.observe.token, Backend: b.name})
+}
+
+// hasOlderOrder reports whether an order of an earlier term is not resolved.
+func (h *Host) hasOlderOrder(b *backend) bool {
+	return slices.ContainsFunc(b.record.Reservations, func(r model.Reservation) bool {
+		return r.State != model.ReservationLoaded && r.Term < b.record.Term
+	})
+}
+
+// observed takes in what an engine says.
+func (h *Host) observed(now time.Time, e Observed) {
+	b, ok := h.backends[e.Backend]
+	if !ok || e.Token == 0 || e.Token != b.observe.token {
+		return
+	}
+	call := b.observe
+	b.observe = observeCall{}
+	if e.Failed {
+		return
+	}
+	b.latest, b.latestAt, b.latestIn, b.answered = e.Observation, call.askedAt, call.epoch, true
+	if !b.fresh() && h.unsettled(b) {
+		b.observeAt = now
+	}
+}
+
+// unsettled reports whether something waits for a fresh observation.
+func (h *Host) unsettled(b *backend) bool {
+	if len(b.intents) > 0 || len(b.drains) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(b.record.Reservations, func(r model.Reservation) bool {
+		return r.State == model.ReservationLoading || r.State == model.ReservationUnloading
+	})
+}
+
+// sortedKeys returns the keys of a map in a fixed order.
+func sortedKeys[V any](m map[model.ModelKey]V) []model.ModelKey {
+	return slices.SortedFunc(maps.Keys(m), func(a, b model.ModelKey) int {
+		return compareKeys(a, b)
+	})
+}
--- /dev/null
+++ b/ledger/fuzz_test.go
@@ -0,0 +1,374 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"citronspread/model"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	soakSeconds = flag.Int("soak.seconds", 0, "how long TestLedgerSoak walks")
+	soakSeed    = flag.Int("soak.seed", 1, "the first seed of TestLedgerSoak")
+	walkSeed    = flag.Int("soak.walk", 0, "walk this one seed with a trace")
+)
+
+// op is what happens in one step of a walk.
+type op int
+
+const (
+	opAdvance op = iota
+	opAdvanceLong
+	opWantLoad
+	opWantUnload
+	opRequest
+	opStanding
+	opNumber
+	opSecondNumber
+	opFreeze
+	opWake
+	opKill
+	opBoot
+	opEngineRestart
+	opStoreDown
+	opStoreUp
+	opStoreCut
+	opStoreJoin
+	opHide
+	opSee
+	opStop
+	opCount
+)
+
+var opNames = [opCount]string{
+	"advance", "advance long", "want load", "want unload", "request", "standing", "number", "second number",
+	"freeze", "wake", "kill", "boot", "engine restart", "store down", "store up", "store cut", "store join", "hide", "see", "stop",
+}
+
+// opWeights says how often each step is drawn.
+var opWeights = [opCount]int{30, 8, 24, 6, 10, 4, 4, 2, 6, 8, 4, 8, 3, 2, 6, 3, 4, 4, 4, 2}
+
+// step is one step of a walk.
+type step struct {
+	Op   op
+	A, B int
+	Seed uint64 // of the delays and losses that follow
+}
+
+func (s step) String() string { return fmt.Sprintf("%s %d %d", opNames[s.Op], s.A, s.B) }
+
+// script is a whole walk.
+type script struct {
+	Setup setup
+	Steps []step
+}
+
+func drawOp(t *rapid.T) op {
+	var ops []op
+	for i, n := range opWeights {
+		ops = append(ops, slices.Repeat([]op{op(i)}, n)...)
+	}
+	return rapid.SampledFrom(ops).Draw(t, "op")
+}
+
+var scripts = rapid.Custom(func(t *rapid.T) script {
+	s := setup{
+		Hosts:   rapid.IntRange(2, 4).Draw(t, "hosts"),
+		Engines: rapid.IntRange(2, 3).Draw(t, "engines"),
+		Models:  rapid.IntRange(1, 3).Draw(t, "models"),
+		Trusts:  rapid.Bool().Draw(t, "trusts"),
+	}
+	if !s.Trusts {
+		s.Forgets = rapid.Bool().Draw(t, "forgets")
+	}
+	for range s.Engines {
+		s.Fencing = append(s.Fencing, rapid.Bool().Draw(t, "fencing"))
+	}
+	for range s.Models {
+		s.Replicas = append(s.Replicas, rapid.IntRange(1, 2).Draw(t, "replicas"))
+	}
+	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{drawOp(t), rapid.IntRange(0, 11).Draw(t, "a"), rapid.IntRange(0, 11).Draw(t, "b"), rapid.Uint64().Draw(t, "seed")}
+	}), 20, 150).Draw(t, "steps")
+	return script{s, steps}
+})
+
+// baseline changes how hosts act, to show that a check bites.
+type baseline func(w *world)
+
+// walk runs a script, then ends all faults and checks that the hosts get unstuck. It returns the breach, if any.
+func walk(s script, base baseline, trace bool) (*world, error) {
+	w := newWorld(s.Setup)
+	w.tracing = trace
+	if base != nil {
+		base(w)
+	}
+	for _, v := range s.Steps {
+		w.rng = rand.New(rand.NewPCG(v.Seed, 7))
+		w.logf("-- %s", v)
+		w.do(v)
+		if w.breach != nil {
+			return w, *w.breach
+		}
+	}
+	w.settle()
+	if w.breach != nil {
+		return w, *w.breach
+	}
+	return w, nil
+}
+
+// do carries out one step.
+func (w *world) do(s step) {
+	p := w.procs[s.A%len(w.procs)]
+	e := w.engines[s.B%len(w.engines)]
+	k := s.A % len(w.keys)
+	switch s.Op {
+	case opAdvance:
+		w.advance(time.Duration(50*(1+s.A)*(1+s.B)) * time.Millisecond)
+	case opAdvanceLong:
+		w.advance(time.Duration(1+s.A+s.B) * time.Second)
+	case opWantLoad:
+		w.want(e.name, LoadWanted{Key: w.keys[k], Backend: e.name})
+	case opWantUnload:
+		w.want(e.name, UnloadWanted{Key: w.keys[k], Backend: e.name})
+	case opRequest:
+		e.request(w.keys[k])
+	case opStanding:
+		p.standing = s.B%2 == 0
+		w.tellSources(p)
+	case opNumber:
+		w.config[k].Generation++
+		w.config[k].Replicas = s.B % 4
+		w.spread()
+	case opSecondNumber:
+		w.second[k].Generation++
+		w.second[k].Replicas = s.B % 3
+		w.spread()
+	case opFreeze:
+		p.frozen = p.alive
+	case opWake:
+		w.wake(p)
+	case opKill:
+		w.kill(p)
+	case opBoot:
+		if !p.alive {
+			w.boot(p)
+		}
+	case opEngineRestart:
+		e.restart()
+	case opStoreDown:
+		w.store.down = true
+	case opStoreUp:
+		w.store.down = false
+	case opStoreCut:
+		p.storeCut = true
+	case opStoreJoin:
+		p.storeCut = false
+	case opHide:
+		p.hides = s.B % len(w.procs)
+	case opSee:
+		p.hides = -1
+	case opStop:
+		w.deliver(p, ReleaseAll{})
+	}
+}
+
+// want hands a wish to every process that believes to own the backend server.
+func (w *world) want(backend string, e Event) {
+	for _, p := range w.procs {
+		if p.alive && slices.ContainsFunc(p.host.Owned(), func(o OwnedBackend) bool { return o.Record.Backend == backend }) {
+			w.deliver(p, e)
+		}
+	}
+}
+
+// spread tells every process the newest configuration, at different times.
+func (w *world) spread() {
+	config, second := slices.Clone(w.config), slices.Clone(w.second)
+	for _, p := range w.procs {
+		w.after(w.delay(), func() {
+			for i := range config {
+				p.config[i] = newest(p.config[i], config[i])
+				p.second[i] = newest(p.second[i], second[i])
+			}
+			w.tellSources(p)
+		})
+	}
+}
+
+func newest(a, b model.Source) model.Source {
+	if b.Generation > a.Generation {
+		return b
+	}
+	return a
+}
+
+// wake lets a frozen process go on: first what it had in hand, then what arrived meanwhile.
+func (w *world) wake(p *proc) {
+	if !p.alive || !p.frozen {
+		return
+	}
+	p.frozen = false
+	inbox, outbox := p.inbox, p.outbox
+	p.inbox, p.outbox = nil, nil
+	for _, a := range outbox {
+		w.emit(p, a)
+	}
+	for _, e := range inbox {
+		if !w.chance(10) {
+			w.deliver(p, e)
+		}
+	}
+}
+
+// kill ends a process; the others learn of it from the host list much later.
+func (w *world) kill(p *proc) {
+	if !p.alive {
+		return
+	}
+	p.alive, p.killedAt = false, w.now
+	life := p.host.Incarnation
+	if _, known := w.dead[life]; !known {
+		w.dead[life] = w.now.Add(simHostListLag)
+	}
+}
+
+// settle ends all faults, has everything unloaded, and then has each model loaded and unloaded once more.
+func (w *world) settle() {
+	w.faults = false
+	w.store.down = false
+	for _, p := range w.procs {
+		w.wake(p)
+		w.wake(p)
+		p.storeCut, p.hides, p.standing = false, -1, false
+		if p.alive && p.host.stopping {
+			w.kill(p)
+		}
+		if !p.alive {
+			w.boot(p)
+		}
+	}
+	for i := range w.keys {
+		w.config[i] = model.Source{Record: "a", Generation: w.config[i].Generation + 1, Replicas: 1}
+		w.second[i] = model.Source{Record: "b", Generation: w.second[i].Generation + 1}
+	}
+	w.spread()
+	w.advance(simLongestDelay)
+	w.until("everything is unloaded", 200*time.Second, func() bool {
+		for _, key := range w.keys {
+			for _, e := range w.engines {
+				w.want(e.name, UnloadWanted{Key: key, Backend: e.name})
+			}
+		}
+		return w.empty()
+	})
+	for i, key := range w.keys {
+		e := w.engines[i%len(w.engines)]
+		w.until("a wanted model is served", 30*time.Second, func() bool {
+			w.want(e.name, LoadWanted{Key: key, Backend: e.name})
+			return w.serves(e.name, key)
+		})
+		w.until("an unwanted model is unloaded", 60*time.Second, func() bool {
+			w.want(e.name, UnloadWanted{Key: key, Backend: e.name})
+			return w.empty()
+		})
+	}
+}
+
+// until lets time pass until something holds.
+func (w *world) until(what string, limit time.Duration, holds func() bool) {
+	for end := w.now.Add(limit); w.breach == nil && !holds(); {
+		if w.now.After(end) {
+			w.fail("liveness", "%s: not within %s\n%s", what, limit, w.state())
+			return
+		}
+		w.advance(500 * time.Millisecond)
+	}
+}
+
+// empty reports whether no engine holds a model and no slot is used.
+func (w *world) empty() bool {
+	for _, e := range w.engines {
+		if len(e.models) > 0 {
+			return false
+		}
+	}
+	for _, key := range w.keys {
+		if w.store.used[key] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) serves(backend string, key model.ModelKey) bool {
+	for _, p := range w.procs {
+		for _, r := range p.host.Replicas() {
+			if r.Backend == backend && r.Key == key && !r.Draining {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// state prints the records, for a walk that got stuck.
+func (w *world) state() string {
+	var lines []string
+	for key := range w.store.entries {
+		lines = append(lines, key+" "+string(w.store.current(key).value))
+	}
+	for _, e := range w.engines {
+		lines = append(lines, fmt.Sprintf("%+v", e.observation()))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+// TestLedgerWalks walks with fixed seeds.
+func TestLedgerWalks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := walk(scripts.Draw(t, "script"), nil, false); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestLedgerSoak walks for -soak.seconds, from -soak.seed on.
+func TestLedgerSoak(t *testing.T) {
+	if *walkSeed != 0 {
+		w, err := walk(scripts.Example(*walkSeed), nil, true)
+		t.Logf("%s\nerr %v", strings.Join(w.trace, "\n"), err)
+		return
+	}
+	if *soakSeconds == 0 {
+		t.Skip("no -soak.seconds")
+	}
+	var sum counts
+	seed, began := *soakSeed, time.Now()
+	for ; time.Since(began) < time.Duration(*soakSeconds)*time.Second; seed++ {
+		w, err := walk(scripts.Example(seed), nil, false)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		sum.add(w.counts)
+	}
+	t.Logf("soak: seeds %d to %d, %+v", *soakSeed, seed-1, sum)
+}
+
+func (c *counts) add(v counts) {
+	c.Loads += v.Loads
+	c.Unloads += v.Unloads
+	c.Takeovers += v.Takeovers
+	c.Refused += v.Refused
+	c.Restarts += v.Restarts
+	c.Steps += v.Steps
+}
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -2,6 +2,11 @@
 package ledger
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
 	"citronspread/model"
@@ -15,34 +20,235 @@
 	Incarnation      model.Incarnation
 	LongestOrderTime time.Duration // an order reaches its engine within this time after its sender died or closed the connection
 	TrustsFencing    bool          // fencing numbers of engines that check them outlive a restart of the engine
+
+	counter  int64
+	actions  []Action
+	orders   orderTable
+	backends map[string]*backend
+	models   map[model.ModelKey]*modelState
+	standing map[string][]model.ModelKey
+	records  []RecordGeneration
+	peers    map[model.Incarnation]livePeer
+	dead     map[model.Incarnation]time.Time
+	stopping bool
+	sweepAt  time.Time
+}
+
+// livePeer is an entry host of the zone, and since when it has been listed without a break.
+type livePeer struct {
+	model.Peer
+	since time.Time
 }
 
 // Step takes in one event and returns what is to be done.
 func (h *Host) Step(now time.Time, e Event) []Action {
-	return nil
+	h.init()
+	h.take(now, e)
+	for _, name := range slices.Sorted(maps.Keys(h.backends)) {
+		h.reconcileBackend(now, h.backends[name])
+	}
+	for _, m := range h.sortedModels() {
+		h.reconcileModel(now, m)
+	}
+	h.sweep(now)
+	actions := h.actions
+	h.actions = nil
+	return actions
+}
+
+func (h *Host) init() {
+	if h.orders != nil {
+		return
+	}
+	h.orders = orderTable{}
+	h.backends = map[string]*backend{}
+	h.models = map[model.ModelKey]*modelState{}
+	h.standing = map[string][]model.ModelKey{}
+	h.dead = map[model.Incarnation]time.Time{}
+}
+
+// take changes the state by one event.
+func (h *Host) take(now time.Time, e Event) {
+	switch e := e.(type) {
+	case PeersChanged:
+		h.peersChanged(now, e)
+	case BackendsChanged:
+		h.backendsChanged(now, e)
+	case SourcesChanged:
+		h.sourcesChanged(now, e)
+	case StoreAnswered:
+		h.storeAnswered(now, e)
+	case RecordSeen:
+		h.recordSeen(now, e)
+	case OrderAnswered:
+		h.orderAnswered(now, e)
+	case Observed:
+		h.observed(now, e)
+	case UnsentAnswered:
+		h.unsentAnswered(now, e)
+	case UnsentAsked:
+		h.unsentAsked(now, e)
+	case LoadWanted:
+		h.loadWanted(now, e)
+	case UnloadWanted:
+		h.unloadWanted(now, e)
+	case StandingWanted:
+		h.standing[e.Backend] = slices.Clone(e.Keys)
+	case ReleaseAll:
+		h.stopping = true
+	}
+}
+
+func (h *Host) emit(a Action) {
+	h.actions = append(h.actions, a)
+}
+
+func (h *Host) violate(invariant, format string, args ...any) {
+	h.emit(Violation{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// unique returns a value that no other incarnation and no earlier call returns.
+func (h *Host) unique() string {
+	return string(h.Incarnation) + "/" + strconv.FormatInt(h.token(), 36)
 }
 
-// OwnedBackend is a backend server that this host owns.
-type OwnedBackend struct {
-	Record      model.BackendRecord
-	Observation model.Observation // the latest one
-	ObservedAt  time.Time
+func (h *Host) token() int64 {
+	h.counter++
+	return h.counter
 }
 
-// Owned returns the backend servers that this host owns, sorted by name.
-func (h *Host) Owned() []OwnedBackend { return nil }
+func (h *Host) peersChanged(now time.Time, e PeersChanged) {
+	peers := map[model.Incarnation]livePeer{}
+	for _, p := range e.Peers {
+		since := now
+		if old, ok := h.peers[p.Incarnation]; ok {
+			since = old.since
+		}
+		peers[p.Incarnation] = livePeer{Peer: p, since: since}
+	}
+	h.peers = peers
+	for _, i := range e.Dead {
+		h.markDead(now, i)
+	}
+}
+
+func (h *Host) markDead(now time.Time, i model.Incarnation) {
+	if _, ok := h.dead[i]; !ok && i != h.Incarnation {
+		h.dead[i] = now
+	}
+}
 
-// LoadedReplica is a replica on an owned backend server, ready to serve.
-type LoadedReplica struct {
-	Key      model.ModelKey
-	Backend  string
-	Adapters []string
-	Draining bool // gets no new work
-	Running  int
+func (h *Host) backendsChanged(now time.Time, e BackendsChanged) {
+	for _, b := range h.backends {
+		b.assigned = false
+	}
+	for _, a := range e.Backends {
+		if _, ok := h.backends[a.Backend]; !ok && a.Owner != h.Name {
+			continue
+		}
+		b := h.backend(now, a.Backend)
+		b.assigned = true
+		if !a.Gone {
+			b.goneAt = time.Time{}
+		} else if b.goneAt.IsZero() {
+			b.goneAt = now
+		}
+		b.assignment = a
+	}
 }
 
-// Replicas returns the replicas on owned backend servers that are loaded, sorted.
-func (h *Host) Replicas() []LoadedReplica { return nil }
+func (h *Host) sourcesChanged(now time.Time, e SourcesChanged) {
+	h.records = e.Records
+	for _, m := range h.models {
+		m.sources, m.lead = nil, false
+	}
+	for _, s := range e.Models {
+		m := h.model(s.Key)
+		m.sources, m.bytes, m.adapters, m.lead = s.Sources, s.Bytes, s.Adapters, s.Lead
+	}
+	for _, m := range h.models {
+		m.changedAt = now
+	}
+}
 
-// Released reports whether a planned stop has handed over every owned backend server.
-func (h *Host) Released() bool { return false }
+// storeAnswered hands the end of a call to the record that it was for.
+func (h *Host) storeAnswered(now time.Time, e StoreAnswered) {
+	for _, b := range h.backends {
+		if b.cell.key != e.Key {
+			continue
+		}
+		if content, news := b.cell.answer(now, e); news {
+			h.adoptBackend(now, b, content)
+		}
+		return
+	}
+	for _, m := range h.models {
+		if m.cell.key != e.Key {
+			continue
+		}
+		if content, news := m.cell.answer(now, e); news {
+			h.adoptModel(m, content)
+		}
+		return
+	}
+}
+
+// recordSeen takes in a record that a watch has shown, when this host deals with it.
+func (h *Host) recordSeen(now time.Time, e RecordSeen) {
+	for _, b := range h.backends {
+		if b.cell.key == e.Key && b.cell.seen(now, e.Revision) {
+			h.adoptBackend(now, b, e.Value)
+		}
+	}
+	for _, m := range h.models {
+		if m.cell.key == e.Key && m.cell.seen(now, e.Revision) {
+			h.adoptModel(m, e.Value)
+		}
+	}
+}
+
+func (h *Host) sortedModels() []*modelState {
+	return slices.SortedFunc(maps.Values(h.models), func(a, b *modelState) int {
+		return cmp.Compare(a.cell.key, b.cell.key)
+	})
+}
+
+// sweep forgets what is of no more use.
+func (h *Host) sweep(now time.Time) {
+	if now.Before(h.sweepAt) {
+		return
+	}
+	h.sweepAt = now.Add(sweepInterval)
+	used := map[string]bool{}
+	for _, b := range h.backends {
+		h.markOrders(b, used)
+	}
+	for id, o := range h.orders {
+		gone := o.state == orderOpen || o.state == orderEnded && now.After(o.endsAt)
+		if !used[id] && gone {
+			delete(h.orders, id)
+		}
+	}
+	for name, b := range h.backends {
+		idle := b.cell.token == 0 && b.cell.wroteAt < b.cell.revision && now.Sub(b.usedAt) > forgetAfter
+		if !b.assigned && !h.owns(b) && idle {
+			delete(h.backends, name)
+		}
+	}
+}
+
+// markOrders notes the orders that a backend server's state mentions.
+func (h *Host) markOrders(b *backend, used map[string]bool) {
+	for _, r := range b.record.Reservations {
+		used[r.OrderID] = true
+	}
+	for _, i := range b.intents {
+		used[i.orderID] = true
+	}
+	for _, d := range b.drains {
+		used[d.orderID] = true
+	}
+	for _, id := range b.reissues {
+		used[id] = true
+	}
+}
--- /dev/null
+++ b/ledger/modelstate.go
@@ -0,0 +1,272 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+// Intervals of reading model records.
+const (
+	leadInterval   = 15 * time.Second // a lead reads the record of its model that often
+	verifyInterval = 60 * time.Second // a lead looks for slots that were left behind that often
+	hurryInterval  = 2 * time.Second  // and that often when a slot is wanted
+	surplusMaxAge  = 2 * time.Second
+)
+
+// modelState is what a Host knows of one model version.
+type modelState struct {
+	key       model.ModelKey
+	cell      cell
+	record    model.ModelRecord
+	sources   []model.Source
+	bytes     int64
+	adapters  []string
+	lead      bool
+	changedAt time.Time // when the configuration was last told
+	check     bool      // slots of owned backend servers may have to be freed
+	verifyAt  time.Time
+	starved   bool // a slot was wanted and none was free
+}
+
+// model returns the state for a model version, which is created when needed.
+func (h *Host) model(key model.ModelKey) *modelState {
+	m, ok := h.models[key]
+	if !ok {
+		m = &modelState{key: key, cell: newCell("model/" + key.String()), record: model.ModelRecord{Key: key}}
+		h.models[key] = m
+	}
+	return m
+}
+
+// decided returns the number of replicas that the record and the known configuration decide together.
+func (m *modelState) decided(h *Host) int {
+	return decidedBy(mergeSources(m.record.Sources, m.sources, h.records))
+}
+
+// adoptModel takes over a newer content of the record.
+func (h *Host) adoptModel(m *modelState, content []byte) {
+	record := model.ModelRecord{Key: m.key}
+	if content != nil {
+		if err := json.Unmarshal(content, &record); err != nil {
+			h.violate("record readable", "%s: %v", m.cell.key, err)
+			return
+		}
+	}
+	m.record, m.check = record, true
+	h.findSlots(m)
+}
+
+// findSlots tells intents which slot is bound for them.
+func (h *Host) findSlots(m *modelState) {
+	for _, b := range h.backends {
+		i := b.intents[m.key]
+		if i == nil {
+			continue
+		}
+		i.slotID = noSlot
+		for _, s := range m.record.Slots {
+			if s.State != model.SlotFree && s.Backend == b.name && s.Term == b.record.Term && s.OrderID == i.orderID {
+				i.slotID = s.ID
+			}
+		}
+	}
+}
+
+// reconcileModel brings one model record a step nearer to what is wanted.
+func (h *Host) reconcileModel(now time.Time, m *modelState) {
+	m.cell.expire(now)
+	involved := h.involved(m)
+	h.wantRead(now, m, involved)
+	if m.cell.known {
+		h.drainSurplus(now, m)
+	}
+	if m.cell.idle(now) && (involved || m.lead || m.check || m.cell.touchWanted) {
+		h.planModel(now, m)
+	}
+	h.actions = append(h.actions, m.cell.read(now, h.token)...)
+}
+
+// involved reports whether an owned backend server holds or will hold a replica.
+func (h *Host) involved(m *modelState) bool {
+	for _, b := range h.backends {
+		if h.owns(b) && (b.intents[m.key] != nil || findKey(b.record, m.key) >= 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// wantRead asks for a read of the record when what is known may be too old.
+func (h *Host) wantRead(now time.Time, m *modelState, involved bool) {
+	if !m.cell.known {
+		if involved || m.lead || m.check {
+			m.cell.readWanted = true
+		}
+		return
+	}
+	age := now.Sub(m.cell.readAt)
+	if m.lead && age >= leadInterval || involved && m.cell.readAt.Before(m.changedAt) {
+		m.cell.readWanted = true
+	}
+}
+
+// planModel proposes a new value of the record when one is due.
+func (h *Host) planModel(now time.Time, m *modelState) {
+	next := cloneModel(m.record)
+	next.Sources = mergeSources(m.record.Sources, m.sources, h.records)
+	changed := m.lead && !slices.Equal(next.Sources, m.record.Sources)
+	changed = h.freeSlots(now, m, &next) || changed
+	changed = h.bindSlots(now, m, &next) || changed
+	m.check = changed || h.waitsToFree(m)
+	if !changed && !m.cell.touchWanted {
+		return
+	}
+	fitSlots(&next)
+	if next.Used() > max(next.Decided(), m.record.Used()) {
+		h.violate("slots within the decided number", "%s: %d used of %d", m.cell.key, next.Used(), next.Decided())
+		return
+	}
+	next.Nonce = h.unique()
+	value, err := json.Marshal(next)
+	if err != nil {
+		h.violate("record writable", "%s: %v", m.cell.key, err)
+		return
+	}
+	h.emit(m.cell.write(now, h.token(), value))
+}
+
+// freeSlots frees the slots whose reservations are gone and can't come back.
+func (h *Host) freeSlots(now time.Time, m *modelState, next *model.ModelRecord) bool {
+	changed := false
+	verify := (m.lead || m.starved) && !now.Before(m.verifyAt)
+	if verify {
+		m.starved = false
+		m.verifyAt = now.Add(verifyInterval)
+	}
+	for i, s := range next.Slots {
+		if s.State == model.SlotFree {
+			continue
+		}
+		b, ok := h.backends[s.Backend]
+		if verify && (!ok || !h.owns(b)) {
+			b, ok = h.backend(now, s.Backend), true
+			b.cell.readWanted = true
+		}
+		if !ok || !b.cell.known {
+			continue
+		}
+		if h.canFree(b, m.key, s) {
+			next.Slots[i] = model.Slot{ID: s.ID, State: model.SlotFree}
+			changed = true
+			continue
+		}
+		if s.State == model.SlotAllotted && h.owns(b) && isLoaded(b.record, m.key) {
+			next.Slots[i].State = model.SlotBound
+			changed = true
+		}
+	}
+	return changed
+}
+
+// canFree reports whether a slot's reservation is gone and can never be written again.
+func (h *Host) canFree(b *backend, key model.ModelKey, s model.Slot) bool {
+	if holdsSlot(b.record, key, s.ID) {
+		return false
+	}
+	if b.record.Term > s.Term {
+		return true
+	}
+	if b.record.Term < s.Term || !h.owns(b) || !b.cell.settled() {
+		return false
+	}
+	i := b.intents[key]
+	return i == nil || i.orderID != s.OrderID
+}
+
+// waitsToFree reports whether a slot of an owned backend server is unused, and kept only by a write of unknown outcome.
+func (h *Host) waitsToFree(m *modelState) bool {
+	for _, s := range m.record.Slots {
+		b, ok := h.backends[s.Backend]
+		if !ok || s.State == model.SlotFree || !h.owns(b) || holdsSlot(b.record, m.key, s.ID) {
+			continue
+		}
+		if i := b.intents[m.key]; i == nil || i.orderID != s.OrderID {
+			return true
+		}
+	}
+	return false
+}
+
+// bindSlots binds slots for the intents that have none.
+func (h *Host) bindSlots(now time.Time, m *modelState, next *model.ModelRecord) bool {
+	changed := false
+	for _, b := range h.sortedBackends() {
+		i := b.intents[m.key]
+		if i == nil || i.slotID != noSlot || !h.owns(b) {
+			continue
+		}
+		slot := model.Slot{State: model.SlotBound, Zone: h.Zone, Backend: b.name, Term: b.record.Term, OrderID: i.orderID}
+		if i.standing {
+			slot.State = model.SlotAllotted
+		}
+		if bindSlot(next, slot) == noSlot {
+			h.dropIntent(b, m.key, RefusedNoSlot)
+			m.starved = true
+			m.verifyAt = earlier(m.verifyAt, now.Add(hurryInterval))
+			continue
+		}
+		changed = true
+	}
+	return changed
+}
+
+// drainSurplus drains replicas beyond the decided number on owned backend servers.
+func (h *Host) drainSurplus(now time.Time, m *modelState) {
+	surplus := surplusSlots(m.record, m.decided(h))
+	for _, b := range h.backends {
+		if !h.owns(b) {
+			continue
+		}
+		i := findKey(b.record, m.key)
+		if i < 0 || b.record.Reservations[i].SlotID == noSlot {
+			continue
+		}
+		d := b.drains[m.key]
+		if !slices.Contains(surplus, b.record.Reservations[i].SlotID) {
+			if d != nil && d.surplus && d.orderID == "" {
+				delete(b.drains, m.key)
+			}
+			continue
+		}
+		if now.Sub(m.cell.readAt) > surplusMaxAge {
+			m.cell.readWanted = true
+		} else if d == nil && !h.isOpenStanding(b.record.Reservations[i]) {
+			b.drains[m.key] = &drain{since: now, surplus: true}
+		}
+	}
+}
+
+// isSurplus reports whether a reservation's slot is beyond the decided number.
+func (h *Host) isSurplus(b *backend, key model.ModelKey) bool {
+	m := h.model(key)
+	i := findKey(b.record, key)
+	if i < 0 || !m.cell.known {
+		return false
+	}
+	return slices.Contains(surplusSlots(m.record, m.decided(h)), b.record.Reservations[i].SlotID)
+}
+
+func isLoaded(r model.BackendRecord, key model.ModelKey) bool {
+	i := findKey(r, key)
+	return i >= 0 && r.Reservations[i].State == model.ReservationLoaded
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/model/backend.go
+++ b/model/backend.go
@@ -30,10 +30,13 @@
 	Bytes    int64
 	State    ReservationState
 	OrderID  string      // the latest order for this reservation
-	Issuer   Incarnation // the entry host that may send that order
+	Issuer   Incarnation // the entry host that may send that order, empty when its sending has surely ended
 	Term     int64       // the term that the order was issued under
 	SlotID   int         // the slot of the model record bound to this reservation
 	Adapters []string
+
+	IssuerName    string
+	IssuerAddress string // peer address of the issuer, IP:port
 }
 
 // BackendRecord is the value of the key backend/<name> in the platform's store.
--- a/model/order.go
+++ b/model/order.go
@@ -38,6 +38,7 @@
 	Key      ModelKey
 	Bytes    int64
 	Ready    bool // false while it is being loaded
+	Running  int  // requests of this model version that run or wait in the engine
 	Adapters []string
 }
 
