ledger: livelier walks, baselines that are caught, fewer false assertions

Cause: an owner that lost its backend server without knowing saw a model without a reservation and raised a violation; it now counts only when the record says so. Ruled out: a breach of the protocol there; compare-and-swap refuses its write.

--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -157,6 +157,9 @@
 		if findKey(record, r.Key) != i {
 			h.violate("one reservation a model", "%s: %s", record.Backend, r.Key)
 		}
+		if r.SlotID == noSlot && record.Owner == h.Incarnation && old.EngineIdentity != "" && findKey(old, r.Key) < 0 {
+			h.violate("loaded models are reserved", "%s: %s", record.Backend, r.Key)
+		}
 	}
 }
 
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,6 @@
 
 var (
 	soakSeconds = flag.Int("soak.seconds", 0, "how long TestLedgerSoak walks")
-	soakSeed    = flag.Int("soak.seed", 1, "the first seed of TestLedgerSoak")
 	walkSeed    = flag.Int("soak.walk", 0, "walk this one seed with a trace")
 )
 
@@ -44,16 +44,24 @@
 	opHide
 	opSee
 	opStop
+	opLoadBroken
+	opUnloadBroken
 	opCount
 )
 
 var opNames = [opCount]string{
 	"advance", "advance long", "want load", "want unload", "request", "standing", "number", "second number",
 	"freeze", "wake", "kill", "boot", "engine restart", "store down", "store up", "store cut", "store join", "hide", "see", "stop",
+	"load broken off", "unload broken off",
 }
 
-// opWeights says how often each step is drawn.
-var opWeights = [opCount]int{30, 8, 24, 6, 10, 4, 4, 2, 6, 8, 4, 8, 3, 2, 6, 3, 4, 4, 4, 2}
+// opWeights says how often each step is drawn, for each kind of walk.
+var opWeights = [][opCount]int{
+	{20, 8, 40, 30, 20, 4, 4, 2, 6, 10, 4, 12, 3, 2, 6, 3, 4, 4, 4, 1, 8, 8},
+	{20, 6, 40, 40, 24, 3, 3, 1, 3, 20, 2, 12, 1, 0, 9, 0, 9, 2, 9, 0, 14, 14}, // owners frozen or killed in the middle of orders
+	{20, 4, 40, 40, 20, 9, 6, 3, 4, 12, 3, 9, 3, 6, 9, 6, 9, 2, 4, 0, 6, 6},    // an unreliable store and standing reservations
+	{20, 4, 50, 40, 40, 2, 9, 4, 1, 6, 1, 6, 4, 0, 9, 0, 9, 1, 4, 0, 3, 3},     // lowered numbers under load
+}
 
 // step is one step of a walk.
 type step struct {
@@ -70,18 +78,26 @@
 	Steps []step
 }
 
-func drawOp(t *rapid.T) op {
-	var ops []op
-	for i, n := range opWeights {
-		ops = append(ops, slices.Repeat([]op{op(i)}, n)...)
+// stepOf spreads the steps evenly, which a plain draw would not.
+func stepOf(weights [opCount]int, seed uint64) step {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	sum := 0
+	for _, n := range weights {
+		sum += n
+	}
+	s := step{A: rng.IntN(12), B: rng.IntN(12), Seed: seed}
+	n := rng.IntN(sum)
+	for n >= weights[s.Op] {
+		n -= weights[s.Op]
+		s.Op++
 	}
-	return rapid.SampledFrom(ops).Draw(t, "op")
+	return s
 }
 
 var scripts = rapid.Custom(func(t *rapid.T) script {
 	s := setup{
 		Hosts:   rapid.IntRange(2, 4).Draw(t, "hosts"),
-		Engines: rapid.IntRange(2, 3).Draw(t, "engines"),
+		Engines: rapid.IntRange(1, 3).Draw(t, "engines"),
 		Models:  rapid.IntRange(1, 3).Draw(t, "models"),
 		Trusts:  rapid.Bool().Draw(t, "trusts"),
 	}
@@ -92,11 +108,13 @@
 		s.Fencing = append(s.Fencing, rapid.Bool().Draw(t, "fencing"))
 	}
 	for range s.Models {
-		s.Replicas = append(s.Replicas, rapid.IntRange(1, 2).Draw(t, "replicas"))
+		s.Replicas = append(s.Replicas, rapid.IntRange(1, 3).Draw(t, "replicas"))
+	}
+	weights := opWeights[rapid.IntRange(0, len(opWeights)-1).Draw(t, "kind")]
+	var steps []step
+	for _, seed := range rapid.SliceOfN(rapid.Uint64(), 60, 300).Draw(t, "steps") {
+		steps = append(steps, stepOf(weights, seed))
 	}
-	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-		return step{drawOp(t), rapid.IntRange(0, 11).Draw(t, "a"), rapid.IntRange(0, 11).Draw(t, "b"), rapid.Uint64().Draw(t, "seed")}
-	}), 20, 150).Draw(t, "steps")
 	return script{s, steps}
 })
 
@@ -110,8 +128,10 @@
 	if base != nil {
 		base(w)
 	}
+	w.advance(8 * time.Second)
 	for _, v := range s.Steps {
 		w.rng = rand.New(rand.NewPCG(v.Seed, 7))
+		w.advance(time.Duration(w.rng.IntN(1000)) * time.Millisecond)
 		w.logf("-- %s", v)
 		w.do(v)
 		if w.breach != nil {
@@ -176,6 +196,10 @@
 		p.hides = s.B % len(w.procs)
 	case opSee:
 		p.hides = -1
+	case opLoadBroken:
+		w.breakOff(s, LoadWanted{Key: w.keys[k], Backend: e.name})
+	case opUnloadBroken:
+		w.breakOff(s, UnloadWanted{Key: w.keys[k], Backend: e.name})
 	case opStop:
 		w.deliver(p, ReleaseAll{})
 	}
@@ -184,12 +208,39 @@
 // want hands a wish to every process that believes to own the backend server.
 func (w *world) want(backend string, e Event) {
 	for _, p := range w.procs {
-		if p.alive && slices.ContainsFunc(p.host.Owned(), func(o OwnedBackend) bool { return o.Record.Backend == backend }) {
+		if p.alive && w.believes(p, backend) {
 			w.deliver(p, e)
 		}
 	}
 }
 
+// breakOff starts a load or an unload, and freezes or kills the owner at one of the actions that follow.
+func (w *world) breakOff(s step, e Event) {
+	backend := w.engines[s.B%len(w.engines)].name
+	for _, p := range w.procs {
+		if p.alive && w.believes(p, backend) {
+			p.breakAt, p.breakHow = breakPoint(w.rng.IntN(int(breakPoints))), breakWay(w.rng.IntN(int(breakWays)))
+			if s.A%2 == 0 {
+				p.breakAt, p.breakHow = orderBreak(e), freezeBefore
+			}
+		}
+	}
+	w.want(backend, e)
+}
+
+// orderBreak is the sending of the order that a wish leads to.
+func orderBreak(e Event) breakPoint {
+	if _, load := e.(LoadWanted); load {
+		return breakLoad
+	}
+	return breakUnload
+}
+
+// believes reports whether a process believes to own a backend server.
+func (w *world) believes(p *proc, backend string) bool {
+	return slices.ContainsFunc(p.host.Owned(), func(o OwnedBackend) bool { return o.Record.Backend == backend })
+}
+
 // spread tells every process the newest configuration, at different times.
 func (w *world) spread() {
 	config, second := slices.Clone(w.config), slices.Clone(w.second)
@@ -333,8 +384,24 @@
 	return strings.Join(lines, "\n")
 }
 
-// TestLedgerWalks walks with fixed seeds.
+// firstSeed returns -rapid.seed, or 1 so that a run without it is always the same.
+func firstSeed(t *testing.T) int {
+	f := flag.Lookup("rapid.seed")
+	if f.Value.String() == "0" {
+		if err := f.Value.Set("1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	seed, err := strconv.Atoi(f.Value.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
+// TestLedgerWalks walks with a fixed seed, or with -rapid.seed; it shrinks a walk that breaks a promise.
 func TestLedgerWalks(t *testing.T) {
+	firstSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
 		if _, err := walk(scripts.Draw(t, "script"), nil, false); err != nil {
 			t.Fatal(err)
@@ -342,7 +409,7 @@
 	})
 }
 
-// TestLedgerSoak walks for -soak.seconds, from -soak.seed on.
+// TestLedgerSoak walks for -soak.seconds, from seed -rapid.seed on.
 func TestLedgerSoak(t *testing.T) {
 	if *walkSeed != 0 {
 		w, err := walk(scripts.Example(*walkSeed), nil, true)
@@ -353,7 +420,8 @@
 		t.Skip("no -soak.seconds")
 	}
 	var sum counts
-	seed, began := *soakSeed, time.Now()
+	first, began := firstSeed(t), time.Now()
+	seed := first
 	for ; time.Since(began) < time.Duration(*soakSeconds)*time.Second; seed++ {
 		w, err := walk(scripts.Example(seed), nil, false)
 		if err != nil {
@@ -361,7 +429,7 @@
 		}
 		sum.add(w.counts)
 	}
-	t.Logf("soak: seeds %d to %d, %+v", *soakSeed, seed-1, sum)
+	t.Logf("soak: seeds %d to %d, %+v", first, seed-1, sum)
 }
 
 func (c *counts) add(v counts) {
--- a/ledger/resolve.go
+++ b/ledger/resolve.go
@@ -137,9 +137,6 @@
 		if findKey(*next, m.Key) >= 0 || findKey(b.record, m.Key) >= 0 {
 			continue
 		}
-		if next.Term > 1 {
-			h.violate("loaded models are reserved", "%s: %s", b.name, m.Key)
-		}
 		next.Reservations = append(next.Reservations, model.Reservation{
 			Key: m.Key, Bytes: m.Bytes, State: model.ReservationLoaded, SlotID: noSlot, Term: next.Term,
 		})
--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -58,6 +58,8 @@
 	dead    map[model.Incarnation]time.Time
 	terms   map[string]int64
 	shown   map[place]time.Time
+	outside bool                 // judge only from outside, not by the hosts' own assertions
+	aims    map[string]*simModel // per unload order: the model that it was meant for
 	wrap    func(*proc, Event, []Action) []Action
 	breach  *breach
 	counts  counts
@@ -75,19 +77,88 @@
 
 // proc is one life of an entry host's process.
 type proc struct {
-	index     int
-	host      *Host
-	alive     bool
-	frozen    bool
-	inbox     []Event  // arrived while frozen
-	outbox    []Action // emitted, not carried out because of a freeze
-	killedAt  time.Time
-	storeCut  bool
-	hides     int // index of a proc that this one does not see, -1 for none
-	config    []model.Source
-	second    []model.Source
-	standing  bool
-	sentWrong bool
+	index    int
+	host     *Host
+	alive    bool
+	frozen   bool
+	inbox    []Event  // arrived while frozen
+	outbox   []Action // emitted, not carried out because of a freeze
+	killedAt time.Time
+	storeCut bool
+	hides    int // index of a proc that this one does not see, -1 for none
+	config   []model.Source
+	second   []model.Source
+	standing bool
+	breakAt  breakPoint
+	breakHow breakWay
+}
+
+// breakPoint is an action at which a process freezes or dies.
+type breakPoint int
+
+const (
+	breakNever breakPoint = iota
+	breakModelWrite
+	breakBackendWrite
+	breakLoad
+	breakUnload
+	breakObserve
+	breakAsk
+	breakPoints
+)
+
+// breakWay is how a process breaks off.
+type breakWay int
+
+const (
+	freezeBefore breakWay = iota
+	freezeAfter
+	killBefore
+	killAfter
+	breakWays
+)
+
+// breaksAt reports whether an action is the one that a process breaks off at.
+func (p *proc) breaksAt(a Action) bool {
+	switch a := a.(type) {
+	case WriteRecord:
+		backend := strings.HasPrefix(a.Key, "backend/")
+		return p.breakAt == breakBackendWrite && backend || p.breakAt == breakModelWrite && !backend
+	case SendOrder:
+		load := a.Order.Kind == model.OrderLoad
+		return p.breakAt == breakLoad && load || p.breakAt == breakUnload && !load
+	case ObserveEngine:
+		return p.breakAt == breakObserve
+	case AskUnsent:
+		return p.breakAt == breakAsk
+	}
+	return false
+}
+
+// stopAt freezes or kills a process when it comes to the action that was drawn.
+func (w *world) stopAt(p *proc, actions []Action) {
+	if !w.faults || !slices.ContainsFunc(actions, p.breaksAt) {
+		return
+	}
+	p.breakAt = breakNever
+	life, d := p.host, time.Duration(0)
+	if p.breakHow == freezeAfter || p.breakHow == killAfter {
+		d = 5 * time.Millisecond
+	}
+	stop := func() {
+		switch {
+		case p.host != life || !p.alive || !w.faults:
+		case p.breakHow == killBefore || p.breakHow == killAfter:
+			w.kill(p)
+		default:
+			p.frozen = true
+		}
+	}
+	if d == 0 {
+		stop()
+		return
+	}
+	w.after(d, stop)
 }
 
 type call struct {
@@ -116,8 +187,10 @@
 
 func newWorld(s setup) *world {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	w := &world{setup: s, now: start, start: start, rng: rand.New(rand.NewPCG(1, 1)), faults: true,
-		dead: map[model.Incarnation]time.Time{}, terms: map[string]int64{}, shown: map[place]time.Time{}}
+	w := &world{
+		setup: s, now: start, start: start, rng: rand.New(rand.NewPCG(1, 1)), faults: true,
+		dead: map[model.Incarnation]time.Time{}, terms: map[string]int64{}, aims: map[string]*simModel{}, shown: map[place]time.Time{},
+	}
 	w.store = &simStore{w: w, entries: map[string][]simEntry{}, used: map[model.ModelKey]int{}, allowed: map[model.ModelKey]int{}}
 	for i := range s.Models {
 		w.keys = append(w.keys, model.ModelKey{Model: fmt.Sprintf("m%d", i), Version: "1"})
@@ -155,9 +228,11 @@
 		w.dead[p.host.Incarnation] = w.now // its address answers as another incarnation
 	}
 	name := fmt.Sprintf("h%d", p.index)
-	p.host = &Host{Name: name, Zone: "z", Address: "127.0.0.1:" + name, LongestOrderTime: simOrderTime, TrustsFencing: w.Trusts,
-		Incarnation: model.Incarnation(fmt.Sprintf("%s#%d", name, w.counts.Restarts))}
-	p.alive, p.frozen, p.inbox, p.outbox = true, false, nil, nil
+	p.host = &Host{
+		Name: name, Zone: "z", Address: "127.0.0.1:" + name, LongestOrderTime: simOrderTime, TrustsFencing: w.Trusts,
+		Incarnation: model.Incarnation(fmt.Sprintf("%s#%d", name, w.counts.Restarts)),
+	}
+	p.alive, p.frozen, p.inbox, p.outbox, p.breakAt = true, false, nil, nil, breakNever
 	p.config, p.second = slices.Clone(w.config), slices.Clone(w.second)
 	w.tellMembers(p)
 	w.tellSources(p)
@@ -229,11 +304,20 @@
 	if w.wrap != nil {
 		actions = w.wrap(p, e, actions)
 	}
+	w.stopAt(p, actions)
 	for _, a := range actions {
+		w.aim(a)
 		w.emit(p, a)
 	}
 }
 
+// aim notes which loaded model an unload is meant for.
+func (w *world) aim(a Action) {
+	if s, ok := a.(SendOrder); ok && s.Order.Kind == model.OrderUnload {
+		w.aims[s.Order.ID] = w.engine(s.Backend).models[s.Order.Key]
+	}
+}
+
 // emit carries an action out a moment later; a frozen process does so when it wakes, a dead one never.
 func (w *world) emit(p *proc, a Action) {
 	life := p.host
@@ -306,6 +390,9 @@
 		w.ask(p, a, answer)
 	case AnswerUnsent, LoadRefused:
 	case Violation:
+		if w.outside {
+			return
+		}
 		w.fail("assertion in the program", "%s: %s: %s", life.Incarnation, a.Invariant, a.Detail)
 	}
 }
@@ -639,6 +726,9 @@
 		return
 	}
 	e.w.counts.Unloads++
+	if m != e.w.aims[o.ID] {
+		e.w.fail("an unload takes away no model that was loaded since", "%s %s by %s", e.name, o.Key, o.ID)
+	}
 	if m.running > 0 {
 		e.w.fail("an unload cuts no request", "%s %s by %s", e.name, o.Key, o.ID)
 	}
