ledger: zones that are cut off, and no refusal from an old model record

Ruled out: a leaked slot; the record in the store had free ones. Conclusion: a refusal for want of a slot needs a read made after the wish.

--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -22,7 +22,7 @@
 	goneDelay       = 20 * time.Second
 	sweepInterval   = 10 * time.Second
 	forgetAfter     = 30 * time.Second
-	intentTimeout   = 10 * time.Second
+	intentTimeout   = 5 * time.Second
 )
 
 // backend is what a Host knows of one backend server. The maps are emptied when its owner or term changes.
--- a/ledger/modelstate.go
+++ b/ledger/modelstate.go
@@ -213,6 +213,10 @@
 			slot.State = model.SlotAllotted
 		}
 		if bindSlot(next, slot) == noSlot {
+			if m.cell.readAt.Before(i.since) {
+				m.cell.readWanted = true // others may have freed slots
+				continue
+			}
 			h.dropIntent(b, m.key, RefusedNoSlot)
 			m.starved = true
 			m.verifyAt = earlier(m.verifyAt, now.Add(hurryInterval))
--- a/ledger/want.go
+++ b/ledger/want.go
@@ -83,7 +83,7 @@
 		h.planWant(now, b, key)
 	}
 	for _, key := range h.standing[b.name] {
-		if findKey(b.record, key) < 0 && b.intents[key] == nil && h.hasRoom(b, key) {
+		if findKey(b.record, key) < 0 && b.intents[key] == nil && h.hasRoom(now, b, key) {
 			h.addIntent(now, b, key, true, nil)
 		}
 	}
@@ -124,12 +124,15 @@
 }
 
 // hasRoom reports whether a standing reservation can be tried.
-func (h *Host) hasRoom(b *backend, key model.ModelKey) bool {
+func (h *Host) hasRoom(now time.Time, b *backend, key model.ModelKey) bool {
 	m := h.model(key)
 	if !b.answered || m.bytes == 0 || !m.cell.known {
 		m.check = true
 		return false
 	}
+	if now.Sub(m.cell.readAt) >= leadInterval {
+		m.cell.readWanted = true
+	}
 	return m.record.Used() < m.decided(h) && fits(b.record, m.bytes+intentBytes(h, b))
 }
 
