--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -330,6 +330,9 @@
 	}
 	w.spread()
 	w.advance(simLongestDelay)
+	w.until("surplus replicas are unloaded", 120*time.Second, func() bool {
+		return !slices.ContainsFunc(w.keys, func(k model.ModelKey) bool { return w.replicas(k) > 1 || w.store.used[k] > 1 })
+	})
 	w.until("everything is unloaded", 200*time.Second, func() bool {
 		for _, key := range w.keys {
 			for _, e := range w.engines {
--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -151,6 +151,13 @@
 		case p.host != life || !p.alive || !w.faults:
 		case p.breakHow == killBefore || p.breakHow == killAfter:
 			w.kill(p)
+			if w.chance(50) {
+				w.after(100*time.Millisecond, func() {
+					if !p.alive {
+						w.boot(p)
+					}
+				})
+			}
 		default:
 			p.frozen = true
 		}
@@ -192,7 +199,7 @@
 		setup: s, now: start, start: start, rng: rand.New(rand.NewPCG(1, 1)), faults: true,
 		dead: map[model.Incarnation]time.Time{}, terms: map[string]int64{}, aims: map[string]*simModel{}, shown: map[place]time.Time{},
 	}
-	w.store = &simStore{w: w, entries: map[string][]simEntry{}, used: map[model.ModelKey]int{}, allowed: map[model.ModelKey]int{}}
+	w.store = &simStore{w: w, entries: map[string][]simEntry{}, decided: map[sourceName]int64{}, used: map[model.ModelKey]int{}, allowed: map[model.ModelKey]int{}}
 	for i := range s.Models {
 		w.keys = append(w.keys, model.ModelKey{Model: fmt.Sprintf("m%d", i), Version: "1"})
 		w.config = append(w.config, model.Source{Record: "a", Generation: 1, Replicas: s.Replicas[i]})
@@ -433,7 +440,11 @@
 		done(lost, OrderLost)
 		w.after(lost+time.Duration(w.rng.Int64N(int64(simOrderTime))), func() { arrive(func(OrderOutcome) {}) })
 	default:
-		w.after(w.delay(), func() {
+		d := w.delay()
+		if w.chance(20) { // waits in the sender's kernel
+			d = time.Duration(w.rng.Int64N(int64(simOrderTime)))
+		}
+		w.after(d, func() {
 			arrive(func(o OrderOutcome) {
 				if w.chance(10) {
 					o = OrderLost
@@ -554,9 +565,15 @@
 	down     bool
 	blind    bool // baseline: writes of backend records do not compare
 	used     map[model.ModelKey]int
+	decided  map[sourceName]int64   // highest generation written
 	allowed  map[model.ModelKey]int // replicas that may be loaded now
 }
 
+type sourceName struct {
+	key    model.ModelKey
+	record string
+}
+
 type simEntry struct {
 	value    []byte
 	revision int64
@@ -645,6 +662,13 @@
 		s.w.fail("record readable", "%v", err)
 		return
 	}
+	for _, v := range r.Sources {
+		if at := (sourceName{r.Key, v.Record}); v.Generation < s.decided[at] {
+			s.w.fail("a decided number never reverts", "%s: generation %d of %s after %d", r.Key, v.Generation, v.Record, s.decided[at])
+		} else {
+			s.decided[at] = v.Generation
+		}
+	}
 	used, decided := r.Used(), r.Decided()
 	if used > max(decided, s.used[r.Key]) {
 		s.w.fail("slots", "%s: %d used, %d before, %d decided", r.Key, used, s.used[r.Key], decided)
@@ -656,12 +680,7 @@
 
 // checkReplicas asserts promise 1, by the engines' own count.
 func (w *world) checkReplicas(key model.ModelKey) {
-	n := 0
-	for _, e := range w.engines {
-		if e.models[key] != nil {
-			n++
-		}
-	}
+	n := w.replicas(key)
 	if n > w.store.allowed[key] {
 		w.fail("no more replicas than decided", "%s: %d loaded, %d allowed", key, n, w.store.allowed[key])
 	}
@@ -670,6 +689,17 @@
 	}
 }
 
+// replicas returns how many engines hold a model.
+func (w *world) replicas(key model.ModelKey) int {
+	n := 0
+	for _, e := range w.engines {
+		if e.models[key] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // simEngine is a model engine.
 type simEngine struct {
 	w       *world
