gossip, membership, peer: soft state between entry hosts over drpc

Change: bucketed digests with push and pull, heartbeats with loads inside a zone, rendezvous hashing with an even bound, drpc calls with CBOR.

--- /dev/null
+++ b/gossip/table.go
@@ -0,0 +1,158 @@
+package gossip
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// BucketCount is the number of buckets that a digest divides the items into.
+const BucketCount = 64
+
+// Digest holds one hash for each bucket of items.
+type Digest [BucketCount]uint32
+
+// Table holds the items of one entry host. It is used by the control thread alone.
+type Table struct {
+	items  map[ItemID]Item
+	digest Digest
+	fresh  []Item
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{items: make(map[ItemID]Item)}
+}
+
+// Merge keeps those items that are newer than what the table holds and returns them.
+func (t *Table) Merge(now time.Time, items []Item) []Item {
+	var accepted []Item
+	for _, item := range items {
+		if item.isExpired(now) || !t.isNews(item.ID, item.Rank) {
+			continue
+		}
+		t.replace(item)
+		accepted = append(accepted, item)
+	}
+	t.fresh = append(t.fresh, accepted...)
+	return accepted
+}
+
+// Get returns the item named by id.
+func (t *Table) Get(id ItemID) (Item, bool) {
+	item, ok := t.items[id]
+	return item, ok
+}
+
+// Items returns the items of one kind, sorted by key.
+func (t *Table) Items(kind Kind) []Item {
+	var items []Item
+	for id, item := range t.items {
+		if id.Kind == kind {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.ID.Key, b.ID.Key) })
+	return items
+}
+
+// Len returns the number of items.
+func (t *Table) Len() int { return len(t.items) }
+
+// TakeFresh returns the items accepted since the last call, to be pushed on to peers.
+func (t *Table) TakeFresh() []Item {
+	fresh := t.fresh
+	t.fresh = nil
+	return fresh
+}
+
+// Digest returns the hashes of the buckets.
+func (t *Table) Digest() Digest { return t.digest }
+
+// Summaries returns what the table holds in the buckets that differ from the digest.
+func (t *Table) Summaries(digest Digest) []Summary {
+	var summaries []Summary
+	for id, item := range t.items {
+		if b := id.bucket(); t.digest[b] != digest[b] {
+			summaries = append(summaries, Summary{ID: id, Rank: item.Rank})
+		}
+	}
+	return summaries
+}
+
+// Reconcile compares the table with a peer's digest and with the summaries of the buckets that differ.
+// It returns the items that the peer lacks and the names of those that the table lacks.
+func (t *Table) Reconcile(digest Digest, summaries []Summary) (send []Item, want []ItemID) {
+	theirs := make(map[ItemID]Rank, len(summaries))
+	for _, s := range summaries {
+		theirs[s.ID] = s.Rank
+		if t.isNews(s.ID, s.Rank) {
+			want = append(want, s.ID)
+		}
+	}
+	for id, item := range t.items {
+		b := id.bucket()
+		if t.digest[b] == digest[b] {
+			continue
+		}
+		rank, known := theirs[id]
+		if !known || item.Rank.Compare(rank) > 0 {
+			send = append(send, item)
+		}
+	}
+	return send, want
+}
+
+// Select returns the items named by ids.
+func (t *Table) Select(ids []ItemID) []Item {
+	var items []Item
+	for _, id := range ids {
+		if item, ok := t.items[id]; ok {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// Expire removes the items whose time has passed.
+func (t *Table) Expire(now time.Time) {
+	for id, item := range t.items {
+		if item.isExpired(now) {
+			t.remove(id)
+		}
+	}
+}
+
+// Remove forgets the items that gone reports, such as those of backend servers that left.
+func (t *Table) Remove(kind Kind, gone func(key string) bool) {
+	for id := range t.items {
+		if id.Kind == kind && gone(id.Key) {
+			t.remove(id)
+		}
+	}
+}
+
+func (t *Table) isNews(id ItemID, rank Rank) bool {
+	held, ok := t.items[id]
+	return !ok || rank.Compare(held.Rank) > 0
+}
+
+func (t *Table) replace(item Item) {
+	t.remove(item.ID)
+	t.items[item.ID] = item
+	t.toggle(item)
+}
+
+func (t *Table) remove(id ItemID) {
+	item, ok := t.items[id]
+	if !ok {
+		return
+	}
+	delete(t.items, id)
+	t.toggle(item)
+}
+
+// toggle adds an item to the hash of its bucket or takes it away.
+func (t *Table) toggle(item Item) {
+	t.digest[item.ID.bucket()] ^= uint32(Summary{ID: item.ID, Rank: item.Rank}.hash())
+}
--- /dev/null
+++ b/membership/rendezvous.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citronspread/model"
+)
+
+// Assignment names the entry host that should own a backend server.
+type Assignment struct {
+	Backend string
+	Owner   string
+}
+
+// Lead returns the host that leads key: the one with the highest rendezvous score.
+func Lead(hosts []model.Peer, key string) (model.Peer, bool) {
+	if len(hosts) == 0 {
+		return model.Peer{}, false
+	}
+	return slices.MaxFunc(hosts, func(a, b model.Peer) int {
+		return cmp.Or(cmp.Compare(score(a.Name, key), score(b.Name, key)), strings.Compare(a.Name, b.Name))
+	}), true
+}
+
+// Ranked returns the hosts by falling rendezvous score for key.
+func Ranked(hosts []model.Peer, key string) []model.Peer {
+	ranked := slices.Clone(hosts)
+	slices.SortFunc(ranked, func(a, b model.Peer) int {
+		return cmp.Or(cmp.Compare(score(b.Name, key), score(a.Name, key)), strings.Compare(a.Name, b.Name))
+	})
+	return ranked
+}
+
+// Assign spreads the backend servers over the hosts by rendezvous hashing with an even bound for each host.
+func Assign(hosts []model.Peer, backends []string) []Assignment {
+	if len(hosts) == 0 {
+		return nil
+	}
+	bound := (len(backends) + len(hosts) - 1) / len(hosts)
+	owned := make(map[string]int, len(hosts))
+	sorted := slices.Sorted(slices.Values(backends))
+	assignments := make([]Assignment, 0, len(sorted))
+	for _, backend := range sorted {
+		owner := firstBelow(Ranked(hosts, backend), owned, bound)
+		owned[owner]++
+		assignments = append(assignments, Assignment{Backend: backend, Owner: owner})
+	}
+	return assignments
+}
+
+// firstBelow returns the first host that owns fewer than bound backend servers.
+func firstBelow(ranked []model.Peer, owned map[string]int, bound int) string {
+	for _, h := range ranked {
+		if owned[h.Name] < bound {
+			return h.Name
+		}
+	}
+	return ranked[0].Name
+}
+
+func score(host, key string) uint64 {
+	return xxhash.Sum64String(host + "\x00" + key)
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"citronspread/gossip"
+	"citronspread/membership"
+	"citronspread/model"
+)
+
+// ExchangeRequest starts a comparison of soft state.
+type ExchangeRequest struct {
+	From   model.Peer
+	Beats  []membership.Beat `cbor:",omitempty"` // counters alone, from hosts of the same zone
+	Digest gossip.Digest
+}
+
+// ExchangeReply tells what the answering host holds otherwise.
+type ExchangeReply struct {
+	Beats     []membership.Beat `cbor:",omitempty"`
+	Wanted    []membership.Beat `cbor:",omitempty"` // counters of the answering host, for the caller's newer ones
+	Digest    gossip.Digest
+	Summaries []gossip.Summary `cbor:",omitempty"`
+}
+
+// PushRequest passes items and heartbeats on and asks for others.
+type PushRequest struct {
+	From  model.Peer
+	Beats []membership.Beat `cbor:",omitempty"`
+	Items []gossip.Item     `cbor:",omitempty"`
+	Want  []gossip.ItemID   `cbor:",omitempty"`
+}
+
+// PushReply holds the items that were asked for.
+type PushReply struct {
+	Items []gossip.Item `cbor:",omitempty"`
+}
+
+// UnsentRequest asks the issuer of an order whether it may still send it.
+type UnsentRequest struct {
+	OrderID string
+	Issuer  model.Incarnation
+}
+
+// UnsentReply answers an UnsentRequest.
+type UnsentReply struct {
+	Issuer      model.Incarnation // the incarnation that answers
+	WillNotSend bool
+}
+
+// WakeRequest passes a wake to the lead of a model.
+type WakeRequest struct {
+	From model.Peer
+	Wake model.Wake
+	Hops int // zones passed through
+}
+
+// LoadRequest asks the owner of a backend server to load a model version, or to unload it.
+type LoadRequest struct {
+	From     model.Peer
+	Key      model.ModelKey
+	Backend  string
+	Adapters []string
+	Unload   bool
+}
+
+// PermitRequest asks the zone's permit holder for the right to load from the weight store.
+type PermitRequest struct {
+	From    model.Peer
+	Wake    model.Wake
+	Backend string
+}
+
+// PermitReply answers a PermitRequest.
+type PermitReply struct {
+	Granted bool
+}
+
+// UsageRequest tells the owner of backend servers how often their replicas were used.
+type UsageRequest struct {
+	From   model.Peer
+	Usages []Usage
+}
+
+// Usage counts the requests that one router sent to a replica since its last report.
+type Usage struct {
+	Backend  string
+	Key      model.ModelKey
+	Adapter  string `cbor:",omitempty"`
+	Requests int
+	Running  int // still open when the report was made
+}
+
+// Empty is the reply of calls that return nothing.
+type Empty struct{}
