--- /dev/null
+++ b/engine/order.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"citronspread/model"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// LongestOrderDelay bounds the time from the end of SendOrder, or of its process, until the order can no longer reach a running engine.
+const LongestOrderDelay = 4 * time.Second
+
+// Shares of the order delay.
+const (
+	dialShare        = 4 // a quarter for the connection
+	writeShare       = 4 // a quarter for the write
+	userTimeoutShare = 4 // a quarter until unacknowledged data is given up
+)
+
+// UnsentError tells that an order surely never reached the engine.
+type UnsentError struct {
+	Backend string
+	OrderID string
+	Cause   error
+}
+
+// Error implements error.
+func (e *UnsentError) Error() string {
+	return fmt.Sprintf("engine: %s: order %s not sent: %v", e.Backend, e.OrderID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
+// LostError tells that the outcome of an order is unknown.
+type LostError struct {
+	Backend string
+	OrderID string
+	Cause   error
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("engine: %s: outcome of order %s unknown: %v", e.Backend, e.OrderID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// SendOrder sends an order once, on a connection of its own, and waits for the answer.
+func (c *Control) SendOrder(ctx context.Context, o model.Order) (OrderAnswer, error) {
+	req, err := c.request(ctx, http.MethodPost, "/control/orders", nil, o)
+	if err != nil {
+		return OrderAnswer{}, &UnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
+	}
+	conn, err := c.dialOrder(ctx)
+	if err != nil {
+		return OrderAnswer{}, &UnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+
+	answer, err := c.converse(conn, req)
+	if err != nil {
+		return OrderAnswer{}, &LostError{Backend: c.Backend, OrderID: o.ID, Cause: err}
+	}
+	return answer, nil
+}
+
+func (c *Control) converse(conn net.Conn, req *http.Request) (OrderAnswer, error) {
+	req.Close = true
+	if err := conn.SetWriteDeadline(time.Now().Add(c.orderDelay() / writeShare)); err != nil {
+		return OrderAnswer{}, errors.Wrap(err, "engine: write deadline")
+	}
+	if err := req.Write(conn); err != nil {
+		return OrderAnswer{}, errors.Wrap(err, "engine: write order")
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return OrderAnswer{}, errors.Wrap(err, "engine: read answer")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return OrderAnswer{}, &ControlStatusError{Backend: c.Backend, Status: resp.StatusCode}
+	}
+	var answer OrderAnswer
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlAnswerBytes)).Decode(&answer)
+	return answer, errors.Wrap(err, "engine: decode answer")
+}
+
+// dialOrder opens a connection whose unsent data is discarded when it is closed or stays unacknowledged.
+func (c *Control) dialOrder(ctx context.Context) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: c.orderDelay() / dialShare,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setOrderOptions(raw, c.orderDelay()/userTimeoutShare)
+		},
+	}
+	conn, err := d.DialContext(ctx, "tcp", c.Address)
+	return conn, errors.Wrap(err, "engine: dial")
+}
+
+func setOrderOptions(raw syscall.RawConn, userTimeout time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		linger := unix.Linger{Onoff: 1, Linger: 0}
+		optionErr = errors.CombineErrors(
+			unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())),
+		)
+	})
+	return errors.CombineErrors(err, optionErr)
+}
+
+func (c *Control) orderDelay() time.Duration {
+	if c.OrderDelay == 0 {
+		return LongestOrderDelay
+	}
+	return c.OrderDelay
+}
--- /dev/null
+++ b/hostlist/hostlist.go
@@ -0,0 +1,100 @@
+// Package hostlist is the client of the platform's list of live and leaving hosts.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"citronspread/model"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	zoneHeader     = "X-Zone"
+	maxAnswerBytes = 16 << 20
+)
+
+// HostsUnavailableError tells that the platform gave no host list.
+type HostsUnavailableError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *HostsUnavailableError) Error() string { return fmt.Sprintf("hostlist: unavailable: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *HostsUnavailableError) Unwrap() error { return e.Cause }
+
+// StatusError tells that the platform answered with an unexpected status.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("hostlist: status %d", e.Status) }
+
+// Listing is the host list at a revision. Hosts is empty when the revision is the one asked for.
+type Listing struct {
+	Revision int64
+	Hosts    []model.Host
+}
+
+// Client reads the platform's host list.
+type Client struct {
+	Address string // IP:port
+	Zone    string
+	HTTP    *http.Client // http.DefaultClient when nil
+	Reads   atomic.Int64
+	Failed  atomic.Int64
+}
+
+// Hosts waits until the list has another revision than after, at most for timeout, and returns it.
+func (c *Client) Hosts(ctx context.Context, after int64, timeout time.Duration) (Listing, error) {
+	c.Reads.Add(1)
+	listing, err := c.read(ctx, after, timeout)
+	if err != nil {
+		c.Failed.Add(1)
+		return Listing{}, &HostsUnavailableError{Cause: err}
+	}
+	return listing, nil
+}
+
+func (c *Client) read(ctx context.Context, after int64, timeout time.Duration) (Listing, error) {
+	query := url.Values{
+		"after":   {strconv.FormatInt(after, 10)},
+		"timeout": {strconv.FormatInt(timeout.Milliseconds(), 10)},
+	}
+	target := url.URL{Scheme: "http", Host: c.Address, Path: "/v1/hosts", RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return Listing{}, errors.Wrap(err, "hostlist: new request")
+	}
+	req.Header.Set(zoneHeader, c.Zone)
+
+	resp, err := c.httpClient().Do(req)
+	if err != nil {
+		return Listing{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Listing{}, &StatusError{Status: resp.StatusCode}
+	}
+	var listing Listing
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&listing)
+	return listing, errors.Wrap(err, "hostlist: answer")
+}
+
+func (c *Client) httpClient() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
