--- /dev/null
+++ b/entryhost/control.go
@@ -0,0 +1,171 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"citronspread/gossip"
+	"citronspread/ledger"
+	"citronspread/membership"
+	"citronspread/model"
+	"citronspread/placement"
+)
+
+// Periods of the control thread's work.
+const (
+	tickPeriod     = 50 * time.Millisecond
+	beatPeriod     = time.Second
+	statusPeriod   = 50 * time.Millisecond
+	usagePeriod    = time.Second
+	snapshotPeriod = 250 * time.Millisecond
+	pushPeriod     = 20 * time.Millisecond
+	permitPeriod   = 200 * time.Millisecond
+	standingPeriod = 5 * time.Second
+)
+
+// eventCapacity bounds the events that wait for the control thread.
+const eventCapacity = 4096
+
+// event is something that the control thread is told. Only the control thread calls apply.
+type event interface {
+	apply(c *control, now time.Time)
+}
+
+// control is the state of the one control thread. No other thread reads or writes it.
+type control struct {
+	self    model.Peer
+	region  string
+	edge    *edge
+	metrics *metrics
+	log     *zap.Logger
+	policy  Policy
+
+	table         *gossip.Table
+	members       *membership.Members
+	ledger        *ledger.Host
+	lead          *placement.Lead
+	permits       *placement.Permits
+	configuration *configuration
+	hosts         hostView
+	backends      statusCache
+	owner         *ownerState
+	asks          *pendingAsks
+	liveness      liveness
+
+	version         int64 // of the snapshot
+	isSnapshotStale bool
+	due             schedule
+	leaving         bool
+}
+
+// schedule holds when each periodic work was last done.
+type schedule struct {
+	beat, status, usage, snapshot, push, permit, standing time.Time
+
+	round int
+}
+
+// run applies events until ctx ends.
+func (c *control) run(ctx context.Context, events <-chan event) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-events:
+			e.apply(c, time.Now())
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+		c.flush(time.Now())
+	}
+}
+
+// tick does the periodic work that is due.
+func (c *control) tick(now time.Time) {
+	c.metrics.controlAlive.Store(now.UnixNano())
+	c.refreshLiveness(now)
+	c.step(now, ledger.Tick{})
+	c.decideLoads(now)
+	c.ownerTick(now)
+	if isDue(now, &c.due.beat, beatPeriod) {
+		c.beat(now)
+	}
+	if isDue(now, &c.due.status, statusPeriod) {
+		c.publishStatus(now)
+	}
+	if isDue(now, &c.due.permit, permitPeriod) {
+		c.permitTick(now)
+	}
+	if isDue(now, &c.due.standing, standingPeriod) {
+		c.updateStanding(now)
+	}
+	if isDue(now, &c.due.usage, usagePeriod) {
+		c.edge.reportUsage(c.usageTargets())
+	}
+}
+
+// flush passes on what the last event changed.
+func (c *control) flush(now time.Time) {
+	if isDue(now, &c.due.push, pushPeriod) {
+		c.pushFresh(now)
+	}
+	if c.isSnapshotStale || now.Sub(c.due.snapshot) >= snapshotPeriod {
+		c.due.snapshot = now
+		c.isSnapshotStale = false
+		c.publishSnapshot(now)
+	}
+}
+
+// isDue reports whether period has passed since last, and then sets last.
+func isDue(now time.Time, last *time.Time, period time.Duration) bool {
+	if now.Sub(*last) < period {
+		return false
+	}
+	*last = now
+	return true
+}
+
+// liveness is the last view of peers that the ledger was told.
+type liveness struct {
+	live []model.Peer
+	dead []model.Incarnation
+}
+
+// refreshLiveness tells the ledger when peers came, left or died.
+func (c *control) refreshLiveness(now time.Time) {
+	live, dead := c.members.Live(now), c.members.Dead()
+	if samePeers(live, c.liveness.live) && len(dead) == len(c.liveness.dead) {
+		return
+	}
+	c.liveness = liveness{live: live, dead: dead}
+	c.log.Info("peers changed", zap.Int("live", len(live)), zap.Int("dead", len(dead)))
+	c.step(now, ledger.PeersChanged{Peers: live, Dead: dead})
+	c.assign(now)
+	c.applySources(now)
+}
+
+func samePeers(a, b []model.Peer) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Incarnation != b[i].Incarnation || a[i].Leaving != b[i].Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// assign tells the ledger who should own each backend server of the zone.
+func (c *control) assign(now time.Time) {
+	staying := c.members.Staying(now)
+	var assignments []ledger.Assignment
+	for _, a := range membership.Assign(staying, c.hosts.backendNames(c.self.Zone)) {
+		assignments = append(assignments, ledger.Assignment{Backend: a.Backend, Owner: a.Owner})
+	}
+	c.step(now, ledger.BackendsChanged{Backends: assignments})
+}
--- /dev/null
+++ b/entryhost/edge.go
@@ -0,0 +1,294 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"citronspread/engine"
+	"citronspread/gossip"
+	"citronspread/ledger"
+	"citronspread/model"
+	"citronspread/peer"
+	"citronspread/store"
+)
+
+// Bounds of calls that the control thread waits for.
+const (
+	storeTimeout   = 3 * time.Second
+	observeTimeout = 2 * time.Second
+	orderTimeout   = 3 * time.Minute
+)
+
+// edge carries out the control thread's actions on threads of its own and reports back with events.
+type edge struct {
+	store    Store
+	peers    Peers
+	usage    UsageSource
+	sink     SnapshotSink
+	dial     func(host model.Host) Engine
+	log      *zap.Logger
+	metrics  *metrics
+	events   chan<- event
+	self     model.Peer
+	ctx      context.Context
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	engines  map[string]Engine // by backend server
+	engineAt map[string]string // the address that the engine was dialled at
+}
+
+// spawn runs work on a thread of its own that ends with the host.
+func (e *edge) spawn(work func(ctx context.Context)) {
+	e.wait.Add(1)
+	go func() {
+		defer e.wait.Done()
+		work(e.ctx)
+	}()
+}
+
+// post hands an event to the control thread.
+func (e *edge) post(ctx context.Context, event event) {
+	select {
+	case e.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// setEngines makes the engines of the listed backend servers known.
+func (e *edge) setEngines(hosts []model.Host) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, h := range hosts {
+		if h.Kind == model.KindBackend && e.engineAt[h.Name] != h.Address {
+			e.engines[h.Name] = e.dial(h)
+			e.engineAt[h.Name] = h.Address
+		}
+	}
+}
+
+func (e *edge) engine(backend string) (Engine, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	found, ok := e.engines[backend]
+	return found, ok
+}
+
+func (e *edge) readRecord(action ledger.ReadRecord) {
+	e.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		entry, err := e.store.Get(ctx, action.Key)
+		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreRead, entry, err)})
+	})
+}
+
+func (e *edge) writeRecord(action ledger.WriteRecord) {
+	e.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		revision, err := e.store.CompareAndSwap(ctx, action.Key, action.Value, action.Revision)
+		entry := store.Entry{Key: action.Key, Value: action.Value, Revision: revision}
+		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreApplied, entry, err)})
+	})
+}
+
+// storeAnswer turns the outcome of a store call into an event.
+func storeAnswer(token int64, key string, success ledger.StoreOutcome, entry store.Entry, err error) ledger.StoreAnswered {
+	answer := ledger.StoreAnswered{Token: token, Key: key, Outcome: success, Value: entry.Value, Revision: entry.Revision}
+	if err == nil {
+		return answer
+	}
+	answer.Value, answer.Revision = nil, 0
+	var notFound *store.NotFoundError
+	var conflict *store.ConflictError
+	var unavailable *store.UnavailableError
+	switch {
+	case errors.As(err, &notFound):
+		answer.Outcome = ledger.StoreNotFound
+	case errors.As(err, &conflict):
+		answer.Outcome = ledger.StoreConflict
+		answer.Value, answer.Revision = conflict.Current.Value, conflict.Current.Revision
+	case errors.As(err, &unavailable) && unavailable.Ambiguous:
+		answer.Outcome = ledger.StoreAmbiguous
+	default:
+		answer.Outcome = ledger.StoreFailed
+	}
+	return answer
+}
+
+// observe presents a fencing number when one is given, then reads the engine's state.
+func (e *edge) observe(fence *ledger.FenceEngine, action *ledger.ObserveEngine) {
+	e.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+		defer cancel()
+		if fence != nil {
+			e.fence(ctx, *fence)
+		}
+		if action == nil {
+			return
+		}
+		answer := ledger.Observed{Token: action.Token, Backend: action.Backend, Failed: true}
+		if found, ok := e.engine(action.Backend); ok {
+			observation, err := found.Observe(ctx)
+			answer.Observation, answer.Failed = observation, err != nil
+		}
+		e.post(e.ctx, ledgerEvent{answer})
+	})
+}
+
+func (e *edge) fence(ctx context.Context, fence ledger.FenceEngine) {
+	found, ok := e.engine(fence.Backend)
+	if !ok {
+		return
+	}
+	if err := found.Fence(ctx, fence.Term); err != nil {
+		e.log.Warn("fencing number not presented", zap.String("backend", fence.Backend), zap.Error(err))
+	}
+}
+
+func (e *edge) sendOrder(action ledger.SendOrder) {
+	e.spawn(func(ctx context.Context) {
+		outcome := e.order(ctx, action.Backend, action.Order)
+		e.log.Info("order answered", zap.String("backend", action.Backend), zap.String("kind", string(action.Order.Kind)),
+			zap.String("model", action.Order.Key.String()), zap.String("order", action.Order.ID), zap.String("outcome", string(outcome)))
+		e.post(e.ctx, ledgerEvent{ledger.OrderAnswered{OrderID: action.Order.ID, Outcome: outcome}})
+	})
+}
+
+func (e *edge) order(ctx context.Context, backend string, order model.Order) ledger.OrderOutcome {
+	found, ok := e.engine(backend)
+	if !ok {
+		return ledger.OrderUnsent
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	e.metrics.orders.Add(1)
+	answer, err := found.SendOrder(ctx, order)
+	var unsent *engine.UnsentError
+	switch {
+	case errors.As(err, &unsent):
+		return ledger.OrderUnsent
+	case err != nil:
+		return ledger.OrderLost
+	case answer.Outcome == engine.OutcomeDone:
+		return ledger.OrderDone
+	case answer.Outcome == engine.OutcomeRefused:
+		return ledger.OrderRefused
+	default:
+		return ledger.OrderFailed
+	}
+}
+
+func (e *edge) askUnsent(action ledger.AskUnsent) {
+	if action.Address == "" {
+		return
+	}
+	e.spawn(func(ctx context.Context) {
+		request := &peer.UnsentRequest{OrderID: action.OrderID, Issuer: action.Issuer}
+		reply, err := e.peers.Unsent(ctx, action.Address, request)
+		if err != nil {
+			return
+		}
+		e.post(e.ctx, unsentReplied{issuer: action.Issuer, orderID: action.OrderID, reply: *reply})
+	})
+}
+
+// push passes items on to peers and merges what they return.
+func (e *edge) push(targets []model.Peer, items []gossip.Item) {
+	for _, target := range targets {
+		e.spawn(func(ctx context.Context) {
+			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{From: e.self, Items: items})
+			if err != nil {
+				e.reportRefused(target, err)
+			}
+		})
+	}
+}
+
+// reportRefused tells the control thread that nothing listens at a peer's address.
+func (e *edge) reportRefused(target model.Peer, err error) {
+	var unreachable *peer.UnreachableError
+	if errors.As(err, &unreachable) && unreachable.Refused {
+		e.post(e.ctx, peerRefused{name: target.Name})
+	}
+}
+
+func (e *edge) forwardWake(address string, request peer.WakeRequest) {
+	e.spawn(func(ctx context.Context) {
+		if err := e.peers.Wake(ctx, address, &request); err != nil {
+			e.log.Debug("wake not delivered", zap.String("model", request.Wake.Key.String()), zap.Error(err))
+		}
+	})
+}
+
+func (e *edge) askLoad(address string, request peer.LoadRequest) {
+	e.spawn(func(ctx context.Context) {
+		if err := e.peers.Load(ctx, address, &request); err != nil {
+			e.log.Warn("load not asked", zap.String("model", request.Key.String()), zap.String("backend", request.Backend), zap.Error(err))
+		}
+	})
+}
+
+func (e *edge) askPermit(address string, request peer.PermitRequest, answered func(granted bool) event) {
+	e.spawn(func(ctx context.Context) {
+		reply, err := e.peers.Permit(ctx, address, &request)
+		e.post(e.ctx, answered(err == nil && reply.Granted))
+	})
+}
+
+// usageTarget is where the use of a backend server's replicas is reported.
+type usageTarget struct {
+	backend string
+	address string // peer address of the owner
+}
+
+// reportUsage tells the owners of backend servers how often their replicas were used.
+func (e *edge) reportUsage(targets []usageTarget) {
+	if e.usage == nil {
+		return
+	}
+	usages := e.usage.TakeUsage()
+	for _, address := range distinctAddresses(targets) {
+		request := peer.UsageRequest{From: e.self, Usages: usagesFor(address, targets, usages)}
+		if len(request.Usages) == 0 {
+			continue
+		}
+		if address == e.self.Address {
+			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{request.Usages}) })
+			continue
+		}
+		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, address, &request) })
+	}
+}
+
+func distinctAddresses(targets []usageTarget) []string {
+	var addresses []string
+	seen := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		if !seen[t.address] && t.address != "" {
+			seen[t.address] = true
+			addresses = append(addresses, t.address)
+		}
+	}
+	return addresses
+}
+
+func usagesFor(address string, targets []usageTarget, usages []model.Usage) []model.Usage {
+	owned := make(map[string]bool)
+	for _, t := range targets {
+		if t.address == address {
+			owned[t.backend] = true
+		}
+	}
+	var selected []model.Usage
+	for _, u := range usages {
+		if owned[u.Backend] {
+			selected = append(selected, u)
+		}
+	}
+	return selected
+}
--- /dev/null
+++ b/entryhost/hosts.go
@@ -0,0 +1,131 @@
+package entryhost
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"citronspread/gossip"
+	"citronspread/model"
+)
+
+// Times of reading the host list.
+const (
+	hostsTimeout = 20 * time.Second
+	hostsRetry   = 500 * time.Millisecond
+)
+
+// hostView is the platform's host list as last read.
+type hostView struct {
+	hosts    []model.Host
+	revision int64
+	readAt   time.Time
+}
+
+func (v hostView) backendNames(zone string) []string {
+	var names []string
+	for _, h := range v.hosts {
+		if h.Kind == model.KindBackend && h.Zone == zone {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+func (v hostView) find(name string) (model.Host, bool) {
+	i := slices.IndexFunc(v.hosts, func(h model.Host) bool { return h.Name == name })
+	if i < 0 {
+		return model.Host{}, false
+	}
+	return v.hosts[i], true
+}
+
+// leaving returns the names of the backend servers that get no new work.
+func (v hostView) leaving() []string {
+	var names []string
+	for _, h := range v.hosts {
+		if h.Kind == model.KindBackend && h.State == model.HostLeaving {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+// entryHosts returns the listed entry hosts of a zone.
+func (v hostView) entryHosts(zone string) []model.Peer {
+	return v.selectEntryHosts(func(h model.Host) bool { return h.Zone == zone })
+}
+
+// entryHostsElsewhere returns the listed entry hosts of the other zones.
+func (v hostView) entryHostsElsewhere(zone string) []model.Peer {
+	return v.selectEntryHosts(func(h model.Host) bool { return h.Zone != zone })
+}
+
+func (v hostView) selectEntryHosts(isWanted func(model.Host) bool) []model.Peer {
+	var peers []model.Peer
+	for _, h := range v.hosts {
+		if h.Kind == model.KindEntry && h.State == model.HostLive && isWanted(h) {
+			peers = append(peers, model.Peer{Name: h.Name, Zone: h.Zone, Address: h.Address})
+		}
+	}
+	return peers
+}
+
+// oneOfEachOtherZone returns a random entry host of each other zone.
+func (v hostView) oneOfEachOtherZone(zone string) []model.Peer {
+	others := v.entryHostsElsewhere(zone)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var picked []model.Peer
+	for _, p := range others {
+		if !slices.ContainsFunc(picked, func(q model.Peer) bool { return q.Zone == p.Zone }) {
+			picked = append(picked, p)
+		}
+	}
+	return picked
+}
+
+// hostsRead holds a new host list.
+type hostsRead struct {
+	hosts    []model.Host
+	revision int64
+}
+
+func (e hostsRead) apply(c *control, now time.Time) {
+	before := c.hosts
+	c.hosts = hostView{hosts: e.hosts, revision: e.revision, readAt: now}
+	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
+	c.edge.setEngines(e.hosts)
+	for _, h := range before.hosts {
+		if _, found := c.hosts.find(h.Name); !found && h.Kind == model.KindEntry {
+			c.members.Gone(h.Name)
+		}
+	}
+	c.table.Remove(gossip.KindBackend, func(name string) bool {
+		_, found := c.hosts.find(name)
+		return !found
+	})
+	c.isSnapshotStale = true
+	c.assign(now)
+}
+
+// watchHosts reads the host list whenever it changes.
+func (e *edge) watchHosts(ctx context.Context, hosts HostList) error {
+	revision := int64(0)
+	for ctx.Err() == nil {
+		listing, err := hosts.Hosts(ctx, revision, hostsTimeout)
+		if err != nil {
+			e.metrics.hostListFailures.Add(1)
+			pause(ctx, hostsRetry)
+			continue
+		}
+		if listing.Revision == revision {
+			continue
+		}
+		revision = listing.Revision
+		e.post(ctx, hostsRead{hosts: listing.Hosts, revision: revision})
+	}
+	return nil
+}
--- /dev/null
+++ b/entryhost/ports.go
@@ -0,0 +1,54 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"citronspread/engine"
+	"citronspread/hostlist"
+	"citronspread/model"
+	"citronspread/peer"
+	"citronspread/store"
+)
+
+// Store is the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	List(ctx context.Context, prefix string) (store.Listing, error)
+	CompareAndSwap(ctx context.Context, key string, value []byte, revision int64) (int64, error)
+	Watch(ctx context.Context, prefix string, after int64, timeout time.Duration) (store.Change, error)
+}
+
+// HostList is the platform's list of hosts.
+type HostList interface {
+	Hosts(ctx context.Context, after int64, timeout time.Duration) (hostlist.Listing, error)
+}
+
+// Engine is the control side of one backend server's engine.
+type Engine interface {
+	Observe(ctx context.Context) (model.Observation, error)
+	Load(ctx context.Context) (model.LoadReport, error)
+	Fence(ctx context.Context, term int64) error
+	SendOrder(ctx context.Context, order model.Order) (engine.OrderAnswer, error)
+}
+
+// Peers calls other entry hosts.
+type Peers interface {
+	Exchange(ctx context.Context, address string, request *peer.ExchangeRequest) (*peer.ExchangeReply, error)
+	Push(ctx context.Context, address string, request *peer.PushRequest) (*peer.PushReply, error)
+	Unsent(ctx context.Context, address string, request *peer.UnsentRequest) (*peer.UnsentReply, error)
+	Wake(ctx context.Context, address string, request *peer.WakeRequest) error
+	Load(ctx context.Context, address string, request *peer.LoadRequest) error
+	Permit(ctx context.Context, address string, request *peer.PermitRequest) (*peer.PermitReply, error)
+	Usage(ctx context.Context, address string, request *peer.UsageRequest) error
+}
+
+// UsageSource counts what the traffic threads sent to each replica.
+type UsageSource interface {
+	TakeUsage() []model.Usage
+}
+
+// SnapshotSink takes the snapshots that traffic threads read.
+type SnapshotSink interface {
+	Publish(snapshot *model.Snapshot)
+}
--- /dev/null
+++ b/entryhost/status.go
@@ -0,0 +1,82 @@
+package entryhost
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"citronspread/gossip"
+	"citronspread/ledger"
+	"citronspread/model"
+)
+
+// publishStatus tells all entry hosts what changed on the owned backend servers.
+func (c *control) publishStatus(now time.Time) {
+	loaded := c.ledger.Replicas()
+	for _, o := range c.ledger.Owned() {
+		b := c.owner.get(o.Record.Backend)
+		status := c.statusOf(now, o, loaded)
+		status.Version = b.version
+		if reflect.DeepEqual(status, b.published) {
+			continue
+		}
+		b.version++
+		status.Version = b.version
+		b.published = status
+		c.put(now, gossip.Item{
+			ID:    gossip.ItemID{Kind: gossip.KindBackend, Key: status.Backend},
+			Rank:  gossip.Rank{Major: status.Term, Minor: status.Version},
+			Value: c.encode(status),
+		})
+	}
+}
+
+func (c *control) statusOf(now time.Time, o ledger.OwnedBackend, loaded []ledger.LoadedReplica) model.BackendStatus {
+	record := o.Record
+	host, _ := c.hosts.find(record.Backend)
+	b := c.owner.get(record.Backend)
+	status := model.BackendStatus{
+		Backend:      record.Backend,
+		Zone:         record.Zone,
+		Service:      host.Service,
+		Address:      host.Address,
+		OwnerName:    c.self.Name,
+		OwnerAddress: c.self.Address,
+		Term:         record.Term,
+		MemoryBytes:  record.MemoryBytes,
+		FreeBytes:    freeBytes(record),
+		Capacity:     b.report.Capacity,
+		Checkpoints:  slices.Clone(o.Observation.Checkpoints),
+		Refused:      slices.Clone(b.refused),
+	}
+	for _, r := range record.Reservations {
+		if r.State != model.ReservationStanding {
+			status.Replicas = append(status.Replicas, c.replicaStatus(now, o, r, loaded))
+		}
+	}
+	slices.SortFunc(status.Replicas, func(x, y model.ReplicaStatus) int { return strings.Compare(x.Key.String(), y.Key.String()) })
+	return status
+}
+
+// replicaStatus returns the state of one reservation as the routers need it.
+// A replica is shown as loaded as soon as the engine says so, before the record does.
+func (c *control) replicaStatus(now time.Time, o ledger.OwnedBackend, r model.Reservation, loaded []ledger.LoadedReplica) model.ReplicaStatus {
+	status := model.ReplicaStatus{Key: r.Key, State: r.State}
+	i := slices.IndexFunc(loaded, func(l ledger.LoadedReplica) bool {
+		return l.Backend == o.Record.Backend && l.Key == r.Key
+	})
+	if i < 0 {
+		if status.State == model.ReservationLoaded {
+			status.State = model.ReservationUnloading
+		}
+		return status
+	}
+	status.State = model.ReservationLoaded
+	status.Draining = loaded[i].Draining
+	status.Adapters = c.adaptersOf(o, r.Key)
+	if use := c.owner.get(o.Record.Backend).replicas[r.Key]; use != nil && use.isIdle(now) {
+		status.IdleSince = use.usedAt
+	}
+	return status
+}
--- a/gossip/item.go
+++ b/gossip/item.go
@@ -18,6 +18,7 @@
 	KindBackend                 // a backend server: its replicas, by its owner
 	KindConfig                  // an operators' record
 	KindSuspect                 // a request that was running when a backend server died
+	KindDemand                  // what a zone loads from the weight store
 )
 
 // Rank orders the values of one item. The higher rank replaces the lower one.
--- a/membership/members.go
+++ b/membership/members.go
@@ -236,3 +236,8 @@
 	}
 	return silence < DeadAfter
 }
+
+// Replaced notes that the address of an incarnation answers as another one.
+func (m *Members) Replaced(incarnation model.Incarnation) {
+	m.dead[incarnation] = true
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -59,6 +59,7 @@
 	Key      model.ModelKey
 	Backend  string
 	Adapters []string
+	Adapter  string // when set, only this adapter is loaded into the replica
 	Unload   bool
 }
 
@@ -77,16 +78,7 @@
 // UsageRequest tells the owner of backend servers how often their replicas were used.
 type UsageRequest struct {
 	From   model.Peer
-	Usages []Usage
-}
-
-// Usage counts the requests that one router sent to a replica since its last report.
-type Usage struct {
-	Backend  string
-	Key      model.ModelKey
-	Adapter  string `cbor:",omitempty"`
-	Requests int
-	Running  int // still open when the report was made
+	Usages []model.Usage
 }
 
 // Empty is the reply of calls that return nothing.
--- /dev/null
+++ b/placement/candidate.go
@@ -0,0 +1,141 @@
+// Package placement decides which backend server loads a model version, in which order, and how long it stays.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+// candidate is a backend server that could load a model version.
+type candidate struct {
+	status model.BackendStatus
+	tier   model.Tier
+	evict  bool // idle replicas have to go first
+	load   int
+	busy   int // loads under way
+}
+
+// best returns the backend server that is likely to serve first: the fastest cached checkpoint,
+// then the one that needs no eviction, then the one with the fewest loads under way and the lowest load.
+func best(now time.Time, wake model.Wake, view View) (LoadChoice, bool) {
+	possible := candidates(now, wake, view)
+	if len(possible) == 0 {
+		return LoadChoice{}, false
+	}
+	first := slices.MinFunc(possible, compareCandidates)
+	adapters := view.Declaration.Adapters
+	return LoadChoice{
+		Key:      wake.Key,
+		Backend:  first.status.Backend,
+		Owner:    first.status.OwnerAddress,
+		Tier:     first.tier,
+		Adapters: adapters,
+		Wake:     wake,
+	}, true
+}
+
+func candidates(now time.Time, wake model.Wake, view View) []candidate {
+	var candidates []candidate
+	for _, b := range view.Backends {
+		if b.Zone != view.Zone || b.Service != view.Service || slices.Contains(view.Leaving, b.Backend) {
+			continue
+		}
+		if _, held := findReplica(b, wake.Key); held || b.OwnerAddress == "" {
+			continue
+		}
+		if isRefused(now, b, wake.Key) {
+			continue
+		}
+		bytes := view.Declaration.Bytes
+		fits := b.FreeBytes >= bytes
+		if !fits && !hasIdleReplica(b) {
+			continue
+		}
+		load := findLoad(view.Loads, b.Backend)
+		candidates = append(candidates, candidate{
+			status: b,
+			tier:   TierOf(b.Checkpoints, wake.Key),
+			evict:  !fits,
+			load:   load.Running + load.Waiting,
+			busy:   countLoading(b),
+		})
+	}
+	return candidates
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(tierOrder(a.tier), tierOrder(b.tier)),
+		compareBools(a.evict, b.evict),
+		cmp.Compare(a.busy, b.busy),
+		cmp.Compare(a.load, b.load),
+		cmp.Compare(a.status.Backend, b.status.Backend),
+	)
+}
+
+// TierOf returns where a backend server finds the checkpoint of a model version.
+func TierOf(checkpoints []model.Checkpoint, key model.ModelKey) model.Tier {
+	for _, c := range checkpoints {
+		if c.Key == key {
+			return c.Tier
+		}
+	}
+	return model.TierRemote
+}
+
+func tierOrder(tier model.Tier) int {
+	return slices.Index([]model.Tier{model.TierMemory, model.TierDisk, model.TierRemote}, tier)
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func countLoading(backend model.BackendStatus) int {
+	count := 0
+	for _, r := range backend.Replicas {
+		if r.State == model.ReservationLoading {
+			count++
+		}
+	}
+	return count
+}
+
+func hasIdleReplica(backend model.BackendStatus) bool {
+	return slices.ContainsFunc(backend.Replicas, func(r model.ReplicaStatus) bool {
+		return r.State == model.ReservationLoaded && !r.IdleSince.IsZero()
+	})
+}
+
+func mergeWakes(a, b model.Wake) model.Wake {
+	merged := b
+	merged.Priority = max(a.Priority, b.Priority)
+	merged.Waiting = max(a.Waiting, b.Waiting)
+	if a.Deadline.After(time.Time{}) && a.Deadline.Before(b.Deadline) && a.Deadline.After(b.Deadline.Add(-demandPeriod)) {
+		merged.Deadline = a.Deadline
+	}
+	return merged
+}
+
+// sortWakes sorts by falling priority, then by deadline.
+func sortWakes(wakes []model.Wake) {
+	slices.SortFunc(wakes, compareWakes)
+}
+
+func compareWakes(a, b model.Wake) int {
+	return cmp.Or(
+		cmp.Compare(b.Priority, a.Priority),
+		a.Deadline.Compare(b.Deadline),
+		cmp.Compare(a.Key.String(), b.Key.String()),
+	)
+}
