--- /dev/null
+++ b/standin/store_watch.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"citronspread/store"
+)
+
+func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), queryInt(r, "after")
+	timer := time.NewTimer(min(queryMillis(r, "timeout"), maxWatch))
+	defer timer.Stop()
+
+	s.count(func(c *StoreCounts) { c.Watches++ })
+	for {
+		change, changed := s.changesAfter(prefix, after)
+		if change.Revision < after || len(change.Entries) > 0 || len(change.Deleted) > 0 {
+			writeJSON(w, http.StatusOK, change)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+			writeJSON(w, http.StatusOK, change)
+			return
+		case <-changed:
+			if s.isCut(r) {
+				cutConnection()
+			}
+		}
+	}
+}
+
+// changesAfter returns the changes and a channel that is closed at the next one.
+func (s *Store) changesAfter(prefix string, after int64) (store.Change, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases(time.Now())
+	return s.data.changes(prefix, after), s.changed
+}
+
+// isCut reports whether a waiting watch is broken by the present fault.
+func (s *Store) isCut(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.Down || slices.Contains(s.fault.UnreachableZones, r.Header.Get(zoneHeader))
+}
