--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -28,7 +28,9 @@
 }
 
 // Error implements error.
-func (e *HostsUnavailableError) Error() string { return fmt.Sprintf("hostlist: unavailable: %v", e.Cause) }
+func (e *HostsUnavailableError) Error() string {
+	return fmt.Sprintf("hostlist: unavailable: %v", e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *HostsUnavailableError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/standin/engine_adapter.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"citronspread/engine"
+	"citronspread/model"
+)
+
+func (e *Engine) loadAdapter(l *life, o model.Order) engine.OrderAnswer {
+	m := e.readyResident(l, o.Key)
+	if m == nil {
+		return refused("model not loaded")
+	}
+	if err := e.readAdapter(m.ctx); err != nil {
+		return failed("unloaded during the load")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m.adapters[o.Adapter] = true
+	e.counts.AdapterLoads++
+	return done()
+}
+
+func (e *Engine) unloadAdapter(l *life, o model.Order) engine.OrderAnswer {
+	m := e.readyResident(l, o.Key)
+	if m == nil {
+		return refused("model not loaded")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(m.adapters, o.Adapter)
+	return done()
+}
+
+func (e *Engine) readyResident(l *life, key model.ModelKey) *resident {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := l.residents[key]
+	if m == nil || !m.ready {
+		return nil
+	}
+	return m
+}
+
+// readAdapter takes the time that the load of an adapter takes.
+func (e *Engine) readAdapter(ctx context.Context) error {
+	slowdown := 1.0
+	if e.Weights != nil {
+		permit, err := e.Weights.Begin(ctx, PermitAdapter)
+		if err != nil {
+			return err
+		}
+		defer e.Weights.End(context.WithoutCancel(ctx), permit.ID)
+		slowdown = permit.Slowdown
+	}
+	sleep(ctx, time.Duration(float64(e.adapterTime())*slowdown))
+	return ctx.Err()
+}
+
+func (e *Engine) adapterTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	spread := max(1, int64(e.AdapterSlowest-e.AdapterFastest))
+	return e.AdapterFastest + time.Duration(e.random.Int64N(spread))
+}
--- /dev/null
+++ b/standin/weights_http.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+)
+
+// Run serves the weight store until ctx ends.
+func (s *WeightStore) Run(ctx context.Context) error { return serve(ctx, s.Address, s.Handler()) }
+
+// Handler returns the weight store's HTTP interface.
+func (s *WeightStore) Handler() http.Handler {
+	s.once.Do(s.init)
+	r := chi.NewRouter()
+	r.Post("/weights/begin", s.handleBegin)
+	r.Post("/weights/end", s.handleEnd)
+	r.Post("/weights/fault", s.handleFault)
+	r.Get("/weights/counts", s.handleCounts)
+	return r
+}
+
+func (s *WeightStore) handleBegin(w http.ResponseWriter, r *http.Request) {
+	permit, err := s.Begin(r.Context(), PermitKind(r.URL.Query().Get("kind")))
+	if err != nil {
+		writeFailure(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, permit)
+}
+
+func (s *WeightStore) handleEnd(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("id")
+	s.End(r.Context(), id)
+	writeJSON(w, http.StatusOK, Permit{ID: id})
+}
+
+func (s *WeightStore) handleFault(w http.ResponseWriter, r *http.Request) {
+	var fault WeightFault
+	if !readJSON(w, r, &fault) {
+		return
+	}
+	s.SetFault(fault)
+	writeJSON(w, http.StatusOK, fault)
+}
+
+func (s *WeightStore) handleCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+// WeightClient uses a weight store of another process.
+type WeightClient struct {
+	Address string
+}
+
+// Begin waits for a permit.
+func (c *WeightClient) Begin(ctx context.Context, kind PermitKind) (Permit, error) {
+	var permit Permit
+	err := post(ctx, c.Address, "/weights/begin", url.Values{"kind": {string(kind)}}, nil, &permit)
+	return permit, err
+}
+
+// End gives a permit back.
+func (c *WeightClient) End(ctx context.Context, id string) {
+	_ = post(ctx, c.Address, "/weights/end", url.Values{"id": {id}}, nil, nil)
+}
+
+// post sends a JSON body to another stand-in. A nil into ignores the answer.
+func post(ctx context.Context, address, path string, query url.Values, body, into any) error {
+	payload, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "standin: encode")
+	}
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(payload))
+	if err != nil {
+		return errors.Wrap(err, "standin: new request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "standin: post")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("standin: %s: status %d", path, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "standin: decode")
+}
