--- a/standin/completion.go
+++ b/standin/completion.go
@@ -133,12 +133,20 @@
 	if takeOne(&e.fault.Truncate) {
 		s.truncateAt = s.next + (s.last-s.next+1)/2
 	}
-	e.runs[id]++
+	e.countRun(s)
 	e.batch.enqueue(s)
 	e.startStepping(l)
 	return s, rejection{}
 }
 
+// countRun counts a run. The caller holds the mutex.
+func (e *Engine) countRun(s *stream) {
+	e.runs[s.id]++
+	if e.Runs != nil {
+		e.Runs.TakeRun(Run{Backend: e.Backend, Request: s.id, Content: s.prompt, At: time.Now()})
+	}
+}
+
 func newStream(id string, body completionRequest) (*stream, rejection) {
 	maxTokens := defaultMaxTokens
 	if body.MaxTokens != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -51,6 +51,7 @@
 	Rates           TierRates
 	Weights         Weights    // no limit when nil
 	Census          CensusSink // none when nil
+	Runs            RunSink    // none when nil
 	BatchCapacity   int
 	MaxWaiting      int
 	TokensPerSecond float64 // of a stream that runs alone
--- a/standin/engine_fault.go
+++ b/standin/engine_fault.go
@@ -34,17 +34,33 @@
 // SetFault replaces the present fault.
 func (e *Engine) SetFault(fault EngineFault) {
 	e.once.Do(e.init)
-	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fault = engineFault{EngineFault: fault}
-	if fault.SlowMS > 0 {
-		e.fault.slowUntil = now.Add(time.Duration(fault.SlowMS) * time.Millisecond)
+	e.beginFault(time.Now())
+}
+
+// EditFault changes the present fault. What lasts for a time goes on unless it is set anew.
+func (e *Engine) EditFault(edit func(present *EngineFault)) {
+	e.once.Do(e.init)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	edit(&e.fault.EngineFault)
+	e.beginFault(time.Now())
+}
+
+// beginFault turns durations into ends. The caller holds the mutex.
+func (e *Engine) beginFault(now time.Time) {
+	f := &e.fault
+	if f.SlowMS > 0 {
+		f.slowUntil = now.Add(time.Duration(f.SlowMS) * time.Millisecond)
 	}
-	if fault.FreezeMS > 0 {
-		e.fault.frozenUntil = now.Add(time.Duration(fault.FreezeMS) * time.Millisecond)
+	if f.FreezeMS > 0 {
+		f.frozenUntil = now.Add(time.Duration(f.FreezeMS) * time.Millisecond)
 	}
-	if fault.CrashNow {
+	f.SlowMS, f.FreezeMS = 0, 0
+	if f.CrashNow {
+		f.CrashNow = false
 		e.crash(now)
 	}
 }
--- a/standin/hostlist_change.go
+++ b/standin/hostlist_change.go
@@ -20,10 +20,15 @@
 
 // SetFault replaces the present fault.
 func (h *HostList) SetFault(fault HostListFault) {
+	h.EditFault(func(present *HostListFault) { *present = fault })
+}
+
+// EditFault changes the present fault.
+func (h *HostList) EditFault(edit func(present *HostListFault)) {
 	h.once.Do(h.init)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fault = fault
+	edit(&h.fault)
 	h.announce()
 }
 
--- a/standin/service.go
+++ b/standin/service.go
@@ -48,6 +48,7 @@
 	Address string
 	Name    string
 	Delay   time.Duration // of each answer
+	Runs    RunSink       // none when nil
 
 	mu    sync.Mutex
 	reads int
@@ -101,7 +102,7 @@
 		writeFailure(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
-	request, runs, lost := s.book(r)
+	request, runs, lost := s.book(r, string(body))
 	if !sleep(r.Context(), s.delay()) {
 		return
 	}
@@ -120,7 +121,7 @@
 }
 
 // book counts a run and reports the request's ID, its runs and whether the answer gets lost.
-func (s *Service) book(r *http.Request) (string, int, bool) {
+func (s *Service) book(r *http.Request, body string) (string, int, bool) {
 	request := r.Header.Get(idempotencyHeader)
 	if request == "" {
 		request = r.Header.Get(requestIDHeader)
@@ -135,6 +136,9 @@
 		s.runs = map[string]int{}
 	}
 	s.runs[request]++
+	if s.Runs != nil {
+		s.Runs.TakeRun(Run{Backend: s.Name, Request: request, Content: body, At: time.Now()})
+	}
 	lost := s.fault.LoseAnswers > 0
 	if lost {
 		s.fault.LoseAnswers--
--- a/standin/service_fault.go
+++ b/standin/service_fault.go
@@ -13,9 +13,14 @@
 
 // SetFault replaces the present fault.
 func (s *Service) SetFault(fault ServiceFault) {
+	s.EditFault(func(present *ServiceFault) { *present = fault })
+}
+
+// EditFault changes the present fault.
+func (s *Service) EditFault(edit func(present *ServiceFault)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fault = fault
+	edit(&s.fault)
 }
 
 // nextStep decides what becomes of the next call.
--- a/standin/store_fault.go
+++ b/standin/store_fault.go
@@ -15,13 +15,19 @@
 
 // SetFault replaces the present fault.
 func (s *Store) SetFault(fault StoreFault) {
+	s.EditFault(func(present *StoreFault) { *present = fault })
+}
+
+// EditFault changes the present fault.
+func (s *Store) EditFault(edit func(present *StoreFault)) {
 	s.once.Do(s.init)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if fault.Restore > 0 {
-		s.restore(fault.Restore)
+	edit(&s.fault)
+	if s.fault.Restore > 0 {
+		s.restore(s.fault.Restore)
+		s.fault.Restore = 0
 	}
-	s.fault = fault
 	s.announce()
 }
 
