settings, record: strict reading with every problem's file and line

yamlfile reads mappings off the syntax tree, because decoding into structs stops at the first fault and takes zero for a missing key.

--- /dev/null
+++ b/record/version1.go
@@ -0,0 +1,41 @@
+package record
+
+import (
+	"citronspread/model"
+	"citronspread/yamlfile"
+)
+
+// Priorities that the words of schema version 1 stand for.
+const (
+	priorityHigh   = 80
+	priorityNormal = 50
+	priorityLow    = 20
+)
+
+const megabyte = 1_000_000 // bytes
+
+// readVersion1 reads a record with one model and the memory in megabytes.
+func readVersion1(m *yamlfile.Mapping) model.Declaration {
+	declared := model.ModelDeclaration{
+		Key:      model.ModelKey{Model: m.Name("Model"), Version: m.Name("Version")},
+		Bytes:    m.Int("MemoryMB", yamlfile.IntRange{Low: 1, High: maxMemory / megabyte}) * megabyte,
+		Replicas: int(m.Int("Replicas", yamlfile.IntRange{High: maxReplicas})),
+		Priority: priorityNumber(m.OneOf("Priority", "High", "Normal", "Low")),
+		Adapters: m.NamesOr("Adapters"),
+	}
+	return model.Declaration{
+		Record:  m.Name("Name"),
+		Service: m.Name("Service"),
+		Models:  []model.ModelDeclaration{declared},
+	}
+}
+
+func priorityNumber(word string) int {
+	switch word {
+	case "High":
+		return priorityHigh
+	case "Low":
+		return priorityLow
+	}
+	return priorityNormal
+}
