--- a/record/record.go
+++ b/record/record.go
@@ -70,14 +70,3 @@
 	d.Generation = stored.Generation
 	return d, nil
 }
-
-// NameError tells that a record is stored under another name than its own.
-type NameError struct {
-	Key  string
-	Name string
-}
-
-// Error returns both names.
-func (e *NameError) Error() string {
-	return fmt.Sprintf("record: stored as %q but its Name is %q", e.Key, e.Name)
-}
