--- /dev/null
+++ b/cli/exit.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"io/fs"
+
+	"github.com/cockroachdb/errors"
+
+	"citronspread/record"
+	"citronspread/store"
+	"citronspread/yamlfile"
+)
+
+// Exit codes.
+const (
+	ExitDone        = 0
+	ExitFailed      = 1
+	ExitUsage       = 2 // bad arguments, settings or record
+	ExitConflict    = 3 // another write won
+	ExitUnavailable = 4 // the platform's store is unavailable
+)
+
+func exitCode(err error) int {
+	var (
+		conflict    *record.ConflictError
+		unsettled   *record.UnsettledError
+		unavailable *store.UnavailableError
+		limited     *store.RateLimitedError
+		path        *fs.PathError
+		problems    yamlfile.Problems
+		address     *AddressError
+	)
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address):
+		return ExitUsage
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unsettled), errors.As(err, &unavailable), errors.As(err, &limited):
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"citronspread/settings"
+)
+
+const serveHelp = `Run an entry host until SIGTERM or SIGINT, then stop gracefully.
+
+Example: citronspread serve --settings entry.yaml`
+
+// runEntryHost runs an entry host until ctx ends.
+var runEntryHost = func(context.Context, settings.Settings, *zap.Logger) error {
+	return errors.New("cli: no entry host yet")
+}
+
+type serveCommand struct {
+	settings string
+}
+
+func (c *serveCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("serve", serveHelp)
+	clause.Flag("settings", "File of the settings.").Required().PlaceHolder("FILE").StringVar(&c.settings)
+	return clause
+}
+
+func (c *serveCommand) run(ctx context.Context, out output) error {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s.LogLevel, out.stderr)
+	if err != nil {
+		return err
+	}
+	defer logger.Sync()
+	return runEntryHost(ctx, s, logger)
+}
