--- a/model/replica.go
+++ b/model/replica.go
@@ -13,6 +13,7 @@
 	Capacity  int  // requests the engine's batch can hold
 	Running   int  // from the owner's last report
 	Waiting   int  // from the owner's last report
+	Credits   int  // requests that the owner lets this entry host add
 	Draining  bool // gets no new work
 	UpdatedAt time.Time
 }
@@ -29,6 +30,7 @@
 type Snapshot struct {
 	Version  int64
 	Zone     string
+	Routers  int // live entry hosts of the zone, 0 counts as 1
 	Models   []RoutedModel
 	Services []ServiceEndpoint
 	Suspects []Suspect
@@ -45,10 +47,24 @@
 type Fingerprint uint64
 
 // Suspect is a request that was running when a backend server died.
+// Two views of one suspect are merged by routing.MergeSuspect.
 type Suspect struct {
 	Fingerprint Fingerprint
-	Deaths      int
+	Deaths      int // the number of backend servers in Lost
+	Lost        []Death
+	Recent      bool // it had begun shortly before the first death
 	RefuseUntil time.Time
+	ClearedAt   time.Time // a whole answer was given; deaths before it do not count
+
+	Holder    string // the entry host that alone may run it now
+	HeldUntil time.Time
+	Epoch     int64 // raised by each change of Holder
+}
+
+// Death is the loss of a backend server while a suspect was running on it.
+type Death struct {
+	Backend string
+	At      time.Time
 }
 
 // Wake asks the lead of a model to load it, because requests wait for it.
--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+const (
+	historySlots    = 32
+	historyInterval = 100 * time.Millisecond
+)
+
+// backend is what this router knows of a backend server by itself.
+type backend struct {
+	own         int // requests of this router that are running there
+	ownLong     int
+	shortRun    int // short grants since the last long one while long work waited
+	others      int // requests of other routers, from the last report
+	reportedAt  time.Time
+	pausedUntil time.Time
+	missing     map[Target]time.Time // the engine said not loaded, against a report of that time
+	observed    observed
+	trials      int // suspects that run there
+	trialsPrime int // of these, the ones that had begun shortly before a death
+	blamedAt    time.Time
+
+	history [historySlots]int // own, one sample for each interval
+	sampled int64
+}
+
+// fleet holds the backend servers by name.
+type fleet struct {
+	backends map[string]*backend
+}
+
+func (f *fleet) get(name string) *backend {
+	b := f.backends[name]
+	if b == nil {
+		if f.backends == nil {
+			f.backends = make(map[string]*backend)
+		}
+		b = &backend{missing: make(map[Target]time.Time)}
+		f.backends[name] = b
+	}
+	return b
+}
+
+// sample remembers the own load, to be compared with late reports.
+func (f *fleet) sample(now time.Time) {
+	slot := now.UnixNano() / int64(historyInterval)
+	for _, b := range f.backends {
+		b.record(slot)
+	}
+}
+
+// reported takes in the reports of a new snapshot.
+func (f *fleet) reported(snapshot *model.Snapshot) {
+	seen := make(map[string]bool)
+	for i := range snapshot.Models {
+		for j := range snapshot.Models[i].Replicas {
+			replica := &snapshot.Models[i].Replicas[j]
+			seen[replica.Backend] = true
+			f.get(replica.Backend).report(replica)
+		}
+	}
+	for name, b := range f.backends {
+		if !seen[name] && b.own == 0 {
+			delete(f.backends, name)
+		}
+	}
+}
+
+func (b *backend) record(slot int64) {
+	from := max(b.sampled+1, slot-historySlots+1)
+	for s := from; s <= slot; s++ {
+		b.history[s%historySlots] = b.own
+	}
+	b.sampled = max(b.sampled, slot)
+}
+
+// ownAt returns the own load at a time that has passed.
+func (b *backend) ownAt(at time.Time) int {
+	slot := at.UnixNano() / int64(historyInterval)
+	if slot > b.sampled {
+		return b.own
+	}
+	return b.history[max(slot, b.sampled-historySlots+1)%historySlots]
+}
+
+// report subtracts the own share from a late report.
+func (b *backend) report(replica *model.Replica) {
+	if !replica.UpdatedAt.After(b.reportedAt) {
+		return
+	}
+	b.reportedAt = replica.UpdatedAt
+	b.others = max(0, replica.Running+replica.Waiting-b.ownAt(replica.UpdatedAt))
+}
+
+// isMissing reports whether the engine denied the target after the replica's report.
+func (b *backend) isMissing(target Target, replica *model.Replica) bool {
+	at, denied := b.missing[target]
+	return denied && !replica.UpdatedAt.After(at)
+}
+
+// holds reports whether the replica can run the target at all.
+func holds(replica *model.Replica, target Target) bool {
+	return target.Adapter == "" || slices.Contains(replica.Adapters, target.Adapter)
+}
--- /dev/null
+++ b/routing/grant.go
@@ -0,0 +1,135 @@
+package routing
+
+import (
+	"time"
+
+	"citronspread/model"
+)
+
+// primeAge is the age up to which a request counts as the probable cause of a death.
+const primeAge = 10 * time.Second
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// Outcomes.
+const (
+	OutcomeWhole       Outcome = iota // the whole answer came
+	OutcomeNotLoaded                  // the engine has not loaded the model
+	OutcomeOverloaded                 // the engine refused more work
+	OutcomeUnreachable                // nothing could be sent
+	OutcomeDied                       // the connection was cut by the other end
+	OutcomeBad                        // stalled, crossed or unreadable
+	OutcomeAbandoned                  // the caller went away
+	OutcomeRejected                   // the engine rejected the request itself
+)
+
+// Grant is the right to send one attempt to a replica. Done must be called once.
+type Grant struct {
+	Replica  model.Replica
+	Priority int // for the engine, lower runs earlier
+	Waited   time.Duration
+
+	ticket  *Ticket
+	router  *Router
+	started time.Time
+	last    time.Time
+	tokens  int
+	long    bool
+	ended   bool
+}
+
+// Token notes a delivered token.
+func (g *Grant) Token(now time.Time) {
+	r := g.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.fleet.get(g.Replica.Backend)
+	if g.tokens == 0 {
+		b.observed.firstToken(now, now.Sub(g.started))
+	} else {
+		b.observed.token(now, now.Sub(g.last))
+	}
+	g.tokens++
+	g.last = now
+	if !g.long && g.tokens >= r.Policy.LongTokens {
+		g.long = true
+		b.ownLong++
+	}
+}
+
+// Done ends the attempt.
+func (g *Grant) Done(now time.Time, outcome Outcome) {
+	r := g.router
+	r.mu.Lock()
+	if g.ended {
+		r.mu.Unlock()
+		return
+	}
+	g.ended = true
+	blamed := r.finish(now, g, outcome)
+	r.dispatch(now)
+	r.mu.Unlock()
+	g.settleSuspect(now, outcome, blamed)
+}
+
+// settleSuspect tells the suspects how the attempt ended.
+func (g *Grant) settleSuspect(now time.Time, outcome Outcome, blamed bool) {
+	f, suspects := g.ticket.Fingerprint, g.router.Suspects
+	switch {
+	case blamed:
+		recent := g.ticket.prime || now.Sub(g.started) <= primeAge
+		suspects.Died(now, f, g.Replica.Backend, recent)
+	case outcome == OutcomeWhole:
+		suspects.Answered(now, f)
+	case g.ticket.trial:
+		suspects.Release(f)
+	}
+}
+
+// finish frees the place of the attempt and reports whether its request is to blame for a death.
+func (r *Router) finish(now time.Time, g *Grant, outcome Outcome) (blamed bool) {
+	b := r.fleet.get(g.Replica.Backend)
+	trials := b.trials
+	b.own--
+	if g.long {
+		b.ownLong--
+	}
+	r.unpin(g.ticket.Fingerprint, g.Replica.Backend)
+	if g.ticket.trial {
+		b.trials--
+		if g.ticket.prime {
+			b.trialsPrime--
+		}
+	}
+	switch outcome {
+	case OutcomeWhole:
+		r.estimates.served(&g.ticket.Request, g.ticket.Class, g.tokens, now.Sub(g.started))
+	case OutcomeNotLoaded:
+		b.missing[g.ticket.Target] = now
+	case OutcomeOverloaded:
+		b.pausedUntil = now.Add(r.Policy.OverloadPause)
+	case OutcomeUnreachable:
+		b.pausedUntil = now.Add(r.Policy.FailurePause)
+	case OutcomeDied:
+		b.pausedUntil = now.Add(r.Policy.FailurePause)
+		return b.blames(now, g.ticket, trials)
+	}
+	return false
+}
+
+// blames reports whether the ticket may be the cause of a death.
+// A suspect that was running there explains it, and nobody else is blamed.
+func (b *backend) blames(now time.Time, t *Ticket, trials int) bool {
+	if t.trial {
+		b.blamedAt = now
+		return true
+	}
+	explained := trials > 0 || !b.blamedAt.IsZero() && now.Sub(b.blamedAt) < sameDeath
+	return !explained
+}
+
+// enginePriority orders requests inside an engine: priority first, short before long.
+func enginePriority(t *Ticket) int {
+	return (100-t.Priority)*int(classes) + int(t.Class)
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,106 @@
+// Package routing decides which request goes to which backend server, and when.
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+// Policy holds the limits of admission and routing on one entry host.
+type Policy struct {
+	QueueLimit      int           // requests that may wait
+	LongTokens      int           // expected tokens from which a request counts as long
+	LongCapShare    float64       // largest share of a replica's batch for long streams
+	LongFloorShare  float64       // share of a replica's batch that long work is sure to get
+	ShortRun        int           // short requests in a row while long work below its floor waits
+	StaleAfter      time.Duration // age from which a replica's report is not trusted
+	DefaultCapacity int           // batch size of a replica that reported none
+	ColdStart       time.Duration // expected load time until one was measured
+	WakeEvery       time.Duration // interval of repeated wakes
+	OverloadPause   time.Duration // no new work for a backend server that said overloaded
+	FailurePause    time.Duration // no new work for a backend server that could not be reached
+}
+
+// DefaultPolicy returns the policy used when the settings state none.
+func DefaultPolicy() Policy {
+	return Policy{
+		QueueLimit:      1024,
+		LongTokens:      512,
+		LongCapShare:    0.5,
+		LongFloorShare:  0.125,
+		ShortRun:        4,
+		StaleAfter:      5 * time.Second,
+		DefaultCapacity: 16,
+		ColdStart:       5 * time.Second,
+		WakeEvery:       500 * time.Millisecond,
+		OverloadPause:   50 * time.Millisecond,
+		FailurePause:    time.Second,
+	}
+}
+
+// longCap returns how many long streams this entry host may run at once on a replica.
+func (p Policy) longCap(capacity, routers int) int {
+	return shareOf(capacity, p.LongCapShare, routers)
+}
+
+// longFloor returns how many long streams this entry host is sure to run at once on a replica.
+func (p Policy) longFloor(capacity, routers int) int {
+	return min(shareOf(capacity, p.LongFloorShare, routers), p.longCap(capacity, routers))
+}
+
+// classOf returns the lane for a request of the expected length.
+func (p Policy) classOf(expectedTokens int) Class {
+	if expectedTokens >= p.LongTokens {
+		return Long
+	}
+	return Short
+}
+
+func shareOf(capacity int, share float64, routers int) int {
+	part := float64(capacity) * share / float64(max(routers, 1))
+	return max(1, int(part+0.5))
+}
+
+// Class is the lane of a request.
+type Class int
+
+// Classes.
+const (
+	Short Class = iota
+	Long
+	classes
+)
+
+// String returns the name of the class.
+func (c Class) String() string {
+	if c == Long {
+		return "Long"
+	}
+	return "Short"
+}
+
+// Target is what a request needs to be loaded.
+type Target struct {
+	Key     model.ModelKey
+	Adapter string
+}
+
+// Request is what the router knows of a caller's request.
+type Request struct {
+	ID          string
+	Target      Target
+	Service     string
+	Fingerprint model.Fingerprint
+	Priority    int // 0 (lowest) to 100
+	Deadline    time.Time
+	MaxTokens   int      // 0 when the caller stated none
+	Remaining   int      // tokens that a resumption still expects, 0 for a new request
+	Avoid       []string // backend servers that failed this request
+}
+
+// avoids reports whether the request has failed on the backend server.
+func (r *Request) avoids(backend string) bool {
+	return slices.Contains(r.Avoid, backend)
+}
--- /dev/null
+++ b/routing/predict.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"time"
+
+	"citronspread/model"
+)
+
+// Forecast predicts the waits in one lane.
+type Forecast struct {
+	Start time.Duration // until the first of the lane starts
+	Each  time.Duration // between the starts of two neighbours in the lane
+}
+
+// Wait returns the predicted wait of a ticket with so many ahead of it.
+func (f Forecast) Wait(ahead int) time.Duration {
+	return f.Start + time.Duration(ahead)*f.Each
+}
+
+// Service implements Outlook.
+func (r *Router) Service(t *Ticket) time.Duration {
+	return r.estimates.expectedService(&t.Request)
+}
+
+// Forecast implements Outlook.
+func (r *Router) Forecast(now time.Time, target Target, class Class) Forecast {
+	history := r.estimates.model(target.Key)
+	service := history.service[class].duration()
+	slots := r.slots(now, target, class)
+	if slots == 0 {
+		return Forecast{Start: r.coldRest(now, target, history)}
+	}
+	each := service / time.Duration(slots)
+	return Forecast{Start: each, Each: each}
+}
+
+// coldRest returns the rest of the expected load time.
+func (r *Router) coldRest(now time.Time, target Target, history *modelHistory) time.Duration {
+	expected := r.Policy.ColdStart
+	if history.cold.known {
+		expected = history.cold.duration()
+	}
+	since, waiting := r.coldSince[target]
+	if !waiting {
+		return expected
+	}
+	return max(0, expected-now.Sub(since))
+}
+
+// slots returns how many requests of the class this router may run at once for the target.
+func (r *Router) slots(now time.Time, target Target, class Class) int {
+	total := 0
+	for _, replicas := range r.usable(now, target) {
+		for _, replica := range replicas {
+			total += r.slotsOf(replica, class)
+		}
+	}
+	return total
+}
+
+func (r *Router) slotsOf(replica *model.Replica, class Class) int {
+	capacity, routers := r.capacity(replica), r.routers()
+	if class == Long {
+		return r.Policy.longCap(capacity, routers)
+	}
+	own := (capacity + routers - 1) / routers
+	return max(1, own-r.fleet.get(replica.Backend).ownLong)
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,227 @@
+package routing
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citronspread/model"
+)
+
+const (
+	tickInterval    = 20 * time.Millisecond
+	reviewInterval  = 100 * time.Millisecond
+	heldPoll        = 50 * time.Millisecond
+	unsettledExcess = 500 * time.Millisecond // tolerance before a waiting request counts as forgotten
+	retryAfterFloor = time.Second
+)
+
+// Waker asks the lead of a model to load it.
+type Waker interface {
+	Wake(model.Wake)
+}
+
+// Router admits requests and gives each a replica. The exported fields are set before use.
+type Router struct {
+	Name     string
+	Zone     string
+	Policy   Policy
+	Picker   Picker
+	Waker    Waker
+	Budget   *Budget
+	Suspects *Suspects
+	Snapshot *atomic.Pointer[model.Snapshot]
+	Now      func() time.Time
+	Seed     uint64
+
+	once     sync.Once
+	changed  chan struct{}
+	mu       sync.Mutex
+	queue    Queue
+	fleet    fleet
+	index    *index
+	random   *rand.Rand
+	reviewed time.Time
+
+	estimates estimates
+	coldSince map[Target]time.Time // since when requests wait for a target without a replica
+	wokenAt   map[Target]time.Time
+	pins      map[model.Fingerprint]pin
+	sites     sites
+}
+
+// pin ties copies of one unproven request to one backend server.
+type pin struct {
+	backend string
+	running int
+}
+
+type result struct {
+	grant *Grant
+	err   error
+}
+
+// Acquire waits until a replica is granted or the request is refused with a *RefusedError.
+func (r *Router) Acquire(ctx context.Context, request Request) (*Grant, error) {
+	r.once.Do(r.init)
+	trial, prime, err := r.clear(ctx, &request)
+	if err != nil {
+		return nil, err
+	}
+	t := &Ticket{Request: request, trial: trial, prime: prime, result: make(chan result, 1)}
+	wake := r.admit(r.Now(), t)
+	r.wake(wake)
+	grant, err := r.await(ctx, t)
+	if err != nil && trial {
+		r.Suspects.Release(request.Fingerprint)
+	}
+	return grant, err
+}
+
+// Resolve finds the target of a model name as callers write it.
+func (r *Router) Resolve(name string) (Target, *model.RoutedModel, error) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reindex(r.Now())
+	target, routed := r.index.resolve(name)
+	if routed == nil {
+		return Target{}, nil, &RefusedError{Reason: ReasonUnknown}
+	}
+	return target, routed, nil
+}
+
+// Changed tells the router that a new snapshot was stored.
+func (r *Router) Changed() {
+	r.once.Do(r.init)
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run reviews the waiting requests until the context ends.
+func (r *Router) Run(ctx context.Context) error {
+	r.once.Do(r.init)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.changed:
+		case <-ticker.C:
+		}
+		r.Step(r.Now())
+	}
+}
+
+// Step takes in a new snapshot, serves and refuses waiting requests, and repeats wakes.
+func (r *Router) Step(now time.Time) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	r.reindex(now)
+	r.fleet.sample(now)
+	r.dispatch(now)
+	if now.Sub(r.reviewed) >= reviewInterval {
+		r.reviewed = now
+		r.review(now)
+	}
+	wakes := r.dueWakes(now)
+	r.mu.Unlock()
+	r.wake(wakes)
+	r.Suspects.Tick(now)
+}
+
+func (r *Router) init() {
+	r.changed = make(chan struct{}, 1)
+	r.queue.Limit = r.Policy.QueueLimit
+	r.index = newIndex(nil)
+	r.random = rand.New(rand.NewPCG(r.Seed, r.Seed))
+	r.estimates = newEstimates()
+	r.coldSince = make(map[Target]time.Time)
+	r.wokenAt = make(map[Target]time.Time)
+	r.pins = make(map[model.Fingerprint]pin)
+	if r.Now == nil {
+		r.Now = time.Now
+	}
+}
+
+// clear lets a request pass that is no suspect, and makes others wait for their trial.
+func (r *Router) clear(ctx context.Context, request *Request) (trial, prime bool, err error) {
+	for {
+		now := r.Now()
+		if !now.Before(request.Deadline) {
+			return false, false, &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
+		}
+		verdict := r.Suspects.Check(now, request.Fingerprint)
+		wait := heldPoll
+		switch verdict.State {
+		case StateClear:
+			return false, false, nil
+		case StateRefused:
+			return false, false, &RefusedError{Reason: ReasonSuspect, RetryAfter: verdict.Until.Sub(now)}
+		case StateClaimed:
+			wait = verdict.Until.Sub(now)
+		}
+		if err := sleep(ctx, wait); err != nil {
+			if verdict.State == StateClaimed {
+				r.Suspects.Release(request.Fingerprint)
+			}
+			return false, false, &RefusedError{Reason: ReasonAbandoned}
+		}
+		if verdict.State == StateClaimed && r.Suspects.Confirm(r.Now(), request.Fingerprint) {
+			return true, verdict.Prime, nil
+		}
+	}
+}
+
+// await returns the ticket's result, at the latest at its deadline.
+func (r *Router) await(ctx context.Context, t *Ticket) (*Grant, error) {
+	select {
+	case res := <-t.result:
+		return res.grant, res.err
+	default:
+	}
+	timer := time.NewTimer(t.Deadline.Sub(r.Now()))
+	defer timer.Stop()
+	var err error
+	select {
+	case res := <-t.result:
+		return res.grant, res.err
+	case <-timer.C:
+		err = &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
+	case <-ctx.Done():
+		err = &RefusedError{Reason: ReasonAbandoned}
+	}
+	r.mu.Lock()
+	removed := r.queue.Withdraw(t)
+	r.mu.Unlock()
+	if removed {
+		return nil, err
+	}
+	res := <-t.result
+	return res.grant, res.err
+}
+
+func (r *Router) wake(wakes []model.Wake) {
+	if r.Waker == nil {
+		return
+	}
+	for _, w := range wakes {
+		r.Waker.Wake(w)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
