--- a/engine/control_test.go
+++ b/engine/control_test.go
@@ -63,9 +63,9 @@
 		}
 		listener.Close()
 		c := &engine.Control{Address: listener.Addr().String()}
-		var unsent *engine.UnsentError
+		var unsent *engine.OrderUnsentError
 		if _, err := c.SendOrder(context.Background(), order); !errors.As(err, &unsent) {
-			t.Errorf("got %v, want UnsentError", err)
+			t.Errorf("got %v, want OrderUnsentError", err)
 		}
 	})
 	t.Run("lost by a crash", func(t *testing.T) {
--- a/engine/order.go
+++ b/engine/order.go
@@ -27,20 +27,20 @@
 	userTimeoutShare = 4 // a quarter until unacknowledged data is given up
 )
 
-// UnsentError tells that an order surely never reached the engine.
-type UnsentError struct {
+// OrderUnsentError tells that an order surely never reached the engine.
+type OrderUnsentError struct {
 	Backend string
 	OrderID string
 	Cause   error
 }
 
 // Error implements error.
-func (e *UnsentError) Error() string {
+func (e *OrderUnsentError) Error() string {
 	return fmt.Sprintf("engine: %s: order %s not sent: %v", e.Backend, e.OrderID, e.Cause)
 }
 
 // Unwrap returns the cause.
-func (e *UnsentError) Unwrap() error { return e.Cause }
+func (e *OrderUnsentError) Unwrap() error { return e.Cause }
 
 // LostError tells that the outcome of an order is unknown.
 type LostError struct {
@@ -61,11 +61,11 @@
 func (c *Control) SendOrder(ctx context.Context, o model.Order) (OrderAnswer, error) {
 	req, err := c.request(ctx, http.MethodPost, "/control/orders", nil, o)
 	if err != nil {
-		return OrderAnswer{}, &UnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
+		return OrderAnswer{}, &OrderUnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
 	}
 	conn, err := c.dialOrder(ctx)
 	if err != nil {
-		return OrderAnswer{}, &UnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
+		return OrderAnswer{}, &OrderUnsentError{Backend: c.Backend, OrderID: o.ID, Cause: err}
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	e.metrics.orders.Add(1)
 	answer, err := found.SendOrder(ctx, order)
-	var unsent *engine.UnsentError
+	var unsent *engine.OrderUnsentError
 	switch {
 	case errors.As(err, &unsent):
 		return ledger.OrderUnsent
--- a/entryhost/metrics.go
+++ b/entryhost/metrics.go
@@ -24,6 +24,7 @@
 	invalidRecords   atomic.Int64
 	repairedRecords  atomic.Int64
 	hostListFailures atomic.Int64
+	droppedWakes     atomic.Int64
 }
 
 // counter is a metric as the operators' side shows it.
@@ -47,6 +48,7 @@
 		{"InvalidRecords", &m.invalidRecords},
 		{"RepairedRecords", &m.repairedRecords},
 		{"HostListFailures", &m.hostListFailures},
+		{"DroppedWakes", &m.droppedWakes},
 	}
 }
 
--- a/entryhost/suspect.go
+++ b/entryhost/suspect.go
@@ -24,33 +24,24 @@
 	}
 	c.put(now, gossip.Item{
 		ID:        gossip.ItemID{Kind: gossip.KindSuspect, Key: suspectKey(e.suspect.Fingerprint, c.self.Name)},
-		Rank:      gossip.Rank{Major: int64(e.suspect.Deaths), Minor: e.suspect.RefuseUntil.UnixMilli()},
+		Rank:      gossip.Rank{Major: now.UnixMicro()},
 		Value:     c.encode(e.suspect),
 		ExpiresAt: expiresAt,
 	})
 }
 
-// suspectKey names what one entry host saw of a fingerprint, so that the deaths seen by several hosts add up.
+// suspectKey names what one entry host saw of a fingerprint, so that no host's view replaces another's.
 func suspectKey(fingerprint model.Fingerprint, host string) string {
 	return strconv.FormatUint(uint64(fingerprint), 16) + "/" + host
 }
 
-// suspects returns one entry for each fingerprint, with the deaths seen by all hosts.
+// suspects returns the views of all entry hosts. Routers merge them.
 func (c *control) suspects() []model.Suspect {
 	var suspects []model.Suspect
 	for _, item := range c.table.Items(gossip.KindSuspect) {
 		var s model.Suspect
-		if err := unmarshal(item.Value, &s); err != nil {
-			continue
-		}
-		last := len(suspects) - 1
-		if last < 0 || suspects[last].Fingerprint != s.Fingerprint {
+		if err := unmarshal(item.Value, &s); err == nil {
 			suspects = append(suspects, s)
-			continue
-		}
-		suspects[last].Deaths += s.Deaths
-		if s.RefuseUntil.After(suspects[last].RefuseUntil) {
-			suspects[last].RefuseUntil = s.RefuseUntil
 		}
 	}
 	return suspects
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -105,6 +105,7 @@
 		b.observed.begin(now)
 	}
 	b.own++
+	r.usages.began(replica.Backend, t.Target)
 	switch {
 	case t.Class == Long:
 		b.ownLong++
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -92,6 +92,7 @@
 	b := r.fleet.get(g.Replica.Backend)
 	trials := b.trials
 	b.own--
+	r.usages.ended(g.Replica.Backend, g.ticket.Target)
 	if g.long {
 		b.ownLong--
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -50,6 +50,7 @@
 	wokenAt   map[Target]time.Time
 	pins      map[model.Fingerprint]pin
 	sites     sites
+	usages    usages
 }
 
 // pin ties copies of one unproven request to one backend server.
--- /dev/null
+++ b/routing/usage.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"citronspread/model"
+)
+
+// usages counts what this router sent to each replica since the last report.
+type usages struct {
+	entries []model.Usage
+}
+
+func (u *usages) find(backend string, target Target) *model.Usage {
+	for i := range u.entries {
+		e := &u.entries[i]
+		if e.Backend == backend && e.Key == target.Key && e.Adapter == target.Adapter {
+			return e
+		}
+	}
+	u.entries = append(u.entries, model.Usage{Backend: backend, Key: target.Key, Adapter: target.Adapter})
+	return &u.entries[len(u.entries)-1]
+}
+
+func (u *usages) began(backend string, target Target) {
+	e := u.find(backend, target)
+	e.Requests++
+	e.Running++
+}
+
+func (u *usages) ended(backend string, target Target) {
+	u.find(backend, target).Running--
+}
+
+// take returns the usages and starts to count anew.
+func (u *usages) take() []model.Usage {
+	taken := slices.Clone(u.entries)
+	u.entries = slices.DeleteFunc(u.entries, func(e model.Usage) bool { return e.Running == 0 })
+	for i := range u.entries {
+		u.entries[i].Requests = 0
+	}
+	slices.SortFunc(taken, func(a, b model.Usage) int {
+		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Key.String(), b.Key.String()), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return taken
+}
+
+// TakeUsage returns what was sent to each replica since the last call.
+func (r *Router) TakeUsage() []model.Usage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usages.take()
+}
