--- a/cli/cli.go
+++ b/cli/cli.go
@@ -86,6 +86,8 @@
 	a.add(records, &recordRetireCommand{})
 	a.add(records, &recordCheckCommand{})
 	a.add(a.kingpin, &dumpCommand{})
+	a.add(a.kingpin, &demoCommand{})
+	a.addStandIns()
 	return a
 }
 
--- a/cli/log.go
+++ b/cli/log.go
@@ -22,5 +22,39 @@
 	config.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
 	config.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed)
-	return zap.New(core), nil
+	return zap.New(&shortErrorCore{Core: core}), nil
+}
+
+// shortErrorCore logs errors without their stack traces, so that an event stays on one line.
+type shortErrorCore struct {
+	zapcore.Core
+}
+
+// With adds fields to each event.
+func (c *shortErrorCore) With(fields []zapcore.Field) zapcore.Core {
+	return &shortErrorCore{Core: c.Core.With(shortErrors(fields))}
+}
+
+// Check adds the core to an entry that it logs.
+func (c *shortErrorCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !c.Enabled(e.Level) {
+		return checked
+	}
+	return checked.AddCore(e, c)
+}
+
+// Write logs an entry.
+func (c *shortErrorCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, shortErrors(fields))
+}
+
+func shortErrors(fields []zapcore.Field) []zapcore.Field {
+	short := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		short = append(short, f)
+	}
+	return short
 }
--- /dev/null
+++ b/cli/standin_census.go
@@ -0,0 +1,25 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"citronspread/standin"
+)
+
+type standInCensusCommand struct {
+	listen listenFlag
+	census standin.Census
+}
+
+func (c *standInCensusCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("census", "Count the replicas that engines hold at once.")
+	c.listen.register(clause)
+	return clause
+}
+
+func (c *standInCensusCommand) run(ctx context.Context, out output) error {
+	c.census.Address = c.listen.address
+	return c.listen.serve(ctx, out, "census", &c.census)
+}
--- /dev/null
+++ b/cli/standin_engine.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"citronspread/standin"
+)
+
+type standInEngineCommand struct {
+	listen  listenFlag
+	weights string
+	census  string
+	memory  int64
+	engine  standin.Engine
+}
+
+func (c *standInEngineCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("engine", "Imitate a model engine on a backend server.")
+	c.listen.register(clause)
+	clause.Flag("backend", "Name of the backend server.").Required().PlaceHolder("NAME").StringVar(&c.engine.Backend)
+	clause.Flag("memory-gb", "Accelerator memory in GB.").Default("24").Int64Var(&c.memory)
+	clause.Flag("checks-fencing", "Refuse orders with an old fencing number.").BoolVar(&c.engine.ChecksFencing)
+	clause.Flag("tokens-per-second", "Speed of a stream that runs alone.").Default("50").Float64Var(&c.engine.TokensPerSecond)
+	clause.Flag("remote-rate", "Bytes a second of a load from the weight store.").Default("1e9").Float64Var(&c.engine.Rates.Remote)
+	clause.Flag("weights", "Address of the weight store's stand-in.").PlaceHolder("IP:PORT").StringVar(&c.weights)
+	clause.Flag("census", "Address of the census that counts replicas.").PlaceHolder("IP:PORT").StringVar(&c.census)
+	clause.Flag("seed", "Seed of the random choices.").Default("1").Uint64Var(&c.engine.Seed)
+	return clause
+}
+
+func (c *standInEngineCommand) run(ctx context.Context, out output) error {
+	c.engine.Address = c.listen.address
+	c.engine.MemoryBytes = c.memory * 1e9
+	c.engine.Rates.Memory = 16 * c.engine.Rates.Remote
+	c.engine.Rates.Disk = 4 * c.engine.Rates.Remote
+	if c.weights != "" {
+		c.engine.Weights = &standin.WeightClient{Address: c.weights}
+	}
+	if c.census != "" {
+		c.engine.Census = &standin.CensusClient{Address: c.census}
+	}
+	return c.listen.serve(ctx, out, "engine "+c.engine.Backend, &c.engine)
+}
--- /dev/null
+++ b/cli/standin_hosts.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"citronspread/model"
+	"citronspread/standin"
+)
+
+type standInHostsCommand struct {
+	listen listenFlag
+	file   string
+	list   standin.HostList
+}
+
+func (c *standInHostsCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("hosts", "Imitate the platform's host list. POST /hosts changes one line.")
+	c.listen.register(clause)
+	clause.Flag("lag", "Time from a change to its publication.").Default("500ms").DurationVar(&c.list.Lag)
+	clause.Flag("file", "JSON list of the first hosts.").PlaceHolder("FILE").StringVar(&c.file)
+	return clause
+}
+
+func (c *standInHostsCommand) run(ctx context.Context, out output) error {
+	c.list.Address = c.listen.address
+	hosts, err := c.readHosts()
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		c.list.Set(h)
+	}
+	return c.listen.serve(ctx, out, "hosts", &c.list)
+}
+
+func (c *standInHostsCommand) readHosts() ([]model.Host, error) {
+	if c.file == "" {
+		return nil, nil
+	}
+	body, err := os.ReadFile(c.file)
+	if err != nil {
+		return nil, errors.Wrap(err, "cli")
+	}
+	var hosts []model.Host
+	err = json.Unmarshal(body, &hosts)
+	return hosts, errors.Wrapf(err, "cli: %s", c.file)
+}
--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,41 @@
+package settings
+
+import "time"
+
+// Defaults returns the settings of optional keys. The required ones are left empty.
+func Defaults(deployment string) Settings {
+	return Settings{
+		Deployment: deployment,
+		LogLevel:   "Info",
+		Deadlines: Deadlines{
+			Request:        30 * time.Second,
+			LongestRequest: time.Hour,
+			Header:         5 * time.Second,
+			Body:           30 * time.Second,
+			StoreCall:      time.Second,
+			Connect:        500 * time.Millisecond,
+			Order:          2 * time.Minute,
+			Shutdown:       time.Hour,
+		},
+		Limits: Limits{
+			BodyBytes:   4_000_000,
+			HeaderBytes: 64_000,
+			QueueLength: 1_000,
+			Connections: 10_000,
+		},
+		WeightStore:          WeightStore{ParallelAdapters: 32},
+		KeepAlive:            defaultKeepAlive(deployment),
+		StandingReservations: 1,
+	}
+}
+
+func defaultKeepAlive(deployment string) KeepAlive {
+	k := KeepAlive{ColdStartWeight: 1, IdleWeight: 1, Shortest: 10 * time.Second, Longest: 30 * time.Minute}
+	switch deployment {
+	case DeploymentQureshi:
+		k.IdleWeight = 3
+	case DeploymentTorwerk:
+		k.ColdStartWeight = 3
+	}
+	return k
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -10,17 +10,6 @@
 )
 
 const (
-	defaultBodyBytes   = 4_000_000
-	defaultHeaderBytes = 64_000
-	defaultQueueLength = 1_000
-	defaultConnections = 10_000
-
-	defaultShortestKeepAlive = 10 * time.Second
-	defaultLongestKeepAlive  = 30 * time.Minute
-
-	defaultParallelAdapters     = 32
-	defaultStandingReservations = 1
-
 	weightMinimum = 0.001
 	weightMaximum = 1_000
 )
@@ -39,41 +28,39 @@
 // Parse reads the settings from body; path names it in errors.
 func Parse(path string, body []byte) (Settings, error) {
 	r, m := yamlfile.Parse(path, body)
-	s := Settings{
-		Name:                 m.Name("Name"),
-		Zone:                 m.Name("Zone"),
-		Region:               m.Name("Region"),
-		Deployment:           m.OneOf("Deployment", DeploymentQureshi, DeploymentTorwerk, DeploymentCustom),
-		CallerAddress:        m.Address("CallerAddress"),
-		PeerAddress:          m.Address("PeerAddress"),
-		OperatorAddress:      m.Address("OperatorAddress"),
-		StoreAddress:         m.Address("StoreAddress"),
-		HostListAddress:      m.Address("HostListAddress"),
-		Seeds:                m.Addresses("Seeds"),
-		LogLevel:             m.OneOfOr("LogLevel", "Info", "Debug", "Info", "Warn", "Error"),
-		BalancerLag:          m.Duration("BalancerLag", yamlfile.DurationRange{High: 5 * time.Minute}),
-		StandingReservations: int(m.IntOr("StandingReservations", defaultStandingReservations, yamlfile.IntRange{High: 16})),
-	}
-	s.Deadlines = readDeadlines(m.MappingOr("Deadlines"))
-	s.Limits = readLimits(m.MappingOr("Limits"))
-	s.WeightStore = readWeightStore(m.Mapping("WeightStore"))
-	s.KeepAlive = readKeepAlive(m, s.Deployment)
+	s := Defaults(m.OneOf("Deployment", DeploymentQureshi, DeploymentTorwerk, DeploymentCustom))
+	s.Name = m.Name("Name")
+	s.Zone = m.Name("Zone")
+	s.Region = m.Name("Region")
+	s.CallerAddress = m.Address("CallerAddress")
+	s.PeerAddress = m.Address("PeerAddress")
+	s.OperatorAddress = m.Address("OperatorAddress")
+	s.StoreAddress = m.Address("StoreAddress")
+	s.HostListAddress = m.Address("HostListAddress")
+	s.Seeds = m.Addresses("Seeds")
+	s.LogLevel = m.OneOfOr("LogLevel", s.LogLevel, "Debug", "Info", "Warn", "Error")
+	s.BalancerLag = m.Duration("BalancerLag", yamlfile.DurationRange{High: 5 * time.Minute})
+	s.StandingReservations = int(m.IntOr("StandingReservations", int64(s.StandingReservations), yamlfile.IntRange{High: 16}))
+	s.Deadlines = readDeadlines(m.MappingOr("Deadlines"), s.Deadlines)
+	s.Limits = readLimits(m.MappingOr("Limits"), s.Limits)
+	s.WeightStore = readWeightStore(m.Mapping("WeightStore"), s.WeightStore)
+	s.KeepAlive = readKeepAlive(m, s.Deployment, s.KeepAlive)
 	m.Close()
 	checkAddresses(m, s)
 	return s, r.Err()
 }
 
-func readDeadlines(m *yamlfile.Mapping) Deadlines {
+func readDeadlines(m *yamlfile.Mapping, d Deadlines) Deadlines {
 	long := yamlfile.DurationRange{Low: 10 * time.Millisecond, High: 24 * time.Hour}
-	d := Deadlines{
-		Request:        m.DurationOr("Request", 30*time.Second, long),
-		LongestRequest: m.DurationOr("LongestRequest", time.Hour, long),
-		Header:         m.DurationOr("Header", 5*time.Second, shortSpan),
-		Body:           m.DurationOr("Body", 30*time.Second, shortSpan),
-		StoreCall:      m.DurationOr("StoreCall", time.Second, shortSpan),
-		Connect:        m.DurationOr("Connect", 500*time.Millisecond, shortSpan),
-		Order:          m.DurationOr("Order", 2*time.Minute, long),
-		Shutdown:       m.DurationOr("Shutdown", time.Hour, long),
+	d = Deadlines{
+		Request:        m.DurationOr("Request", d.Request, long),
+		LongestRequest: m.DurationOr("LongestRequest", d.LongestRequest, long),
+		Header:         m.DurationOr("Header", d.Header, shortSpan),
+		Body:           m.DurationOr("Body", d.Body, shortSpan),
+		StoreCall:      m.DurationOr("StoreCall", d.StoreCall, shortSpan),
+		Connect:        m.DurationOr("Connect", d.Connect, shortSpan),
+		Order:          m.DurationOr("Order", d.Order, long),
+		Shutdown:       m.DurationOr("Shutdown", d.Shutdown, long),
 	}
 	m.Close()
 	if d.Request > d.LongestRequest {
@@ -85,12 +72,12 @@
 	return d
 }
 
-func readLimits(m *yamlfile.Mapping) Limits {
-	l := Limits{
-		BodyBytes:   m.BytesOr("BodyBytes", defaultBodyBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 30}),
-		HeaderBytes: m.BytesOr("HeaderBytes", defaultHeaderBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 20}),
-		QueueLength: int(m.IntOr("QueueLength", defaultQueueLength, yamlfile.IntRange{Low: 1, High: 1_000_000})),
-		Connections: int(m.IntOr("Connections", defaultConnections, yamlfile.IntRange{Low: 1, High: 1_000_000})),
+func readLimits(m *yamlfile.Mapping, l Limits) Limits {
+	l = Limits{
+		BodyBytes:   m.BytesOr("BodyBytes", l.BodyBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 30}),
+		HeaderBytes: m.BytesOr("HeaderBytes", l.HeaderBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 20}),
+		QueueLength: int(m.IntOr("QueueLength", int64(l.QueueLength), yamlfile.IntRange{Low: 1, High: 1_000_000})),
+		Connections: int(m.IntOr("Connections", int64(l.Connections), yamlfile.IntRange{Low: 1, High: 1_000_000})),
 	}
 	m.Close()
 	if l.QueueLength > l.Connections {
@@ -99,21 +86,20 @@
 	return l
 }
 
-func readWeightStore(m *yamlfile.Mapping) WeightStore {
-	w := WeightStore{
+func readWeightStore(m *yamlfile.Mapping, w WeightStore) WeightStore {
+	w = WeightStore{
 		LoadsPerSecond:   m.Float("LoadsPerSecond", yamlfile.FloatRange{Low: 0.001, High: 10_000}),
 		ParallelLoads:    int(m.Int("ParallelLoads", yamlfile.IntRange{Low: 1, High: 10_000})),
-		ParallelAdapters: int(m.IntOr("ParallelAdapters", defaultParallelAdapters, yamlfile.IntRange{Low: 1, High: 10_000})),
+		ParallelAdapters: int(m.IntOr("ParallelAdapters", int64(w.ParallelAdapters), yamlfile.IntRange{Low: 1, High: 10_000})),
 	}
 	m.Close()
 	return w
 }
 
 // readKeepAlive reads the weights, which the deployment's name gives unless it is Custom.
-func readKeepAlive(top *yamlfile.Mapping, deployment string) KeepAlive {
+func readKeepAlive(top *yamlfile.Mapping, deployment string, k KeepAlive) KeepAlive {
 	span := yamlfile.DurationRange{High: 24 * time.Hour}
 	weight := yamlfile.FloatRange{Low: weightMinimum, High: weightMaximum}
-	k := deploymentWeights(deployment)
 	if deployment == DeploymentCustom && !top.Has("KeepAlive") {
 		top.Fail("Deployment", "KeepAlive with ColdStartWeight and IdleWeight beside Custom")
 		return k
@@ -126,8 +112,8 @@
 		refuseWeight(m, "ColdStartWeight", deployment)
 		refuseWeight(m, "IdleWeight", deployment)
 	}
-	k.Shortest = m.DurationOr("Shortest", defaultShortestKeepAlive, span)
-	k.Longest = m.DurationOr("Longest", defaultLongestKeepAlive, span)
+	k.Shortest = m.DurationOr("Shortest", k.Shortest, span)
+	k.Longest = m.DurationOr("Longest", k.Longest, span)
 	m.Close()
 	if k.Shortest > k.Longest {
 		m.Fail("Shortest", "at most Longest")
@@ -144,16 +130,6 @@
 	m.Fail(key, "no weight here, because Deployment "+deployment+" brings its own; weights go with Custom")
 }
 
-func deploymentWeights(deployment string) KeepAlive {
-	switch deployment {
-	case DeploymentQureshi:
-		return KeepAlive{ColdStartWeight: 1, IdleWeight: 3}
-	case DeploymentTorwerk:
-		return KeepAlive{ColdStartWeight: 3, IdleWeight: 1}
-	}
-	return KeepAlive{ColdStartWeight: 1, IdleWeight: 1}
-}
-
 // checkAddresses refuses one address for two listeners or for a listener and the platform.
 func checkAddresses(m *yamlfile.Mapping, s Settings) {
 	named := []struct{ key, address string }{
