--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"citronspread/model"
+)
+
+var (
+	start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+	key   = model.ModelKey{Model: "guide", Version: "1"}
+	other = model.ModelKey{Model: "scribe", Version: "1"}
+)
+
+func newStatus(name string, free int64, replicas ...model.ReplicaStatus) model.BackendStatus {
+	return model.BackendStatus{
+		Backend: name, Zone: "muenchen", Service: "assist-llm", OwnerAddress: "owner", Term: 1,
+		MemoryBytes: 100, FreeBytes: free, Capacity: 4, Replicas: replicas,
+	}
+}
+
+func newView(replicas int, backends ...model.BackendStatus) View {
+	return View{
+		Zone: "muenchen", Service: "assist-llm", Backends: backends,
+		Declaration: model.ModelDeclaration{Key: key, Bytes: 40, Replicas: replicas},
+	}
+}
+
+func TestLeadChooses(t *testing.T) {
+	loaded := model.ReplicaStatus{Key: key, State: model.ReservationLoaded}
+	loading := model.ReplicaStatus{Key: key, State: model.ReservationLoading}
+	idle := model.ReplicaStatus{Key: other, State: model.ReservationLoaded, IdleSince: start}
+	busy := model.ReplicaStatus{Key: other, State: model.ReservationLoaded}
+	cached := newStatus("cached", 50)
+	cached.Checkpoints = []model.Checkpoint{{Key: key, Tier: model.TierDisk}}
+	refused := newStatus("refused", 50)
+	refused.Refused = []model.RefusedLoad{{Key: key, Until: start.Add(time.Second)}}
+	elsewhere := newStatus("elsewhere", 50)
+	elsewhere.Zone = "augsburg"
+	tests := []struct {
+		name    string
+		waiting int
+		view    View
+		outcome Outcome
+		backend string
+	}{
+		{"idle model", 1, newView(1, newStatus("a", 50)), OutcomeLoad, "a"},
+		{"cached checkpoint first", 1, newView(1, newStatus("a", 90), cached), OutcomeLoad, "cached"},
+		{"free memory before eviction", 1, newView(1, newStatus("a", 0, idle), newStatus("b", 50)), OutcomeLoad, "b"},
+		{"eviction of an idle replica", 1, newView(1, newStatus("a", 0, idle)), OutcomeLoad, "a"},
+		{"no eviction of a busy one", 1, newView(1, newStatus("a", 0, busy)), OutcomeNoCapacity, ""},
+		{"refused a moment ago", 1, newView(1, refused), OutcomeNoCapacity, ""},
+		{"other zones are not loaded from here", 1, newView(1, elsewhere), OutcomeNoCapacity, ""},
+		{"under way", 9, newView(3, newStatus("a", 10, loading), newStatus("b", 50)), OutcomeUnderWay, ""},
+		{"served", 0, newView(2, newStatus("a", 10, loaded), newStatus("b", 50)), OutcomeServed, ""},
+		{"crowded", 5, newView(2, newStatus("a", 10, loaded), newStatus("b", 50)), OutcomeLoad, "b"},
+		{"decided number reached", 5, newView(1, newStatus("a", 10, loaded), newStatus("b", 50)), OutcomeLimit, ""},
+		{"retired", 1, newView(0, newStatus("a", 50)), OutcomeLimit, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			choice, outcome := NewLead().Choose(start, model.Wake{Key: key, Waiting: tt.waiting}, tt.view)
+			if outcome != tt.outcome || choice.Backend != tt.backend {
+				t.Errorf("got %s on %q, want %s on %q", outcome, choice.Backend, tt.outcome, tt.backend)
+			}
+		})
+	}
+}
+
+// TestBurstStartsOneLoad holds that wakes from many routers lead to one load while it is under way.
+func TestBurstStartsOneLoad(t *testing.T) {
+	lead := NewLead()
+	view := newView(3, newStatus("a", 50), newStatus("b", 50), newStatus("c", 50))
+	loads := 0
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		lead.Want(now, model.Wake{Key: key, Waiting: 1, Deadline: start.Add(time.Minute)})
+		for _, wake := range lead.Demands(now) {
+			choice, outcome := lead.Choose(now, wake, view)
+			if outcome == OutcomeLoad {
+				lead.Asked(now, choice)
+				loads++
+			}
+		}
+	}
+	if got, want := loads, 1; got != want {
+		t.Errorf("loads: got %d, want %d", got, want)
+	}
+}
+
+// TestPermitsHoldTheLimits asks at random and holds that neither limit is ever passed and that none is starved.
+func TestPermitsHoldTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parallel := rapid.IntRange(1, 4).Draw(t, "parallel")
+		permits := NewPermits(2, parallel)
+		now := start
+		granted := 0
+		backends := []string{"a", "b", "c", "d", "e", "f"}
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			backend := rapid.SampledFrom(backends).Draw(t, "backend")
+			if rapid.Bool().Draw(t, "done") {
+				permits.Done(key, backend)
+				continue
+			}
+			before := permits.InUse()
+			if permits.Ask(now, model.Wake{Key: key, Deadline: start.Add(time.Hour)}, backend) {
+				granted += permits.InUse() - before
+			}
+			if got := permits.InUse(); got > parallel {
+				t.Fatalf("in use: got %d, want at most %d", got, parallel)
+			}
+			if got, want := granted, 1+2+int(2*now.Sub(start).Seconds()); got > want {
+				t.Fatalf("granted: got %d, want at most %d", got, want)
+			}
+		}
+	})
+}
+
+func TestPermitsServeTheMostUrgent(t *testing.T) {
+	permits := NewPermits(10, 1)
+	urgent := model.Wake{Key: key, Priority: 90, Deadline: start.Add(time.Minute)}
+	patient := model.Wake{Key: other, Priority: 10, Deadline: start.Add(time.Second)}
+	permits.Ask(start, model.Wake{Key: model.ModelKey{Model: "first"}}, "a")
+	permits.Ask(start, urgent, "b")
+	permits.Done(model.ModelKey{Model: "first"}, "a")
+	later := start.Add(200 * time.Millisecond)
+	if got, want := permits.Ask(later, patient, "c"), false; got != want {
+		t.Errorf("patient: got %v, want %v", got, want)
+	}
+	if got, want := permits.Ask(later, urgent, "b"), true; got != want {
+		t.Errorf("urgent: got %v, want %v", got, want)
+	}
+}
+
+func TestShare(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	tests := []struct {
+		name    string
+		reports []ZoneDemand
+		want    []int // for a, b, c
+	}{
+		{"no reports", nil, []int{1, 1, 1}},
+		{"one zone waits", []ZoneDemand{{"a", 1, 5}, {"b", 0, 0}, {"c", 0, 0}}, []int{4, 1, 1}},
+		{"a cut-off zone keeps its base", []ZoneDemand{{"a", 1, 5}, {"b", 0, 0}}, []int{3, 1, 1}},
+		{"all wait", []ZoneDemand{{"a", 1, 2}, {"b", 1, 2}, {"c", 1, 2}}, []int{2, 1, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for i, zone := range zones {
+				if got := Share(4, zones, tt.reports, zone); got != tt.want[i] {
+					t.Errorf("zone %s: got %d, want %d", zone, got, tt.want[i])
+				}
+			}
+		})
+	}
+}
+
+func TestKeepAliveFollowsTheGaps(t *testing.T) {
+	tests := []struct {
+		name    string
+		gap     time.Duration
+		weights Weights
+		want    time.Duration
+	}{
+		{"frequent use is kept", 20 * time.Second, Weights{IdleSecond: 1, ColdStartSecond: 20}, 20*time.Second + 2500*time.Millisecond},
+		{"rare use is not", 10 * time.Minute, Weights{IdleSecond: 1, ColdStartSecond: 20}, 5 * time.Second},
+		{"a dear cold start keeps longer", 10 * time.Minute, Weights{IdleSecond: 1, ColdStartSecond: 400}, 675 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := KeepAlive{Weights: tt.weights, Shortest: 5 * time.Second, Longest: time.Hour}
+			for i := range 10 {
+				k.Arrive(start.Add(time.Duration(i) * tt.gap))
+			}
+			if got := k.Duration(5 * time.Second); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
