--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEED ?= 1
 SECONDS ?= 40
 
-.PHONY: build format lint test
+.PHONY: build demo format lint path-check test
 
 build:
 	go build -o citronspread .
@@ -16,3 +16,13 @@
 
 test: lint
 	go test -race -count=1 ./...
+
+# path-check runs the whole path on separate processes of the binary.
+path-check: build
+	@mkdir -p out
+	go test -c -o out/pathcheck.test ./pathcheck
+	./out/pathcheck.test -test.timeout 50s -path-binary ./citronspread
+
+# demo runs everything inside one process on loopback ports.
+demo: build
+	./citronspread demo
