--- a/cli/serve.go
+++ b/cli/serve.go
@@ -4,9 +4,8 @@
 	"context"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
+	"citronspread/entryhost"
 	"citronspread/settings"
 )
 
@@ -15,9 +14,7 @@
 Example: citronspread serve --settings entry.yaml`
 
 // runEntryHost runs an entry host until ctx ends.
-var runEntryHost = func(context.Context, settings.Settings, *zap.Logger) error {
-	return errors.New("cli: no entry host yet")
-}
+var runEntryHost = entryhost.Run
 
 type serveCommand struct {
 	settings string
--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -112,7 +112,9 @@
 	c.violation(ledger.Violation{Invariant: "configuration never reverts", Detail: held.Name})
 }
 
-func compareRecordName(held heldRecord, name string) int { return strings.Compare(held.Record.Name, name) }
+func compareRecordName(held heldRecord, name string) int {
+	return strings.Compare(held.Record.Name, name)
+}
 
 // declared is a model version with the service that may run it.
 type declared struct {
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -160,8 +160,12 @@
 	return true
 }
 
-// assign tells the ledger who should own each backend server of the zone.
+// assign tells the ledger who should own each backend server of the zone, once the platform lists this host:
+// others take a host that is not listed for dead.
 func (c *control) assign(now time.Time) {
+	if _, listed := c.hosts.find(c.self.Name); !listed {
+		return
+	}
 	staying := c.members.Staying(now)
 	var assignments []ledger.Assignment
 	for _, a := range membership.Assign(staying, c.hosts.backendNames(c.self.Zone)) {
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -36,6 +36,7 @@
 	c.due.round++
 	c.table.Expire(now)
 	c.members.Forget(now)
+	c.dropAbsent(now)
 	c.members.Beat(c.owner.loads())
 	c.publishSelf(now)
 	for _, target := range c.exchangeTargets(now) {
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -16,6 +16,7 @@
 const (
 	hostsTimeout = 20 * time.Second
 	hostsRetry   = 500 * time.Millisecond
+	absenceTime  = 30 * time.Second // a host that is not listed for so long has left
 )
 
 // hostView is the platform's host list as last read.
@@ -23,9 +24,25 @@
 	hosts    []model.Host
 	revision int64
 	readAt   time.Time
+	absent   map[string]time.Time // hosts that were asked for and are not listed, and since when
 }
 
-func (v hostView) backendNames(zone string) []string {
+// isAbsent reports whether an entry host has not been listed for long. A host owns nothing before it is listed.
+func (v *hostView) isAbsent(now time.Time, name string) bool {
+	if _, found := v.find(name); found || v.revision == 0 {
+		delete(v.absent, name)
+		return false
+	}
+	if v.absent == nil {
+		v.absent = make(map[string]time.Time)
+	}
+	if _, known := v.absent[name]; !known {
+		v.absent[name] = now
+	}
+	return now.Sub(v.absent[name]) >= absenceTime
+}
+
+func (v *hostView) backendNames(zone string) []string {
 	var names []string
 	for _, h := range v.hosts {
 		if h.Kind == model.KindBackend && h.Zone == zone {
@@ -35,7 +52,7 @@
 	return names
 }
 
-func (v hostView) find(name string) (model.Host, bool) {
+func (v *hostView) find(name string) (model.Host, bool) {
 	i := slices.IndexFunc(v.hosts, func(h model.Host) bool { return h.Name == name })
 	if i < 0 {
 		return model.Host{}, false
@@ -44,7 +61,7 @@
 }
 
 // leaving returns the names of the backend servers that get no new work.
-func (v hostView) leaving() []string {
+func (v *hostView) leaving() []string {
 	var names []string
 	for _, h := range v.hosts {
 		if h.Kind == model.KindBackend && h.State == model.HostLeaving {
@@ -55,16 +72,16 @@
 }
 
 // entryHosts returns the listed entry hosts of a zone.
-func (v hostView) entryHosts(zone string) []model.Peer {
+func (v *hostView) entryHosts(zone string) []model.Peer {
 	return v.selectEntryHosts(func(h model.Host) bool { return h.Zone == zone })
 }
 
 // entryHostsElsewhere returns the listed entry hosts of the other zones.
-func (v hostView) entryHostsElsewhere(zone string) []model.Peer {
+func (v *hostView) entryHostsElsewhere(zone string) []model.Peer {
 	return v.selectEntryHosts(func(h model.Host) bool { return h.Zone != zone })
 }
 
-func (v hostView) selectEntryHosts(isWanted func(model.Host) bool) []model.Peer {
+func (v *hostView) selectEntryHosts(isWanted func(model.Host) bool) []model.Peer {
 	var peers []model.Peer
 	for _, h := range v.hosts {
 		if h.Kind == model.KindEntry && h.State == model.HostLive && isWanted(h) {
@@ -75,7 +92,7 @@
 }
 
 // oneOfEachOtherZone returns a random entry host of each other zone.
-func (v hostView) oneOfEachOtherZone(zone string) []model.Peer {
+func (v *hostView) oneOfEachOtherZone(zone string) []model.Peer {
 	others := v.entryHostsElsewhere(zone)
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var picked []model.Peer
@@ -95,14 +112,9 @@
 
 func (e hostsRead) apply(c *control, now time.Time) {
 	before := c.hosts
-	c.hosts = hostView{hosts: e.hosts, revision: e.revision, readAt: now}
+	c.hosts = hostView{hosts: e.hosts, revision: e.revision, readAt: now, absent: before.absent}
 	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
 	c.edge.setEngines(e.hosts)
-	for _, h := range before.hosts {
-		if _, found := c.hosts.find(h.Name); !found && h.Kind == model.KindEntry {
-			c.members.Gone(h.Name)
-		}
-	}
 	c.table.Remove(gossip.KindBackend, func(name string) bool {
 		_, found := c.hosts.find(name)
 		return !found
@@ -111,6 +123,15 @@
 	c.assign(now)
 }
 
+// dropAbsent takes peers for dead that the platform has not listed for long.
+func (c *control) dropAbsent(now time.Time) {
+	for _, name := range c.members.Names() {
+		if c.hosts.isAbsent(now, name) {
+			c.members.Gone(name)
+		}
+	}
+}
+
 // watchHosts reads the host list whenever it changes.
 func (e *edge) watchHosts(ctx context.Context, hosts HostList) error {
 	revision := int64(0)
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"citronspread/gossip"
 	"citronspread/ledger"
 	"citronspread/membership"
 	"citronspread/model"
@@ -104,3 +105,14 @@
 	}
 	return false
 }
+
+// usageTargets returns the owner of each backend server.
+func (c *control) usageTargets() []usageTarget {
+	var targets []usageTarget
+	for _, item := range c.table.Items(gossip.KindBackend) {
+		if cached, ok := c.backends.entries[item.ID.Key]; ok {
+			targets = append(targets, usageTarget{backend: item.ID.Key, address: cached.status.OwnerAddress})
+		}
+	}
+	return targets
+}
--- a/entryhost/ledgerstep.go
+++ b/entryhost/ledgerstep.go
@@ -54,7 +54,7 @@
 				c.edge.observe(&a, nil)
 			}
 		case ledger.AskUnsent:
-			c.edge.askUnsent(a)
+			c.askUnsent(now, a)
 		case ledger.AnswerUnsent:
 			c.asks.answer(a)
 		case ledger.LoadRefused:
@@ -65,6 +65,15 @@
 	}
 }
 
+// askUnsent asks the issuer of an order, unless the platform has not listed its host for long.
+func (c *control) askUnsent(now time.Time, a ledger.AskUnsent) {
+	if c.hosts.isAbsent(now, a.Name) {
+		c.members.Replaced(a.Issuer)
+		return
+	}
+	c.edge.askUnsent(a)
+}
+
 func findFence(actions []ledger.Action, backend string) *ledger.FenceEngine {
 	for _, action := range actions {
 		if f, ok := action.(ledger.FenceEngine); ok && f.Backend == backend {
--- a/entryhost/ports.go
+++ b/entryhost/ports.go
@@ -16,6 +16,7 @@
 	Get(ctx context.Context, key string) (store.Entry, error)
 	List(ctx context.Context, prefix string) (store.Listing, error)
 	CompareAndSwap(ctx context.Context, key string, value []byte, revision int64) (int64, error)
+	Delete(ctx context.Context, key string, revision int64) (int64, error)
 	Watch(ctx context.Context, prefix string, after int64, timeout time.Duration) (store.Change, error)
 }
 
--- /dev/null
+++ b/entryhost/settings.go
@@ -0,0 +1,79 @@
+package entryhost
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"citronspread/caller"
+	"citronspread/engine"
+	"citronspread/hostlist"
+	"citronspread/model"
+	"citronspread/placement"
+	"citronspread/routing"
+	"citronspread/settings"
+	"citronspread/store"
+)
+
+// Run runs an entry host with the given settings until ctx ends.
+func Run(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	return FromSettings(s, logger).Run(ctx)
+}
+
+// FromSettings returns the entry host that the settings describe.
+func FromSettings(s settings.Settings, logger *zap.Logger) *Host {
+	return &Host{
+		Name:            s.Name,
+		Zone:            s.Zone,
+		Region:          s.Region,
+		CallerAddress:   s.CallerAddress,
+		PeerAddress:     s.PeerAddress,
+		OperatorAddress: s.OperatorAddress,
+		Policy:          policyFrom(s),
+		Traffic:         trafficFrom(s),
+		LongestOrder:    s.Deadlines.Order,
+		Store:           &store.Client{Address: s.StoreAddress, Zone: s.Zone},
+		HostList:        &hostlist.Client{Address: s.HostListAddress, Zone: s.Zone},
+		DialEngine:      engineDialer(s),
+		Log:             logger,
+	}
+}
+
+func policyFrom(s settings.Settings) Policy {
+	return Policy{
+		Seeds:                s.Seeds,
+		KeepAlive:            placement.Weights{IdleSecond: s.KeepAlive.IdleWeight, ColdStartSecond: s.KeepAlive.ColdStartWeight},
+		ShortestKeepAlive:    s.KeepAlive.Shortest,
+		LongestKeepAlive:     s.KeepAlive.Longest,
+		LoadsPerSecond:       s.WeightStore.LoadsPerSecond,
+		ParallelLoads:        s.WeightStore.ParallelLoads,
+		ParallelAdapters:     s.WeightStore.ParallelAdapters,
+		StandingReservations: s.StandingReservations,
+	}
+}
+
+func trafficFrom(s settings.Settings) Traffic {
+	limits := caller.DefaultLimits()
+	limits.BodyBytes = s.Limits.BodyBytes
+	limits.BodyTimeout = s.Deadlines.Body
+	limits.DefaultTimeout = s.Deadlines.Request
+	limits.MaxTimeout = s.Deadlines.LongestRequest
+	policy := routing.DefaultPolicy()
+	policy.QueueLimit = s.Limits.QueueLength
+	return Traffic{
+		Limits:      limits,
+		Policy:      policy,
+		Picker:      routing.LatencyPicker{},
+		HeaderBytes: int(s.Limits.HeaderBytes),
+		HeaderTime:  s.Deadlines.Header,
+		DialTimeout: s.Deadlines.Connect,
+		BalancerLag: s.BalancerLag,
+		Shutdown:    s.Deadlines.Shutdown,
+	}
+}
+
+func engineDialer(s settings.Settings) func(host model.Host) Engine {
+	return func(host model.Host) Engine {
+		return &engine.Control{Address: host.Address, Backend: host.Name, Zone: s.Zone, OrderDelay: s.Deadlines.Order}
+	}
+}
--- a/membership/members.go
+++ b/membership/members.go
@@ -140,6 +140,15 @@
 	delete(m.peers, name)
 }
 
+// Names returns the names of the known peers.
+func (m *Members) Names() []string {
+	names := make([]string, 0, len(m.peers))
+	for _, p := range m.sorted() {
+		names = append(names, p.peer.Name)
+	}
+	return names
+}
+
 // Beats returns all heartbeats, the host's own first.
 func (m *Members) Beats() []Beat {
 	beats := []Beat{{ID: NewBeatID(m.Self.Incarnation), Counter: m.counter, Loads: m.loads}}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -14,7 +14,7 @@
 			Body:           30 * time.Second,
 			StoreCall:      time.Second,
 			Connect:        500 * time.Millisecond,
-			Order:          2 * time.Minute,
+			Order:          5 * time.Second,
 			Shutdown:       time.Hour,
 		},
 		Limits: Limits{
