caller, routing, service, engine: requests are queued, routed and streamed end to end

Callers' API with and without stream, plain services with claims, admission queue with two lanes, pickers, budget, suspects, streams checked by ID and token index.

--- /dev/null
+++ b/caller/claim.go
@@ -0,0 +1,248 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"citronspread/service"
+	"citronspread/store"
+)
+
+const (
+	claimPrefix     = "claim/"
+	claimTries      = 4
+	claimPause      = 20 * time.Millisecond
+	claimPollFirst  = 50 * time.Millisecond
+	claimPollLast   = 800 * time.Millisecond
+	maxKeptAnswer   = 512 << 10 // bytes of an answer that is kept for repeats
+	recordTimeout   = 2 * time.Second
+	releaseAttempts = 8
+	releasePause    = 500 * time.Millisecond
+)
+
+// ClaimStore is the part of the platform's store that claims need.
+type ClaimStore interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, value []byte, revision int64) (int64, error)
+}
+
+// claimState is how far a claimed call has come.
+type claimState string
+
+const (
+	claimClaimed claimState = "Claimed" // it may have been sent
+	claimDone    claimState = "Done"    // the answer is kept
+	claimUnknown claimState = "Unknown" // it may have run and there is no answer
+
+	claimReleased claimState = "Released" // nothing was sent; the key is free again
+)
+
+type claimWire struct {
+	State       claimState
+	RequestHash string
+	Nonce       string // unique for each claim
+	ClaimedAt   time.Time
+	Status      int
+	Header      http.Header
+	Body        []byte
+	BodyDropped bool
+}
+
+// Claims makes sure that a call with an idempotency key is sent by one entry host only.
+type Claims struct {
+	Store    ClaimStore
+	WaitFor  time.Duration // longest wait for a call in progress elsewhere
+	Deadline time.Duration // of the store's calls for one claim
+}
+
+// claim is a claim that this entry host holds.
+type claim struct {
+	key      string
+	revision int64
+	wire     claimWire
+}
+
+// claimUnavailableError means that the store gave no answer about a claim, so that nothing was sent.
+type claimUnavailableError struct{ Err error }
+
+func (e *claimUnavailableError) Error() string { return "caller: no claim: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *claimUnavailableError) Unwrap() error { return e.Err }
+
+// claimTakenError means that another call holds the claim.
+type claimTakenError struct {
+	Current claimWire
+}
+
+func (e *claimTakenError) Error() string { return "caller: claim is taken: " + string(e.Current.State) }
+
+// take makes the claim. The error is a *claimTakenError or a *claimUnavailableError.
+func (c *Claims) take(ctx context.Context, key, requestHash string, now time.Time) (*claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
+	defer cancel()
+	held := &claim{key: key, wire: claimWire{
+		State: claimClaimed, RequestHash: requestHash, Nonce: uuid.NewString(), ClaimedAt: now,
+	}}
+	value, err := json.Marshal(held.wire)
+	if err != nil {
+		return nil, &claimUnavailableError{Err: err}
+	}
+	revision := int64(0)
+	for try := 1; ; try++ {
+		held.revision, err = c.Store.CompareAndSwap(ctx, key, value, revision)
+		if err == nil {
+			return held, nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			taken, free, err := held.settle(conflict.Current)
+			if !free {
+				return taken, err
+			}
+			revision = conflict.Current.Revision
+		}
+		if try >= claimTries || pause(ctx, time.Duration(try)*claimPause) != nil {
+			c.releaseLater(held)
+			return nil, &claimUnavailableError{Err: err}
+		}
+	}
+}
+
+// takeOrWait makes the claim, or waits until the same request that holds it is settled and returns its state.
+func (c *Claims) takeOrWait(ctx context.Context, key, requestHash string) (*claim, *claimWire, error) {
+	for {
+		held, err := c.take(ctx, key, requestHash, time.Now())
+		var taken *claimTakenError
+		if !errors.As(err, &taken) {
+			return held, nil, err
+		}
+		if taken.Current.RequestHash != requestHash {
+			return nil, &taken.Current, nil
+		}
+		current := c.wait(ctx, key, taken.Current)
+		if current.State != claimReleased || ctx.Err() != nil {
+			return nil, &current, nil
+		}
+	}
+}
+
+// settle tells what the entry in the way means: this very claim, whose answer was lost,
+// a claim of another call, or a key that is free to be claimed over the entry.
+func (h *claim) settle(current store.Entry) (taken *claim, free bool, err error) {
+	if current.Revision == 0 {
+		return nil, true, nil
+	}
+	var wire claimWire
+	if err := json.Unmarshal(current.Value, &wire); err != nil {
+		return nil, false, &claimUnavailableError{Err: err}
+	}
+	switch {
+	case wire.State == claimReleased:
+		return nil, true, nil
+	case wire.Nonce != h.wire.Nonce:
+		return nil, false, &claimTakenError{Current: wire}
+	default:
+		h.revision = current.Revision
+		return h, false, nil
+	}
+}
+
+// wait waits until the claim in the way is settled and returns its last state.
+func (c *Claims) wait(ctx context.Context, key string, current claimWire) claimWire {
+	ctx, cancel := context.WithTimeout(ctx, c.WaitFor)
+	defer cancel()
+	for poll := claimPollFirst; current.State == claimClaimed; poll = min(2*poll, claimPollLast) {
+		if pause(ctx, poll) != nil {
+			return current
+		}
+		entry, err := c.Store.Get(ctx, key)
+		if err != nil {
+			continue
+		}
+		var wire claimWire
+		if json.Unmarshal(entry.Value, &wire) == nil && wire.Nonce == current.Nonce {
+			current = wire
+		}
+	}
+	return current
+}
+
+// record writes how the call ended. It goes on after the caller has gone.
+func (c *Claims) record(ctx context.Context, held *claim, state claimState, answer service.Answer) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	held.wire.State, held.wire.Status, held.wire.Header = state, answer.Status, answer.Header
+	held.wire.Body, held.wire.BodyDropped = answer.Body, false
+	if len(answer.Body) > maxKeptAnswer {
+		held.wire.Body, held.wire.BodyDropped = nil, true
+	}
+	value, err := json.Marshal(held.wire)
+	if err != nil {
+		return err
+	}
+	for try := 1; ; try++ {
+		_, err = c.Store.CompareAndSwap(ctx, held.key, value, held.revision)
+		var conflict *store.ConflictError
+		// Only this entry host writes over its claim, so that a conflict is its own write with a lost answer.
+		if err == nil || errors.As(err, &conflict) {
+			return nil
+		}
+		if pause(ctx, time.Duration(try)*claimPause) != nil {
+			return err
+		}
+	}
+}
+
+// release frees the key because nothing was sent.
+func (c *Claims) release(ctx context.Context, held *claim) {
+	if c.record(ctx, held, claimReleased, service.Answer{}) != nil {
+		c.releaseLater(held)
+	}
+}
+
+// releaseLater goes on trying to free a key under which nothing was sent.
+func (c *Claims) releaseLater(held *claim) {
+	go func() {
+		for try := 1; try <= releaseAttempts; try++ {
+			time.Sleep(time.Duration(try) * releasePause)
+			if c.releaseNow(held) {
+				return
+			}
+		}
+	}()
+}
+
+// releaseNow frees the key if it is claimed and reports whether that is settled.
+// An absent entry is not settled: the write of the claim may still be on its way.
+func (c *Claims) releaseNow(held *claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	entry, err := c.Store.Get(ctx, held.key)
+	if err != nil {
+		return false
+	}
+	var wire claimWire
+	if json.Unmarshal(entry.Value, &wire) != nil || wire.Nonce != held.wire.Nonce {
+		return true
+	}
+	held.revision = entry.Revision
+	return c.record(ctx, held, claimReleased, service.Answer{}) == nil
+}
+
+func claimKey(name, key string) string {
+	sum := sha256.Sum256([]byte(name + "\x00" + key))
+	return claimPrefix + name + "/" + hex.EncodeToString(sum[:])
+}
+
+func requestHash(call service.Call) string {
+	sum := sha256.Sum256(append([]byte(call.Method+"\x00"+call.Path+"\x00"), call.Body...))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/caller/outcome.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"citronspread/engine"
+	"citronspread/httponce"
+	"citronspread/routing"
+)
+
+// outcomeOf tells the router how an attempt ended.
+func outcomeOf(ctx context.Context, err error) routing.Outcome {
+	var unsent *httponce.UnsentError
+	var notRun *engine.NotRunError
+	var broken *engine.BrokenError
+	var status *engine.StatusError
+	switch {
+	case err == nil:
+		return routing.OutcomeWhole
+	case errors.As(err, &unsent):
+		if ctx.Err() != nil {
+			return routing.OutcomeAbandoned
+		}
+		return routing.OutcomeUnreachable
+	case errors.As(err, &notRun):
+		if notRun.Status == http.StatusTooManyRequests {
+			return routing.OutcomeOverloaded
+		}
+		return routing.OutcomeNotLoaded
+	case errors.As(err, &broken) && broken.Died:
+		return routing.OutcomeDied
+	case ctx.Err() != nil:
+		return routing.OutcomeAbandoned
+	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
+		return routing.OutcomeRejected
+	default:
+		return routing.OutcomeBad
+	}
+}
+
+// failureOf turns the last error of a request into what its caller sees.
+func failureOf(c *completion, err error) failure {
+	run := runNot
+	if c.ran {
+		run = runMaybe
+	}
+	var refused *routing.RefusedError
+	var status *engine.StatusError
+	switch {
+	case errors.As(err, &refused):
+		return refusal(refused, run)
+	case errors.As(err, &status) && status.Status < http.StatusInternalServerError && status.Status >= http.StatusBadRequest:
+		return failure{status: status.Status, code: codeRejected, message: status.Message, run: run}
+	case surelyNotRun(err):
+		return failure{status: http.StatusServiceUnavailable, code: codeUnreachable, message: "no backend server took the request", run: run, retryAfter: retryAfter}
+	case errors.Is(err, context.DeadlineExceeded):
+		return failure{status: http.StatusGatewayTimeout, code: codeDeadline, message: "the deadline passed", run: run}
+	default:
+		return failure{status: http.StatusBadGateway, code: codeBroken, message: "the answer could not be completed", run: run, retryAfter: retryAfter}
+	}
+}
+
+// refusal turns a refusal of the router into what the caller sees.
+func refusal(refused *routing.RefusedError, run string) failure {
+	f := failure{
+		status:     http.StatusServiceUnavailable,
+		code:       string(refused.Reason),
+		message:    "the request was refused: " + string(refused.Reason),
+		run:        run,
+		retryAfter: refused.RetryAfter,
+	}
+	switch refused.Reason {
+	case routing.ReasonSuspect:
+		f.status = http.StatusUnprocessableEntity
+	case routing.ReasonUnknown:
+		f.status = http.StatusNotFound
+	}
+	return f
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,140 @@
+// Package caller serves callers: the OpenAI-compatible API and plain services.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"citronspread/engine"
+	"citronspread/routing"
+	"citronspread/service"
+)
+
+const drainPoll = 10 * time.Millisecond
+
+// Limits bound what callers may ask for.
+type Limits struct {
+	BodyBytes       int64
+	BodyTimeout     time.Duration // reading a request's body
+	WriteTimeout    time.Duration // a caller that reads nothing for so long is given up
+	DefaultTimeout  time.Duration
+	MaxTimeout      time.Duration
+	DefaultPriority int
+	MaxPriority     int
+	MaxTokens       int
+	MaxAttempts     int           // sends of one request, including refused ones
+	KeepAlive       time.Duration // silence after which a stream gets a comment
+}
+
+// DefaultLimits returns the limits used when the settings state none.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes:       1 << 20,
+		BodyTimeout:     10 * time.Second,
+		WriteTimeout:    30 * time.Second,
+		DefaultTimeout:  2 * time.Minute,
+		MaxTimeout:      time.Hour,
+		DefaultPriority: 50,
+		MaxPriority:     100,
+		MaxTokens:       32768,
+		MaxAttempts:     16,
+		KeepAlive:       10 * time.Second,
+	}
+}
+
+// Totals counts since the start.
+type Totals struct {
+	Requests  atomic.Int64
+	Refused   atomic.Int64 // surely not run
+	MaybeRun  atomic.Int64 // failed, may have run
+	Completed atomic.Int64
+	Resumed   atomic.Int64
+	Retried   atomic.Int64
+	CutShort  atomic.Int64 // streams that ended with an error event
+	Replayed  atomic.Int64 // answers repeated from a claim
+}
+
+// Server serves callers. The exported fields are set before use.
+type Server struct {
+	Router            *routing.Router
+	Streamer          *engine.Streamer
+	Services          *service.Client
+	Claims            *Claims // nil when no store is configured
+	Log               *zap.Logger
+	Limits            Limits
+	IdempotentMethods []string // of plain services; GET, HEAD and OPTIONS when empty
+	Totals            Totals
+
+	draining atomic.Bool
+	open     atomic.Int64
+}
+
+// Handler returns the callers' side.
+func (s *Server) Handler() http.Handler {
+	if s.Log == nil {
+		s.Log = zap.NewNop()
+	}
+	r := chi.NewRouter()
+	r.Use(s.track)
+	r.Get("/v1/models", s.listModels)
+	r.Post("/v1/chat/completions", s.completeChat)
+	r.Post("/v1/completions", s.completeText)
+	r.HandleFunc("/services/{service}", s.callService)
+	r.HandleFunc("/services/{service}/*", s.callService)
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		s.writeError(w, failure{status: http.StatusNotFound, code: codeNoRoute, message: "no such path", run: runNot})
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
+		s.writeError(w, failure{status: http.StatusMethodNotAllowed, code: codeNoMethod, message: "method not allowed", run: runNot})
+	})
+	return r
+}
+
+// Ready reports whether the balancer should send callers here.
+func (s *Server) Ready() bool { return !s.draining.Load() }
+
+// Open returns the number of requests in progress.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Drain tells the balancer to stop, accepts what still comes for its lag and waits for the last request.
+func (s *Server) Drain(ctx context.Context, lag time.Duration) error {
+	s.draining.Store(true)
+	if err := pause(ctx, lag); err != nil {
+		return err
+	}
+	for s.open.Load() > 0 {
+		if err := pause(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// track counts the requests in progress and closes callers' connections during a drain.
+func (s *Server) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		s.Totals.Requests.Add(1)
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -1,13 +1,6 @@
 package engine
 
-import (
-	"fmt"
-
-	"citronspread/httponce"
-)
-
-// UnsentError means that no byte of the request was ever written to a connection.
-type UnsentError = httponce.UnsentError
+import "fmt"
 
 // NotRunError means that the engine refused the request before running it.
 type NotRunError struct {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -1,4 +1,3 @@
-// Package engine speaks to model engines: orders and observations, and streamed completions.
 package engine
 
 import (
@@ -24,11 +23,17 @@
 	cancelTimeout = time.Second
 	doneData      = "[DONE]"
 
-	codeNotLoaded  = "model_not_loaded"
-	codeOverloaded = "overloaded"
+	codeModelNotLoaded   = "model_not_loaded"
+	codeAdapterNotLoaded = "adapter_not_loaded"
+	codeOverloaded       = "overloaded"
+
+	finishCancelled = "cancelled"
 )
 
-var errStalled = errors.New("engine: no chunk in time")
+var (
+	errStalled   = errors.New("engine: no chunk in time")
+	errCancelled = errors.New("engine: request cancelled")
+)
 
 // Document is a caller's JSON object, whose unknown fields are passed on.
 type Document map[string]json.RawMessage
@@ -76,6 +81,19 @@
 	ctx      context.Context
 	stall    *time.Timer
 	timeout  time.Duration
+	body     cutReader
+}
+
+// cutReader remembers whether the other end cut the connection.
+type cutReader struct {
+	reader io.Reader
+	cut    bool
+}
+
+func (r *cutReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.cut = r.cut || err != nil && err != io.EOF
+	return n, err
 }
 
 type chunkWire struct {
@@ -105,17 +123,17 @@
 	Error errorWire `json:"error"`
 }
 
-// Open starts the completion. The error is an *UnsentError, *NotRunError, *StatusError or *BrokenError.
+// Open starts the completion. The error is an *httponce.UnsentError, *NotRunError, *StatusError or *BrokenError.
 func (s *Streamer) Open(ctx context.Context, call Call) (*Stream, error) {
 	body, err := call.encode()
 	if err != nil {
-		return nil, &UnsentError{Address: call.Address, Err: err}
+		return nil, &httponce.UnsentError{Address: call.Address, Err: err}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Address+call.Path, bytes.NewReader(body))
 	if err != nil {
 		cancel(nil)
-		return nil, &UnsentError{Address: call.Address, Err: err}
+		return nil, &httponce.UnsentError{Address: call.Address, Err: err}
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
@@ -129,6 +147,7 @@
 		return nil, err
 	}
 	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, stall: stall, timeout: s.StallTimeout}
+	stream.body.reader = response.Body
 	if response.StatusCode != http.StatusOK {
 		defer stream.Close()
 		return nil, stream.refusal()
@@ -155,7 +174,7 @@
 func (s *Stream) Chunks() iter.Seq2[Chunk, error] {
 	return func(yield func(Chunk, error) bool) {
 		config := &sse.ReadConfig{MaxEventSize: maxEventBytes}
-		for event, err := range sse.Read(s.response.Body, config) {
+		for event, err := range sse.Read(&s.body, config) {
 			s.stall.Reset(s.timeout)
 			if err != nil {
 				yield(Chunk{}, s.broken(err))
@@ -195,11 +214,11 @@
 }
 
 func (s *Stream) broken(err error) error {
-	cause := context.Cause(s.ctx)
-	if cause != nil {
-		err = cause
+	died := s.body.cut
+	if cause := context.Cause(s.ctx); cause != nil {
+		err, died = cause, false
 	}
-	return &BrokenError{Backend: s.call.Backend, Tokens: len(s.call.Progress.Hashes), Died: cause == nil, Err: err}
+	return &BrokenError{Backend: s.call.Backend, Tokens: len(s.call.Progress.Hashes), Died: died, Err: err}
 }
 
 func (s *Stream) refusal() error {
@@ -208,7 +227,7 @@
 	// A body that is not of the published form leaves the code empty.
 	_ = json.Unmarshal(raw, &body)
 	status, code := s.response.StatusCode, body.Error.Code
-	notLoaded := status == http.StatusNotFound && code == codeNotLoaded
+	notLoaded := status == http.StatusNotFound && (code == codeModelNotLoaded || code == codeAdapterNotLoaded)
 	overloaded := status == http.StatusTooManyRequests && code == codeOverloaded
 	if notLoaded || overloaded {
 		return &NotRunError{Backend: s.call.Backend, Status: status, Code: code}
@@ -217,7 +236,7 @@
 }
 
 func (c *Call) openError(ctx context.Context, err error) error {
-	var unsent *UnsentError
+	var unsent *httponce.UnsentError
 	if errors.As(err, &unsent) {
 		return err
 	}
@@ -279,13 +298,21 @@
 
 // place puts the chunk after the delivered ones: duplicates are dropped, gaps are errors.
 func (c *Call) place(chunk Chunk, index *int) (Chunk, bool, error) {
-	p := c.Progress
-	if chunk.Text == "" {
-		if chunk.Finish != "" {
-			return chunk, c.finish(), nil
-		}
-		return chunk, !p.Finished || len(chunk.Usage) > 0, nil
+	if chunk.Finish == finishCancelled {
+		return chunk, false, &BrokenError{Backend: c.Backend, Tokens: len(c.Progress.Hashes), Err: errCancelled}
 	}
+	if chunk.Text == "" && chunk.Finish != "" {
+		return c.finish(chunk, index)
+	}
+	if chunk.Text == "" && index == nil || len(chunk.Usage) > 0 {
+		return chunk, true, nil
+	}
+	return c.token(chunk, index)
+}
+
+// token takes in a chunk with a token.
+func (c *Call) token(chunk Chunk, index *int) (Chunk, bool, error) {
+	p := c.Progress
 	next := len(p.Hashes)
 	if index == nil {
 		return chunk, false, c.mismatch("token_index", "none", strconv.Itoa(next))
@@ -302,17 +329,19 @@
 	}
 	chunk.Index, chunk.Token = *index, true
 	p.Hashes = append(p.Hashes, hash)
-	if chunk.Finish != "" {
-		c.finish()
-	}
+	p.Finished = chunk.Finish != ""
 	return chunk, true, nil
 }
 
-// finish notes the end of the answer and reports whether it was new.
-func (c *Call) finish() bool {
-	fresh := !c.Progress.Finished
-	c.Progress.Finished = true
-	return fresh
+// finish takes in the chunk with the finish reason, whose index is the number of tokens.
+func (c *Call) finish(chunk Chunk, index *int) (Chunk, bool, error) {
+	p := c.Progress
+	if index != nil && *index != len(p.Hashes) {
+		return chunk, false, c.mismatch("token_index", strconv.Itoa(*index), strconv.Itoa(len(p.Hashes)))
+	}
+	fresh := !p.Finished
+	p.Finished = true
+	return chunk, fresh, nil
 }
 
 func (c *Call) mismatch(field, got, want string) error {
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -72,7 +72,7 @@
 	for len(cursors) > 0 {
 		best := bestCursor(cursors)
 		t := cursors[best].ticket()
-		if now.Add(r.Service(t)).After(t.Deadline) {
+		if r.isTooLate(now, t) {
 			r.refuse(now, t, ReasonLate)
 		} else if replica := r.choose(now, t, longWaits); replica != nil {
 			r.grant(now, t, replica, longWaits)
@@ -86,6 +86,14 @@
 	}
 }
 
+// isTooLate reports whether serving the ticket would take a place from others in vain.
+func (r *Router) isTooLate(now time.Time, t *Ticket) bool {
+	if !now.Before(t.Deadline) {
+		return true
+	}
+	return r.queue.Len() > 1 && now.Add(r.Service(now, t)).After(t.Deadline)
+}
+
 // skip passes over a ticket that may not run on just any replica.
 func (c *cursor) skip(r *Router, t *Ticket) bool {
 	_, pinned := r.pins[t.Fingerprint]
--- a/routing/estimates.go
+++ b/routing/estimates.go
@@ -9,6 +9,7 @@
 
 const (
 	estimateWeight   = 0.1 // of a new sample
+	estimateAge      = 30 * time.Second
 	maxHistories     = 8192
 	expectedHeadroom = 1.5 // expected tokens as a multiple of the mean
 )
@@ -17,9 +18,11 @@
 type mean struct {
 	value float64
 	known bool
+	at    time.Time // of the last sample
 }
 
-func (m *mean) add(sample float64) {
+func (m *mean) add(now time.Time, sample float64) {
+	m.at = now
 	if !m.known {
 		m.value, m.known = sample, true
 		return
@@ -27,7 +30,14 @@
 	m.value += estimateWeight * (sample - m.value)
 }
 
-func (m *mean) duration() time.Duration { return time.Duration(m.value * float64(time.Second)) }
+// duration returns the mean of times, 0 when the last sample is too old to refuse requests by it.
+func (m *mean) duration(now time.Time) time.Duration {
+	d := time.Duration(m.value * float64(time.Second))
+	if now.Sub(m.at) > max(estimateAge, 3*d) {
+		return 0
+	}
+	return d
+}
 
 // historyKey tells apart the kinds of requests whose lengths differ.
 type historyKey struct {
@@ -76,16 +86,16 @@
 }
 
 // expectedService returns the expected time to serve the request, 0 when nothing is known.
-func (e *estimates) expectedService(r *Request) time.Duration {
+func (e *estimates) expectedService(now time.Time, r *Request) time.Duration {
 	h := e.kinds[keyOf(r)]
 	if h == nil {
 		return 0
 	}
-	return h.service.duration()
+	return h.service.duration(now)
 }
 
 // served learns from a whole answer.
-func (e *estimates) served(r *Request, class Class, tokens int, took time.Duration) {
+func (e *estimates) served(now time.Time, r *Request, class Class, tokens int, took time.Duration) {
 	if r.Remaining > 0 {
 		return
 	}
@@ -98,14 +108,14 @@
 		h = &history{}
 		e.kinds[key] = h
 	}
-	h.tokens.add(float64(tokens))
-	h.service.add(took.Seconds())
-	e.model(r.Target.Key).service[class].add(took.Seconds())
+	h.tokens.add(now, float64(tokens))
+	h.service.add(now, took.Seconds())
+	e.model(r.Target.Key).service[class].add(now, took.Seconds())
 }
 
 // loaded learns from a wait for a model that was not loaded.
-func (e *estimates) loaded(key model.ModelKey, took time.Duration) {
-	e.model(key).cold.add(took.Seconds())
+func (e *estimates) loaded(now time.Time, key model.ModelKey, took time.Duration) {
+	e.model(key).cold.add(now, took.Seconds())
 }
 
 func (e *estimates) model(key model.ModelKey) *modelHistory {
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -104,7 +104,7 @@
 	}
 	switch outcome {
 	case OutcomeWhole:
-		r.estimates.served(&g.ticket.Request, g.ticket.Class, g.tokens, now.Sub(g.started))
+		r.estimates.served(now, &g.ticket.Request, g.ticket.Class, g.tokens, now.Sub(g.started))
 	case OutcomeNotLoaded:
 		b.missing[g.ticket.Target] = now
 	case OutcomeOverloaded:
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -18,14 +18,14 @@
 }
 
 // Service implements Outlook.
-func (r *Router) Service(t *Ticket) time.Duration {
-	return r.estimates.expectedService(&t.Request)
+func (r *Router) Service(now time.Time, t *Ticket) time.Duration {
+	return r.estimates.expectedService(now, &t.Request)
 }
 
 // Forecast implements Outlook.
 func (r *Router) Forecast(now time.Time, target Target, class Class) Forecast {
 	history := r.estimates.model(target.Key)
-	service := history.service[class].duration()
+	service := history.service[class].duration(now)
 	slots := r.slots(now, target, class)
 	if slots == 0 {
 		return Forecast{Start: r.coldRest(now, target, history)}
@@ -38,7 +38,7 @@
 func (r *Router) coldRest(now time.Time, target Target, history *modelHistory) time.Duration {
 	expected := r.Policy.ColdStart
 	if history.cold.known {
-		expected = history.cold.duration()
+		expected = time.Duration(history.cold.value * float64(time.Second))
 	}
 	since, waiting := r.coldSince[target]
 	if !waiting {
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -139,7 +139,7 @@
 	// Forecast predicts the waits in one lane of a line.
 	Forecast(now time.Time, target Target, class Class) Forecast
 	// Service predicts the time to serve the ticket once it starts.
-	Service(t *Ticket) time.Duration
+	Service(now time.Time, t *Ticket) time.Duration
 }
 
 // Hopeless returns the tickets whose answer is predicted to come after their deadline.
@@ -152,7 +152,7 @@
 			}
 			forecast, ahead := outlook.Forecast(now, line.Target, Class(class)), 0
 			for _, t := range lane {
-				whole := now.Add(forecast.Wait(ahead) + outlook.Service(t))
+				whole := now.Add(forecast.Wait(ahead) + outlook.Service(now, t))
 				if whole.After(t.Deadline) || !now.Before(t.Deadline) {
 					hopeless = append(hopeless, t)
 					continue
--- a/routing/review.go
+++ b/routing/review.go
@@ -26,7 +26,7 @@
 		}
 		delete(r.coldSince, target)
 		if target.Adapter == "" {
-			r.estimates.loaded(target.Key, now.Sub(since))
+			r.estimates.loaded(now, target.Key, now.Sub(since))
 		}
 	}
 }
@@ -60,7 +60,7 @@
 // isHopeless reports whether the answer of a waiting ticket is predicted to come too late.
 func (r *Router) isHopeless(now time.Time, t *Ticket, ahead int) bool {
 	wait := r.Forecast(now, t.Target, t.Class).Wait(ahead)
-	return now.Add(wait + r.Service(t)).After(t.Deadline)
+	return now.Add(wait + r.Service(now, t)).After(t.Deadline)
 }
 
 // dueWakes returns the wakes to be sent or repeated now.
--- a/routing/router.go
+++ b/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -170,7 +171,7 @@
 			if verdict.State == StateClaimed {
 				r.Suspects.Release(request.Fingerprint)
 			}
-			return false, false, &RefusedError{Reason: ReasonAbandoned}
+			return false, false, refusedBy(ctx)
 		}
 		if verdict.State == StateClaimed && r.Suspects.Confirm(r.Now(), request.Fingerprint) {
 			return true, verdict.Prime, nil
@@ -194,7 +195,7 @@
 	case <-timer.C:
 		err = &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
 	case <-ctx.Done():
-		err = &RefusedError{Reason: ReasonAbandoned}
+		err = refusedBy(ctx)
 	}
 	r.mu.Lock()
 	removed := r.queue.Withdraw(t)
@@ -206,6 +207,14 @@
 	return res.grant, res.err
 }
 
+// refusedBy tells whether the deadline passed or the caller went away.
+func refusedBy(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
+	}
+	return &RefusedError{Reason: ReasonAbandoned}
+}
+
 func (r *Router) wake(wakes []model.Wake) {
 	if r.Waker == nil {
 		return
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -10,7 +10,7 @@
 
 const (
 	deathsToRefuse = 2
-	sameDeath      = 5 * time.Second // two reports of one backend server within it are one death
+	sameDeath      = time.Second // two reports of one backend server within it are one death
 	maxProven      = 4096
 )
 
