--- a/caller/claim.go
+++ b/caller/claim.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,15 +17,12 @@
 )
 
 const (
-	claimPrefix     = "claim/"
-	claimTries      = 4
-	claimPause      = 20 * time.Millisecond
-	claimPollFirst  = 50 * time.Millisecond
-	claimPollLast   = 800 * time.Millisecond
-	maxKeptAnswer   = 512 << 10 // bytes of an answer that is kept for repeats
-	recordTimeout   = 2 * time.Second
-	releaseAttempts = 8
-	releasePause    = 500 * time.Millisecond
+	claimPrefix    = "claim/"
+	claimTries     = 4
+	claimPause     = 20 * time.Millisecond
+	claimPollFirst = 50 * time.Millisecond
+	claimPollLast  = 800 * time.Millisecond
+	maxKeptAnswer  = 512 << 10 // bytes of an answer that is kept for repeats
 )
 
 // ClaimStore is the part of the platform's store that claims need.
@@ -60,6 +58,9 @@
 	Store    ClaimStore
 	WaitFor  time.Duration // longest wait for a call in progress elsewhere
 	Deadline time.Duration // of the store's calls for one claim
+
+	once       sync.Once
+	unreleased chan release
 }
 
 // claim is a claim that this entry host holds.
@@ -177,7 +178,7 @@
 
 // record writes how the call ended. It goes on after the caller has gone.
 func (c *Claims) record(ctx context.Context, held *claim, state claimState, answer service.Answer) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.Deadline)
 	defer cancel()
 	held.wire.State, held.wire.Status, held.wire.Header = state, answer.Status, answer.Header
 	held.wire.Body, held.wire.BodyDropped = answer.Body, false
@@ -201,42 +202,6 @@
 	}
 }
 
-// release frees the key because nothing was sent.
-func (c *Claims) release(ctx context.Context, held *claim) {
-	if c.record(ctx, held, claimReleased, service.Answer{}) != nil {
-		c.releaseLater(held)
-	}
-}
-
-// releaseLater goes on trying to free a key under which nothing was sent.
-func (c *Claims) releaseLater(held *claim) {
-	go func() {
-		for try := 1; try <= releaseAttempts; try++ {
-			time.Sleep(time.Duration(try) * releasePause)
-			if c.releaseNow(held) {
-				return
-			}
-		}
-	}()
-}
-
-// releaseNow frees the key if it is claimed and reports whether that is settled.
-// An absent entry is not settled: the write of the claim may still be on its way.
-func (c *Claims) releaseNow(held *claim) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	entry, err := c.Store.Get(ctx, held.key)
-	if err != nil {
-		return false
-	}
-	var wire claimWire
-	if json.Unmarshal(entry.Value, &wire) != nil || wire.Nonce != held.wire.Nonce {
-		return true
-	}
-	held.revision = entry.Revision
-	return c.record(ctx, held, claimReleased, service.Answer{}) == nil
-}
-
 func claimKey(name, key string) string {
 	sum := sha256.Sum256([]byte(name + "\x00" + key))
 	return claimPrefix + name + "/" + hex.EncodeToString(sum[:])
