--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,23 +46,27 @@
 
 // application is one parse of the command line.
 type application struct {
-	kingpin    *kingpin.Application
-	chosen     command
-	terminated bool
-	exitCode   int
+	kingpin *kingpin.Application
+	chosen  command
+	parsed  bool // up to the choice of a command
+}
+
+// termination is what kingpin's Terminate panics with, because Parse would go on otherwise.
+type termination struct {
+	exitCode int
 }
 
 // Run runs the command named by args and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	a := newApplication(stdout, stderr)
-	_, err := a.kingpin.Parse(args)
-	if a.terminated && !errors.Is(err, kingpin.ErrCommandNotSpecified) {
-		return a.exitCode
-	}
+	ended, err := a.parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "citronspread: %v, try --help\n", err)
 		return ExitUsage
 	}
+	if ended != nil {
+		return ended.exitCode
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	err = a.chosen.run(ctx, output{stdout: stdout, stderr: stderr})
@@ -72,10 +76,34 @@
 	return exitCode(err)
 }
 
+// parse chooses the command. The termination tells that kingpin answered by itself, as for --help.
+func (a *application) parse(args []string) (ended *termination, err error) {
+	defer func() {
+		panicked := recover()
+		if panicked == nil {
+			return
+		}
+		t, ok := panicked.(*termination)
+		if !ok {
+			panic(panicked)
+		}
+		ended = t
+		if a.parsed {
+			err = kingpin.ErrCommandNotSpecified
+		}
+	}()
+	_, err = a.kingpin.Parse(args)
+	return nil, err
+}
+
 func newApplication(stdout, stderr io.Writer) *application {
 	a := &application{kingpin: kingpin.New("citronspread", description)}
 	a.kingpin.UsageWriter(stdout).ErrorWriter(stderr).Version(version())
-	a.kingpin.Terminate(a.terminate)
+	a.kingpin.Terminate(func(code int) { panic(&termination{exitCode: code}) })
+	a.kingpin.Action(func(*kingpin.ParseContext) error {
+		a.parsed = true
+		return nil
+	})
 	a.kingpin.HelpFlag.Short('h')
 	a.add(a.kingpin, &serveCommand{})
 	a.add(a.kingpin, &checkCommand{})
@@ -98,15 +126,6 @@
 	})
 }
 
-// terminate notes that kingpin answered by itself, as for --help. The first exit code counts.
-func (a *application) terminate(code int) {
-	if a.terminated {
-		return
-	}
-	a.terminated = true
-	a.exitCode = code
-}
-
 // errorText returns what the operator reads. Lists of problems already name their file.
 func errorText(err error) string {
 	var problems yamlfile.Problems
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"citronspread/standin"
+)
+
+const scribe = `SchemaVersion: 1
+Name: scribe
+Service: link-scribe
+Model: scribe-7b
+Version: v1
+MemoryMB: 8000
+Replicas: 2
+Priority: High
+`
+
+// call is one command with its expected exit code and a part of its output.
+type call struct {
+	args     []string
+	want     int
+	contains string
+}
+
+func check(t *testing.T, calls []call) {
+	t.Helper()
+	for _, c := range calls {
+		var output bytes.Buffer
+		got := Run(c.args, &output, &output)
+		if got != c.want || !strings.Contains(output.String(), c.contains) {
+			t.Errorf("%s: got exit code %d, want %d and %q in %.500s", strings.Join(c.args, " "), got, c.want, c.contains, output.String())
+		}
+	}
+}
+
+func writeFile(t *testing.T, name, body string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestUsage(t *testing.T) {
+	check(t, []call{
+		{nil, ExitUsage, "command not specified"},
+		{[]string{"--help"}, ExitDone, "Examples:"},
+		{[]string{"--version"}, ExitDone, version()},
+		{[]string{"serve", "--help"}, ExitDone, "--settings"},
+		{[]string{"serve"}, ExitUsage, "--settings"},
+		{[]string{"serve", "--settings", "missing.yaml"}, ExitUsage, "missing.yaml"},
+		{[]string{"check", "--settings", writeFile(t, "s.yaml", "Nmae: a\n")}, ExitUsage, "s.yaml:1: Nmae: expected no such key"},
+		{[]string{"record", "list", "--store", "store.local:1"}, ExitUsage, "expected IP:port"},
+		{[]string{"record"}, ExitUsage, "must select a subcommand"},
+		{[]string{"nothing"}, ExitUsage, "nothing"},
+	})
+}
+
+func TestRecords(t *testing.T) {
+	server := httptest.NewServer((&standin.Store{}).Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	file := writeFile(t, "scribe.yaml", scribe)
+	broken := writeFile(t, "broken.yaml", strings.Replace(scribe, "High", "Urgent", 1))
+	check(t, []call{
+		{[]string{"record", "check", file, broken}, ExitUsage, "broken.yaml:8: Priority: expected one of High, Normal, Low"},
+		{[]string{"record", "put", broken, "--store", address}, ExitUsage, "broken.yaml:8"},
+		{[]string{"record", "get", "scribe", "--store", address}, ExitFailed, "no record scribe"},
+		{[]string{"record", "put", file, "--store", address, "--revision", "7"}, ExitConflict, "revision 0"},
+		{[]string{"record", "put", file, "--store", address, "--revision", "0"}, ExitDone, "revision 1, generation 1"},
+		{[]string{"record", "put", file, "--store", address, "--revision", "0"}, ExitConflict, "revision 1, generation 1"},
+		{[]string{"record", "put", file, "--store", address}, ExitDone, "revision 2, generation 2"},
+		{[]string{"record", "retire", "scribe", "--store", address, "--revision", "1"}, ExitConflict, "revision 2"},
+		{[]string{"record", "retire", "scribe", "--store", address, "--revision", "2"}, ExitDone, "generation 3"},
+		{[]string{"record", "retire", "scribe", "--store", address}, ExitDone, "already retired"},
+		{[]string{"record", "get", "scribe", "--store", address}, ExitDone, "Model: scribe-7b"},
+		{[]string{"record", "list", "--store", address}, ExitDone, "retired"},
+		{[]string{"record", "list", "--store", "127.0.0.1:1"}, ExitUnavailable, "unavailable"},
+	})
+}
+
+func TestLostAnswerIsSettled(t *testing.T) {
+	stand := &standin.Store{}
+	server := httptest.NewServer(stand.Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	stand.SetFault(standin.StoreFault{LoseAnswers: 1})
+	check(t, []call{
+		{[]string{"record", "put", writeFile(t, "scribe.yaml", scribe), "--store", address}, ExitDone, "revision 1, generation 1"},
+	})
+}
+
+func TestLogStaysOnOneLine(t *testing.T) {
+	var output bytes.Buffer
+	logger, err := newLogger("Info", &output)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Info("two words", zap.Error(&AddressError{Flag: "a", Value: "b\nc"}))
+	got := output.String()
+	if strings.Count(got, "\n") != 1 || !strings.Contains(got, `event="two words"`) {
+		t.Errorf("got %q, want one line", got)
+	}
+}
