--- a/cli/cli.go
+++ b/cli/cli.go
@@ -115,6 +115,7 @@
 	a.add(records, &recordCheckCommand{})
 	a.add(a.kingpin, &dumpCommand{})
 	a.add(a.kingpin, &demoCommand{})
+	a.add(a.kingpin, &measureCommand{})
 	a.addStandIns()
 	return a
 }
--- /dev/null
+++ b/cli/measure.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"citronspread/measure"
+)
+
+const measureHelp = `Run an experiment: stand-ins and entry hosts in this process under open-loop load, with faults on a timeline.
+
+Example: citronspread measure --plan plans/qureshi.yaml --out out/qureshi.json`
+
+type measureCommand struct {
+	plan     string
+	out      string
+	logLevel string
+}
+
+func (c *measureCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("measure", measureHelp)
+	clause.Flag("plan", "File of the plan.").Required().PlaceHolder("FILE").StringVar(&c.plan)
+	clause.Flag("out", "File for the result as JSON.").PlaceHolder("FILE").StringVar(&c.out)
+	clause.Flag("log-level", "Least severe level to log.").Default("Error").EnumVar(&c.logLevel, "Debug", "Info", "Warn", "Error")
+	return clause
+}
+
+func (c *measureCommand) run(ctx context.Context, out output) error {
+	plan, err := measure.LoadPlan(c.plan)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(c.logLevel, out.stderr)
+	if err != nil {
+		return err
+	}
+	runner := &measure.Runner{Plan: plan, Revision: version(), Logger: logger, RunEntryHost: runEntryHost}
+	result, err := runner.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := result.WriteTable(out.stdout); err != nil {
+		return err
+	}
+	return c.write(result, out)
+}
+
+func (c *measureCommand) write(result measure.Result, out output) error {
+	if c.out == "" {
+		return nil
+	}
+	file, err := os.Create(c.out)
+	if err != nil {
+		return errors.Wrap(err, "cli: measure")
+	}
+	defer file.Close()
+	if err := result.WriteJSON(file); err != nil {
+		return err
+	}
+	fmt.Fprintf(out.stdout, "result: %s\n", c.out)
+	return errors.Wrap(file.Close(), "cli: measure")
+}
--- /dev/null
+++ b/measure/arrival.go
@@ -0,0 +1,164 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	burstSpan    = 50 * time.Millisecond
+	arrivalsSeed = 0x9e3779b97f4a7c15
+)
+
+// Arrival is one request of the load.
+type Arrival struct {
+	Due     time.Duration // from the start of the load
+	Class   int           // index into the plan's classes
+	Model   int
+	Adapter int // -1 for none
+	Tokens  int
+	Host    int // index of the entry host
+	Number  int // unique in one run
+}
+
+// generator draws arrivals.
+type generator struct {
+	plan       Plan
+	hosts      int
+	random     *rand.Rand
+	popularity []float64 // cumulative, by rank
+	ranks      []int     // model of each rank
+}
+
+// Arrivals returns all requests of one run, in the order of their due times.
+func Arrivals(p Plan, hosts int, seed uint64) []Arrival {
+	g := &generator{plan: p, hosts: hosts, random: rand.New(rand.NewPCG(seed, arrivalsSeed))}
+	g.popularity = zipf(p.Models.Count, p.Models.ZipfExponent)
+	g.ranks = g.random.Perm(p.Models.Count)
+	all := slices.Concat(g.poisson(), g.bursts())
+	slices.SortStableFunc(all, func(a, b Arrival) int { return int(a.Due - b.Due) })
+	for i := range all {
+		all[i].Number = i
+	}
+	return all
+}
+
+// zipf returns the cumulative popularity by rank.
+func zipf(n int, exponent float64) []float64 {
+	cumulative := make([]float64, n)
+	sum := 0.0
+	for i := range n {
+		sum += math.Pow(float64(i+1), -exponent)
+		cumulative[i] = sum
+	}
+	for i := range cumulative {
+		cumulative[i] /= sum
+	}
+	return cumulative
+}
+
+// poisson draws arrivals at the highest rate and keeps each with the share of the rate at its time.
+func (g *generator) poisson() []Arrival {
+	end := g.plan.WarmUp + g.plan.Duration
+	highest := g.plan.Load.RequestsPerSecond * g.plan.Load.SwingFactor
+	var all []Arrival
+	at := 0.0
+	for {
+		at += g.random.ExpFloat64() / highest
+		due := time.Duration(at * float64(time.Second))
+		if due >= end {
+			return all
+		}
+		if g.random.Float64()*highest < g.rate(due) {
+			all = append(all, g.arrival(due))
+		}
+	}
+}
+
+// rate returns the requests a second at a time. The swing counts from the end of the warm-up.
+func (g *generator) rate(at time.Duration) float64 {
+	l := g.plan.Load
+	from := g.plan.WarmUp + l.SwingAt
+	if at >= from && at < from+l.SwingLength {
+		return l.RequestsPerSecond * l.SwingFactor
+	}
+	return l.RequestsPerSecond
+}
+
+func (g *generator) arrival(due time.Duration) Arrival {
+	a := Arrival{Due: due, Class: g.class(), Host: g.random.IntN(g.hosts), Adapter: -1}
+	c := g.plan.Classes[a.Class]
+	if c.Service != "" {
+		return a
+	}
+	a.Model = g.model()
+	a.Tokens = g.tokens(c)
+	if m := g.plan.Models; m.Adapters > 0 && g.random.Float64() < m.AdapterShare {
+		a.Adapter = g.adapter(a.Model)
+	}
+	return a
+}
+
+// bursts draws requests of the first class for one unpopular model at many entry hosts at once.
+func (g *generator) bursts() []Arrival {
+	l := g.plan.Load
+	if l.BurstSize == 0 {
+		return nil
+	}
+	var all []Arrival
+	for at := g.plan.WarmUp + l.BurstEvery/2; at < g.plan.WarmUp+g.plan.Duration; at += l.BurstEvery {
+		model := g.unpopularModel()
+		for i := range l.BurstSize {
+			due := at + time.Duration(g.random.Int64N(int64(burstSpan)))
+			all = append(all, Arrival{
+				Due: due, Model: model, Adapter: -1,
+				Tokens: g.tokens(g.plan.Classes[0]), Host: i % g.hosts,
+			})
+		}
+	}
+	return all
+}
+
+func (g *generator) class() int {
+	drawn := g.random.Float64()
+	for i, c := range g.plan.Classes {
+		drawn -= c.Share
+		if drawn < 0 {
+			return i
+		}
+	}
+	return len(g.plan.Classes) - 1
+}
+
+func (g *generator) model() int {
+	rank, _ := slices.BinarySearch(g.popularity, g.random.Float64())
+	return g.ranks[min(rank, len(g.ranks)-1)]
+}
+
+// unpopularModel returns a model of the lower half of ranks.
+func (g *generator) unpopularModel() int {
+	half := len(g.ranks) / 2
+	return g.ranks[half+g.random.IntN(len(g.ranks)-half)]
+}
+
+// adapter returns one of a model's adapters, or -1 when it has none.
+func (g *generator) adapter(model int) int {
+	var own []int
+	for i := range g.plan.Models.Adapters {
+		if i%g.plan.Models.Count == model {
+			own = append(own, i)
+		}
+	}
+	if len(own) == 0 {
+		return -1
+	}
+	return own[g.random.IntN(len(own))]
+}
+
+// tokens draws from a log-normal distribution.
+func (g *generator) tokens(c Class) int {
+	drawn := c.MedianTokens * math.Exp(c.TokenSpread*g.random.NormFloat64())
+	return max(1, min(c.MostTokens, int(drawn)))
+}
--- /dev/null
+++ b/measure/fault.go
@@ -0,0 +1,95 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"citronspread/fleet"
+)
+
+// Targets of faults.
+const (
+	targetStore   = "Store"
+	targetHosts   = "Hosts"
+	targetEngine  = "Engine"
+	targetService = "Service"
+)
+
+// injectFaults posts each fault when it is due. Times count from the end of the warm-up.
+func injectFaults(ctx context.Context, p Plan, f *fleet.Fleet, began time.Time) error {
+	for _, fault := range p.Faults {
+		if !waitUntil(ctx, began.Add(p.WarmUp+fault.At)) {
+			return nil
+		}
+		for _, address := range faultAddresses(fault, f) {
+			if err := postFault(ctx, address, fault.Body); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func faultAddresses(fault Fault, f *fleet.Fleet) []string {
+	var all []string
+	switch fault.Target {
+	case targetStore:
+		return []string{f.Store.Address}
+	case targetHosts:
+		return []string{f.HostList.Address}
+	case targetEngine:
+		for _, b := range f.Backends {
+			all = append(all, b.Engine.Address)
+		}
+	case targetService:
+		for _, e := range f.Endpoints {
+			all = append(all, e.Service.Address)
+		}
+	}
+	return everyNth(all, fault.Index, fault.Every)
+}
+
+func everyNth(all []string, index, every int) []string {
+	if index >= len(all) {
+		return nil
+	}
+	if every == 0 {
+		return all[index : index+1]
+	}
+	var chosen []string
+	for i := index; i < len(all); i += every {
+		chosen = append(chosen, all[i])
+	}
+	return chosen
+}
+
+func postFault(ctx context.Context, address, body string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/fault", bytes.NewBufferString(body))
+	if err != nil {
+		return errors.Wrap(err, "measure: fault")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "measure: fault")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("measure: fault at %s: status %s", address, response.Status)
+	}
+	return nil
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/measure/result.go
@@ -0,0 +1,171 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"citronspread/standin"
+)
+
+const (
+	longestLatency   = time.Hour
+	histogramDigits  = 3
+	coldClass        = "cold starts"
+	histogramMinimum = 1 // microseconds
+)
+
+// Result is what an experiment gave.
+type Result struct {
+	Name      string
+	Scale     string
+	Seed      uint64
+	Revision  string
+	StartedAt time.Time
+	Variants  []VariantResult
+	Plan      string
+}
+
+// VariantResult sums up all repeats of a variant.
+type VariantResult struct {
+	Name               string
+	Repeats            int
+	Classes            []ClassResult
+	LoadedSeconds      float64 // replicas times seconds
+	IdleSeconds        float64 // of those, without a request
+	ColdStartFloor     float64 // milliseconds that a load from the weight store takes at full speed
+	Store              standin.StoreCounts
+	Loads              int // from the weight store
+	SlowLoads          int // begun when all permits of full speed were taken
+	MemoryOvercommits  int
+	SurplusReplicas    int
+	DoubledBookings    int
+	CrashedEngineLives int
+}
+
+// ClassResult sums up one class, or all first requests that found no replica loaded.
+type ClassResult struct {
+	Class   string
+	Sent    int
+	Whole   int
+	Late    int
+	Refused int
+	Failed  int
+	Broken  int
+	Wrong   int
+	First   Latency // to the first token, of whole answers that were streamed
+	Total   Latency // of whole answers, also late ones
+}
+
+// Latency is a distribution in milliseconds, counted from when a request was due.
+type Latency struct {
+	P50  float64
+	P90  float64
+	P99  float64
+	P999 float64
+	Max  float64
+}
+
+// tally adds up the samples of one class.
+type tally struct {
+	result ClassResult
+	first  *hdrhistogram.Histogram
+	total  *hdrhistogram.Histogram
+}
+
+func newTally(class string) *tally {
+	return &tally{result: ClassResult{Class: class}, first: newHistogram(), total: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramMinimum, longestLatency.Microseconds(), histogramDigits)
+}
+
+func (t *tally) add(s sample) {
+	t.result.Sent++
+	switch s.Outcome {
+	case outcomeWhole:
+		t.result.Whole++
+	case outcomeLate:
+		t.result.Late++
+	case outcomeRefused:
+		t.result.Refused++
+	case outcomeFailed:
+		t.result.Failed++
+	case outcomeWrong:
+		t.result.Wrong++
+	default:
+		t.result.Broken++
+	}
+	if s.Outcome != outcomeWhole && s.Outcome != outcomeLate {
+		return
+	}
+	record(t.total, s.Total)
+	if s.First > 0 {
+		record(t.first, s.First)
+	}
+}
+
+func (t *tally) finish() ClassResult {
+	t.result.First = latencyOf(t.first)
+	t.result.Total = latencyOf(t.total)
+	return t.result
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Values above the highest are recorded as the highest.
+	_ = h.RecordValue(min(d, longestLatency).Microseconds())
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	at := func(quantile float64) float64 { return float64(h.ValueAtQuantile(quantile)) / 1_000 }
+	return Latency{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / 1_000}
+}
+
+// summarise sums up the counted requests of all repeats.
+func summarise(p Plan, v Variant, runs []runData) VariantResult {
+	result := VariantResult{Name: v.Name, Repeats: len(runs), ColdStartFloor: coldStartFloor(p)}
+	tallies := make([]*tally, 0, len(p.Classes)+1)
+	for _, c := range p.Classes {
+		tallies = append(tallies, newTally(c.Name))
+	}
+	cold := newTally(coldClass)
+	for _, data := range runs {
+		for _, s := range data.samples {
+			if s.Due < p.WarmUp {
+				continue
+			}
+			tallies[s.Class].add(s)
+			if s.Cold {
+				cold.add(s)
+			}
+		}
+		result.add(data)
+	}
+	for _, t := range append(tallies, cold) {
+		result.Classes = append(result.Classes, t.finish())
+	}
+	return result
+}
+
+func (r *VariantResult) add(data runData) {
+	r.LoadedSeconds += data.idle.loadedSeconds
+	r.IdleSeconds += data.idle.idleSeconds
+	r.Store.Reads += data.store.Reads
+	r.Store.Writes += data.store.Writes
+	r.Store.Watches += data.store.Watches
+	r.Store.Conflicts += data.store.Conflicts
+	r.Store.RateLimited += data.store.RateLimited
+	r.Store.Refused += data.store.Refused
+	r.Store.LostAnswers += data.store.LostAnswers
+	r.Loads += data.weights.Loads
+	r.SlowLoads += data.weights.SlowLoads
+	r.MemoryOvercommits += data.overcommitted
+	r.SurplusReplicas += data.surplus
+	r.DoubledBookings += data.doubledRuns
+	r.CrashedEngineLives += data.crashes
+}
+
+func coldStartFloor(p Plan) float64 {
+	return float64(p.Models.Bytes) / p.Layout.Rates.Remote * 1_000
+}
--- a/yamlfile/mapping.go
+++ b/yamlfile/mapping.go
@@ -126,3 +126,11 @@
 	}
 	return m.path + "." + key
 }
+
+// MappingsOr returns the list of mappings under an optional key, empty when it is missing.
+func (m *Mapping) MappingsOr(key string) []*Mapping {
+	if !m.Has(key) {
+		return nil
+	}
+	return m.Mappings(key)
+}
--- a/yamlfile/scalar.go
+++ b/yamlfile/scalar.go
@@ -35,6 +35,15 @@
 	High time.Duration
 }
 
+// Text returns the text under a required key.
+func (m *Mapping) Text(key string) string {
+	text, ok := m.scalar(key, "a text")
+	if ok && text == "" {
+		m.Fail(key, "a text that is not empty")
+	}
+	return text
+}
+
 // Name returns the name under a required key.
 func (m *Mapping) Name(key string) string {
 	text, ok := m.scalar(key, nameExpected)
