--- /dev/null
+++ b/faults/booking.go
@@ -0,0 +1,76 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// booking is the body of a booking.
+type booking struct {
+	Booking string
+}
+
+// bookingAnswer is a service's echo of a call.
+type bookingAnswer struct {
+	Body string
+	Path string
+	Runs int
+}
+
+func bookingContent(id string) string {
+	payload, err := json.Marshal(booking{Booking: id})
+	if err != nil {
+		return id
+	}
+	return string(payload)
+}
+
+func (c *caller) book(ctx context.Context, h *entryHost, id string, kind exchangeKind) exchange {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	key := ""
+	if kind == kindKeyedBooking {
+		key = id
+	}
+	x := exchange{kind: kind, content: bookingContent(id), host: h.name, begin: time.Now()}
+	a := postJSON(ctx, "http://"+h.callerAddress+"/services/"+bookingService+"/bookings", booking{Booking: id}, key)
+	x.end = time.Now()
+	x.outcome = a.failure(ctx)
+	if x.outcome != "" {
+		x.detail = fmt.Sprintf("status %d, %v, %s", a.status, a.err, firstBytes(a.body))
+		return x
+	}
+	x.outcome, x.detail = judgeEcho(a.body, func(echo bookingAnswer) bool { return echo.Body == x.content && echo.Runs == 1 })
+	return x
+}
+
+func (c *caller) read(ctx context.Context, h *entryHost, id string) exchange {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	x := exchange{kind: kindRead, content: id, host: h.name, begin: time.Now()}
+	req, err := http.NewRequest(http.MethodGet, "http://"+h.callerAddress+"/services/"+bookingService+"/stock/"+id, nil)
+	if err != nil {
+		x.detail = err.Error()
+		return x
+	}
+	a := send(ctx, req)
+	x.end = time.Now()
+	x.outcome = a.failure(ctx)
+	if x.outcome != "" {
+		x.detail = fmt.Sprintf("status %d, %v, %s", a.status, a.err, firstBytes(a.body))
+		return x
+	}
+	x.outcome, x.detail = judgeEcho(a.body, func(echo bookingAnswer) bool { return echo.Path == "/stock/"+id })
+	return x
+}
+
+func judgeEcho(body []byte, isOwn func(bookingAnswer) bool) (outcome, string) {
+	var echo bookingAnswer
+	if json.Unmarshal(body, &echo) != nil || !isOwn(echo) {
+		return outcomeWrong, "got " + firstBytes(body)
+	}
+	return outcomeWhole, ""
+}
--- /dev/null
+++ b/faults/configuration.go
@@ -0,0 +1,179 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"citronspread/model"
+	"citronspread/store"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+const (
+	configPrefix  = "config/"
+	markPrefix    = "mark-" // of an adapter that tells which change a declaration comes from
+	modelMemoryMB = 5000
+	maxDecided    = 3
+	readBackPause = 300 * time.Millisecond
+)
+
+// decision is an accepted change of a record.
+type decision struct {
+	mark     string
+	replicas int
+	at       time.Time
+}
+
+// configRecord is an operators' record with its accepted changes.
+type configRecord struct {
+	name          string
+	key           model.ModelKey
+	schemaVersion int
+	changes       int
+
+	mu       sync.Mutex
+	accepted []decision
+}
+
+// configuration is what the operators wrote.
+type configuration struct {
+	store   *store.Client
+	random  *rand.Rand
+	records []*configRecord
+}
+
+func newConfiguration(p *platform, random *rand.Rand) *configuration {
+	c := &configuration{store: p.storeClient(), random: random}
+	for i := range 5 {
+		c.records = append(c.records, &configRecord{
+			name: fmt.Sprintf("record-%d", i), schemaVersion: 1 + i%2,
+			key: model.ModelKey{Model: fmt.Sprintf("scribe-%d", i), Version: "v1"},
+		})
+	}
+	return c
+}
+
+// anyModel draws a declared model version, the first ones more often.
+func (c *configuration) anyModel(random *rand.Rand) model.ModelKey {
+	return c.records[min(random.IntN(len(c.records)), random.IntN(len(c.records)))].key
+}
+
+func (c *configuration) putAll(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for _, r := range c.records {
+		for !c.change(ctx, r, maxDecided-1) {
+			if time.Now().After(deadline) {
+				return errors.Newf("faults: can't write %s", r.name)
+			}
+			sleep(ctx, readBackPause)
+		}
+	}
+	return nil
+}
+
+// change writes a record once and reports whether the change was accepted. Two operators race at times.
+func (c *configuration) change(ctx context.Context, r *configRecord, replicas int) bool {
+	current, generation, err := c.read(ctx, r)
+	if err != nil {
+		return false
+	}
+	operators := 1 + r.changes%2
+	accepted := make([]bool, operators)
+	var writing sync.WaitGroup
+	for i := range operators {
+		r.changes++
+		d := decision{mark: fmt.Sprintf("%s%d", markPrefix, r.changes), replicas: 1 + (replicas+i-1)%maxDecided, at: time.Now()}
+		writing.Go(func() { accepted[i] = c.write(ctx, r, current, generation+1, d) })
+	}
+	writing.Wait()
+	return slices.Contains(accepted, true)
+}
+
+// read returns the revision and the generation of a record, 0 when it is absent.
+func (c *configuration) read(ctx context.Context, r *configRecord) (int64, int64, error) {
+	entry, err := c.store.Get(ctx, configPrefix+r.name)
+	var notFound *store.NotFoundError
+	if errors.As(err, &notFound) {
+		return 0, 0, nil
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	var record model.Record
+	err = json.Unmarshal(entry.Value, &record)
+	return entry.Revision, record.Generation, err
+}
+
+// write writes a change by compare-and-swap and keeps it when it was accepted.
+func (c *configuration) write(ctx context.Context, r *configRecord, revision, generation int64, d decision) bool {
+	record := model.Record{
+		Name: r.name, SchemaVersion: r.schemaVersion, Generation: generation, WrittenAt: d.at,
+		Nonce: uuid.NewString(), Body: r.body(d),
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false
+	}
+	_, err = c.store.CompareAndSwap(ctx, configPrefix+r.name, value, revision)
+	var unavailable *store.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Ambiguous {
+		err = c.readBack(ctx, r, record.Nonce)
+	}
+	if err != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted = append(r.accepted, d)
+	return true
+}
+
+// readBack waits until the store tells whether a write took effect.
+func (c *configuration) readBack(ctx context.Context, r *configRecord, nonce string) error {
+	for ctx.Err() == nil {
+		entry, err := c.store.Get(ctx, configPrefix+r.name)
+		var record model.Record
+		if err == nil && json.Unmarshal(entry.Value, &record) == nil {
+			if record.Nonce == nonce {
+				return nil
+			}
+			return errors.New("faults: the write did not take effect")
+		}
+		sleep(ctx, readBackPause)
+	}
+	return ctx.Err()
+}
+
+func (r *configRecord) body(d decision) []byte {
+	if r.schemaVersion == 1 {
+		return fmt.Appendf(nil, "SchemaVersion: 1\nName: %s\nService: %s\nModel: %s\nVersion: %s\nMemoryMB: %d\nReplicas: %d\nPriority: Normal\nAdapters: [%s]\n",
+			r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, d.replicas, d.mark)
+	}
+	return fmt.Appendf(nil, "SchemaVersion: 2\nName: %s\nService: %s\nModels:\n  - Model: %s\n    Version: %s\n    Memory: %dMB\n    Priority: 50\n    Adapters: [%s]\n    Replicas: {Decided: %d, Warm: 0}\n",
+		r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, d.mark, d.replicas)
+}
+
+// history returns the accepted changes so far.
+func (r *configRecord) history() []decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted[:len(r.accepted):len(r.accepted)]
+}
+
+// changeConfiguration changes one record after the other.
+func (r *Run) changeConfiguration(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		sleep(ctx, configEvery)
+		calling, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		record := r.config.records[i%len(r.config.records)]
+		r.config.change(calling, record, 1+r.config.random.IntN(maxDecided))
+		cancel()
+	}
+}
--- /dev/null
+++ b/faults/faults_test.go
@@ -0,0 +1,46 @@
+package faults
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	binary  = flag.String("faults-binary", "", "path of the built program; without it TestFaults is not run")
+	seed    = flag.Uint64("faults-seed", 1, "seed of the schedule")
+	seconds = flag.Int("faults-seconds", 40, "length of the run")
+	keep    = flag.String("faults-logs", "", "directory for the entry hosts' logs")
+)
+
+func TestFaults(t *testing.T) {
+	if *binary == "" {
+		t.Skip("no -faults-binary: use make faults")
+	}
+	running := newProcesses(t, *binary)
+	if *keep != "" {
+		running.directory = *keep
+	}
+	run := &Run{
+		Seed:      *seed,
+		Duration:  time.Duration(*seconds) * time.Second,
+		Directory: filepath.Join(t.TempDir(), "settings"),
+		Processes: running,
+		Log:       func(format string, values ...any) { fmt.Fprintf(os.Stderr, format+"\n", values...) },
+	}
+	fmt.Printf("faults: seed %d, %d s\n", *seed, *seconds)
+	tally, err := run.Execute(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range tally.Lines() {
+		fmt.Println(line)
+	}
+	if tally.Breached() {
+		t.Fail()
+	}
+}
--- /dev/null
+++ b/faults/platform.go
@@ -0,0 +1,161 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"citronspread/model"
+	"citronspread/standin"
+	"citronspread/store"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of the imitated platform.
+const (
+	enginesPerZone   = 2
+	engineMemory     = 16_000_000_000 // bytes
+	engineTokens     = 200            // a second, of a stream that runs alone
+	loadsPerSecond   = 5
+	parallelLoads    = 4
+	hostListLag      = 500 * time.Millisecond
+	engineRestart    = 1500 * time.Millisecond
+	storeCallTimeout = 2 * time.Second
+	modelService     = "link-scribe"
+	bookingService   = "order-desk"
+)
+
+var platformRates = standin.TierRates{Memory: 40e9, Disk: 20e9, Remote: 8e9}
+
+// platform is everything that the entry hosts talk to.
+type platform struct {
+	zones    []string
+	store    *standin.Store
+	hosts    *standin.HostList
+	weights  *standin.WeightStore
+	census   *standin.Census
+	engines  []*platformEngine
+	services []*standin.Service
+	runs     *runLog
+}
+
+// platformEngine is an engine with its line in the host list.
+type platformEngine struct {
+	*standin.Engine
+	zone string
+}
+
+func (e *platformEngine) line(state model.HostState) model.Host {
+	return model.Host{
+		Name: e.Backend, Kind: model.KindBackend, Zone: e.zone, Region: "punjab",
+		Address: e.Address, State: state, Service: modelService,
+	}
+}
+
+func newPlatform() (*platform, error) {
+	p := &platform{
+		zones:   []string{"sialkot-a", "sialkot-b", "gujranwala"},
+		census:  &standin.Census{},
+		weights: &standin.WeightStore{LoadsPerSecond: loadsPerSecond, FullSpeedLoads: parallelLoads},
+		runs:    &runLog{},
+	}
+	addresses, err := freeAddresses(2 + len(p.zones)*(enginesPerZone+1))
+	if err != nil {
+		return nil, err
+	}
+	p.store = &standin.Store{Address: addresses[0]}
+	p.hosts = &standin.HostList{Address: addresses[1], Lag: hostListLag}
+	addresses = addresses[2:]
+	for _, zone := range p.zones {
+		for i := range enginesPerZone {
+			p.engines = append(p.engines, p.newEngine(zone, i, addresses[i]))
+		}
+		p.services = append(p.services, &standin.Service{
+			Name: bookingService + "-" + zone, Address: addresses[enginesPerZone], Delay: 10 * time.Millisecond, Runs: p.runs,
+		})
+		addresses = addresses[enginesPerZone+1:]
+	}
+	return p, nil
+}
+
+func (p *platform) newEngine(zone string, i int, address string) *platformEngine {
+	return &platformEngine{zone: zone, Engine: &standin.Engine{
+		Address: address, Backend: fmt.Sprintf("%s-backend-%d", zone, i+1), MemoryBytes: engineMemory,
+		ChecksFencing: i%2 == 0, Rates: platformRates, Weights: p.weights, Census: p.census, Runs: p.runs,
+		TokensPerSecond: engineTokens, RestartDelay: engineRestart, Seed: uint64(len(p.engines)),
+	}}
+}
+
+// start serves the stand-ins until ctx ends and fills the host list.
+func (p *platform) start(ctx context.Context, log func(string, ...any)) {
+	serve := func(name string, run func(context.Context) error) {
+		go func() {
+			if err := run(ctx); err != nil {
+				log("faults: %s: %v", name, err)
+			}
+		}()
+	}
+	serve("store", p.store.Run)
+	serve("host list", p.hosts.Run)
+	for _, e := range p.engines {
+		serve(e.Backend, e.Run)
+		p.hosts.Set(e.line(model.HostLive))
+	}
+	for i, s := range p.services {
+		serve(s.Name, s.Run)
+		p.hosts.Set(model.Host{
+			Name: s.Name, Kind: model.KindService, Zone: p.zones[i], Region: "punjab",
+			Address: s.Address, State: model.HostLive, Service: bookingService,
+		})
+	}
+}
+
+// storeClient returns a client of the store for the operators.
+func (p *platform) storeClient() *store.Client { return &store.Client{Address: p.store.Address} }
+
+// engineZone returns the zone of a backend server.
+func (p *platform) engineZone(backend string) string {
+	for _, e := range p.engines {
+		if e.Backend == backend {
+			return e.zone
+		}
+	}
+	return ""
+}
+
+// freeAddresses returns loopback addresses that nothing listens on.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "faults: free address")
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// runLog keeps the runs that the stand-ins report.
+type runLog struct {
+	mu   sync.Mutex
+	runs []standin.Run
+}
+
+// TakeRun implements standin.RunSink.
+func (l *runLog) TakeRun(run standin.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, run)
+}
+
+// all returns the runs so far.
+func (l *runLog) all() []standin.Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[:len(l.runs):len(l.runs)]
+}
--- /dev/null
+++ b/faults/watch.go
@@ -0,0 +1,136 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"citronspread/model"
+)
+
+// Bounds of the configuration's spread.
+const (
+	inForceWithin = 9 * time.Second
+	spreadTime    = 2 * time.Second // from an acceptance until some entry host surely has it
+	watchInterval = 300 * time.Millisecond
+)
+
+// dump is the part of an entry host's dump that the watch reads.
+type dump struct {
+	ControlThread string
+	Snapshot      model.Snapshot
+}
+
+// hostView is what a host held of each record at the last look.
+type hostView struct {
+	held    map[string]int // index of the change, by record
+	settled map[string]int // index of the newest change that was checked
+	since   time.Time      // when the process was started, or last seen not to answer
+}
+
+// watchConfiguration checks that changes are in force on a host in time and never reverted.
+func (r *Run) watchConfiguration(ctx context.Context, h *entryHost) {
+	view := newHostView(time.Now())
+	for ctx.Err() == nil {
+		asked := time.Now()
+		d, err := h.dump(ctx)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			view = newHostView(time.Now())
+		case d.ControlThread == "answered":
+			for _, record := range r.config.records {
+				r.checkRecord(h, view, record, asked, d.Snapshot)
+			}
+		}
+		sleep(ctx, watchInterval)
+	}
+}
+
+func newHostView(since time.Time) *hostView {
+	return &hostView{held: map[string]int{}, settled: map[string]int{}, since: since}
+}
+
+func (r *Run) checkRecord(h *entryHost, view *hostView, record *configRecord, asked time.Time, s model.Snapshot) {
+	history := record.history()
+	held := heldIndex(history, record.key, s)
+	if known, ok := view.held[record.name]; ok {
+		r.tally.Check(ConfigurationInForce, held >= known, "%s: %s went back from change %d to %d of %d",
+			h.name, record.name, known+1, held+1, len(history))
+	}
+	view.held[record.name] = held
+	for i := view.settled[record.name]; i < len(history); i++ {
+		if held < i && asked.Before(r.dueTime(h, view, history[i].at, asked)) {
+			return
+		}
+		r.tally.Check(ConfigurationInForce, held >= i, "%s: %s holds change %d, change %d of %d was accepted %.1fs ago",
+			h.name, record.name, held+1, i+1, len(history), asked.Sub(history[i].at).Seconds())
+		view.settled[record.name] = i + 1
+	}
+}
+
+// heldIndex returns the newest accepted change that a snapshot shows, -1 for none.
+func heldIndex(history []decision, key model.ModelKey, s model.Snapshot) int {
+	for _, m := range s.Models {
+		if m.Declaration.Key != key {
+			continue
+		}
+		for i := len(history) - 1; i >= 0; i-- {
+			if slices.Contains(m.Declaration.Adapters, history[i].mark) {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// dueTime returns when a change must be in force on a host, after the faults that kept it from the host.
+func (r *Run) dueTime(h *entryHost, view *hostView, accepted, now time.Time) time.Time {
+	from := accepted
+	if view.since.After(from) {
+		from = view.since
+	}
+	for _, d := range r.disturbances.between(accepted, now, func(d disturbance) bool { return r.delaysSpread(h, d, accepted) }) {
+		if d.end.IsZero() {
+			return now.Add(inForceWithin)
+		}
+		if d.end.After(from) {
+			from = d.end
+		}
+	}
+	return from.Add(inForceWithin)
+}
+
+// delaysSpread reports whether a fault may keep an accepted change from a host.
+func (r *Run) delaysSpread(h *entryHost, d disturbance, accepted time.Time) bool {
+	switch d.kind {
+	case faultFreezeHost:
+		return d.target == h.name
+	case faultCutZone:
+		return d.target == h.zone
+	case faultStoreDown, faultStoreSlow, faultStoreRestore:
+		return d.begin.Before(accepted.Add(spreadTime))
+	}
+	return false
+}
+
+// dump asks a host for its state.
+func (h *entryHost) dump(ctx context.Context) (dump, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operatorAddress+"/debug/state", nil)
+	if err != nil {
+		return dump{}, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return dump{}, err
+	}
+	defer resp.Body.Close()
+	var d dump
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&d)
+	return d, err
+}
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -143,7 +143,7 @@
 func (e *Engine) countRun(s *stream) {
 	e.runs[s.id]++
 	if e.Runs != nil {
-		e.Runs.TakeRun(Run{Backend: e.Backend, Request: s.id, Content: s.prompt, At: time.Now()})
+		e.Runs.TakeRun(Run{Backend: e.Backend, Request: s.id, Content: s.prompt, Life: e.life.incarnation, At: time.Now()})
 	}
 }
 
--- a/standin/run.go
+++ b/standin/run.go
@@ -1,12 +1,17 @@
 package standin
 
-import "time"
+import (
+	"time"
+
+	"citronspread/model"
+)
 
 // Run is one run of a request at an engine or of a call at a service.
 type Run struct {
 	Backend string
 	Request string
 	Content string // the prompt or the body
+	Life    model.Incarnation
 	At      time.Time
 }
 
