--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEED ?= 1
 SECONDS ?= 40
 
-.PHONY: build demo format lint path-check test
+.PHONY: build demo faults format lint path-check test
 
 build:
 	go build -o citronspread .
@@ -26,3 +26,9 @@
 # demo runs everything inside one process on loopback ports.
 demo: build
 	./citronspread demo
+
+# faults runs entry hosts under a seeded schedule of kills, freezes, cuts and outages.
+faults: build
+	@mkdir -p out
+	go test -c -o out/faults.test ./faults
+	./out/faults.test -test.timeout 0 -test.run TestFaults -faults-binary ./citronspread -faults-seed $(SEED) -faults-seconds $(SECONDS)
--- a/faults/entryhost.go
+++ b/faults/entryhost.go
@@ -111,7 +111,9 @@
 func (w settingsWriter) write(h *entryHost) (string, error) {
 	seeds := make([]string, 0, len(w.hosts))
 	for _, o := range w.hosts {
-		seeds = append(seeds, fmt.Sprintf("%q", o.peerAddress))
+		if o.zone == h.zone {
+			seeds = append(seeds, fmt.Sprintf("%q", o.peerAddress))
+		}
 	}
 	text := fmt.Sprintf(settingsForm, h.name, h.zone, h.callerAddress, h.peerAddress, h.operatorAddress,
 		w.platform.store.Address, w.platform.hosts.Address, strings.Join(seeds, ", "), balancerLag, requestTimeout,
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -46,6 +46,7 @@
 	disturbances disturbances
 	exchanges    exchanges
 	config       *configuration
+	links        *links
 	settings     settingsWriter
 }
 
@@ -91,6 +92,13 @@
 		return err
 	}
 	r.platform = p
+	if r.hosts, err = newEntryHosts(p.zones); err != nil {
+		return err
+	}
+	if r.links, err = newLinks(ctx, p.zones, r.hosts); err != nil {
+		return err
+	}
+	p.hosts.View = r.links
 	p.start(ctx, r.Log)
 	r.config = newConfiguration(p, r.random(configStream))
 	if err := r.config.putAll(ctx); err != nil {
@@ -99,9 +107,6 @@
 	if err := os.MkdirAll(r.Directory, 0o700); err != nil {
 		return errors.Wrap(err, "faults: settings directory")
 	}
-	if r.hosts, err = newEntryHosts(p.zones); err != nil {
-		return err
-	}
 	r.settings = settingsWriter{directory: r.Directory, platform: p, hosts: r.hosts}
 	for _, h := range r.hosts {
 		p.hosts.Set(h.line())
--- a/faults/play.go
+++ b/faults/play.go
@@ -104,12 +104,13 @@
 	r.disturbances.finish(begun)
 }
 
-// cutZone cuts a zone off from the platform and from the backend servers of other zones.
+// cutZone cuts a zone off from the platform and from the hosts of other zones.
 func (r *Run) cutZone(ctx context.Context, f fault) {
 	zone := r.platform.zones[f.target]
 	r.last(ctx, f, zone, func(on bool) {
 		r.platform.store.EditFault(func(p *standin.StoreFault) { editZones(&p.UnreachableZones, zone, on) })
 		r.platform.hosts.EditFault(func(p *standin.HostListFault) { editZones(&p.UnreachableZones, zone, on) })
+		r.links.cut(zone, on)
 		for _, e := range r.platform.engines {
 			e.EditFault(func(p *standin.EngineFault) { editCut(&p.UnreachableZones, r.platform.zones, e.zone, zone, on) })
 		}
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -18,10 +18,16 @@
 	Hosts    []model.Host `json:",omitempty"`
 }
 
+// HostView gives the addresses by which a zone reaches the hosts.
+type HostView interface {
+	HostsFor(zone string, hosts []model.Host) []model.Host
+}
+
 // HostList imitates the platform's lagging list of hosts.
 type HostList struct {
 	Address string
 	Lag     time.Duration // from a change to its publication
+	View    HostView      // the same list for all zones when nil
 
 	once      sync.Once
 	mu        sync.Mutex
@@ -104,7 +110,7 @@
 			return
 		}
 		if published.Revision != after {
-			writeJSON(w, http.StatusOK, published)
+			writeJSON(w, http.StatusOK, h.viewed(published, r.Header.Get(zoneHeader)))
 			return
 		}
 		select {
@@ -123,3 +129,10 @@
 	defer h.mu.Unlock()
 	return h.published, h.fault, h.changed
 }
+
+func (h *HostList) viewed(published hostListRevision, zone string) hostListRevision {
+	if h.View != nil {
+		published.Hosts = h.View.HostsFor(zone, published.Hosts)
+	}
+	return published
+}
