--- /dev/null
+++ b/standin/bench_test.go
@@ -0,0 +1,29 @@
+package standin
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+)
+
+// BenchmarkStreams measures the tokens a second that one engine streams over HTTP.
+func BenchmarkStreams(b *testing.B) {
+	const streams, tokens = 100, 200
+	e := &Engine{Backend: "backend-1", TokensPerSecond: 1000, SlowPerStream: 1e-9, BatchCapacity: streams}
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	l := e.currentLife()
+	l.residents[testKey] = &resident{key: testKey, ready: true}
+	for b.Loop() {
+		var running sync.WaitGroup
+		for i := range streams {
+			running.Go(func() {
+				n := tokens
+				complete(server.URL, fmt.Sprint(i), completionRequest{Model: testKey.String(), Prompt: "p", MaxTokens: &n})
+			})
+		}
+		running.Wait()
+	}
+	b.ReportMetric(float64(b.N*streams*tokens)/b.Elapsed().Seconds(), "tokens/s")
+}
