--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"citronspread/entryhost"
+	"citronspread/settings"
+)
+
+const serveHelp = `Run an entry host until SIGTERM or SIGINT, then stop gracefully.
+
+Example: citronspread serve --settings entry.yaml`
+
+// runEntryHost runs an entry host until ctx ends.
+var runEntryHost = entryhost.Run
+
+type serveCommand struct {
+	settings string
+}
+
+func (c *serveCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("serve", serveHelp)
+	clause.Flag("settings", "File of the settings.").Required().PlaceHolder("FILE").StringVar(&c.settings)
+	return clause
+}
+
+func (c *serveCommand) run(ctx context.Context, out output) error {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s.LogLevel, out.stderr)
+	if err != nil {
+		return err
+	}
+	defer logger.Sync()
+	return runEntryHost(ctx, s, logger)
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"citronspread/yamlfile"
+)
+
+const (
+	weightMinimum = 0.001
+	weightMaximum = 1_000
+)
+
+var shortSpan = yamlfile.DurationRange{Low: time.Millisecond, High: time.Minute}
+
+// Load reads the settings from a file. The error holds yamlfile.Problems when the file was read.
+func Load(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	return Parse(path, body)
+}
+
+// Parse reads the settings from body; path names it in errors.
+func Parse(path string, body []byte) (Settings, error) {
+	r, m := yamlfile.Parse(path, body)
+	s := Defaults(m.OneOf("Deployment", DeploymentQureshi, DeploymentTorwerk, DeploymentCustom))
+	s.Name = m.Name("Name")
+	s.Zone = m.Name("Zone")
+	s.Region = m.Name("Region")
+	s.CallerAddress = m.Address("CallerAddress")
+	s.PeerAddress = m.Address("PeerAddress")
+	s.OperatorAddress = m.Address("OperatorAddress")
+	s.StoreAddress = m.Address("StoreAddress")
+	s.HostListAddress = m.Address("HostListAddress")
+	s.Seeds = m.Addresses("Seeds")
+	s.LogLevel = m.OneOfOr("LogLevel", s.LogLevel, "Debug", "Info", "Warn", "Error")
+	s.BalancerLag = m.Duration("BalancerLag", yamlfile.DurationRange{High: 5 * time.Minute})
+	s.StandingReservations = int(m.IntOr("StandingReservations", int64(s.StandingReservations), yamlfile.IntRange{High: 16}))
+	s.Deadlines = readDeadlines(m.MappingOr("Deadlines"), s.Deadlines)
+	s.Limits = readLimits(m.MappingOr("Limits"), s.Limits)
+	s.WeightStore = readWeightStore(m.Mapping("WeightStore"), s.WeightStore)
+	s.KeepAlive = readKeepAlive(m, s.Deployment, s.KeepAlive)
+	m.Close()
+	checkAddresses(m, s)
+	return s, r.Err()
+}
+
+func readDeadlines(m *yamlfile.Mapping, d Deadlines) Deadlines {
+	long := yamlfile.DurationRange{Low: 10 * time.Millisecond, High: 24 * time.Hour}
+	d = Deadlines{
+		Request:        m.DurationOr("Request", d.Request, long),
+		LongestRequest: m.DurationOr("LongestRequest", d.LongestRequest, long),
+		Header:         m.DurationOr("Header", d.Header, shortSpan),
+		Body:           m.DurationOr("Body", d.Body, shortSpan),
+		StoreCall:      m.DurationOr("StoreCall", d.StoreCall, shortSpan),
+		Connect:        m.DurationOr("Connect", d.Connect, shortSpan),
+		Order:          m.DurationOr("Order", d.Order, long),
+		Shutdown:       m.DurationOr("Shutdown", d.Shutdown, long),
+	}
+	m.Close()
+	if d.Request > d.LongestRequest {
+		m.Fail("Request", "at most LongestRequest")
+	}
+	if d.Connect > d.Request {
+		m.Fail("Connect", "at most Request")
+	}
+	return d
+}
+
+func readLimits(m *yamlfile.Mapping, l Limits) Limits {
+	l = Limits{
+		BodyBytes:   m.BytesOr("BodyBytes", l.BodyBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 30}),
+		HeaderBytes: m.BytesOr("HeaderBytes", l.HeaderBytes, yamlfile.IntRange{Low: 1_000, High: 1 << 20}),
+		QueueLength: int(m.IntOr("QueueLength", int64(l.QueueLength), yamlfile.IntRange{Low: 1, High: 1_000_000})),
+		Connections: int(m.IntOr("Connections", int64(l.Connections), yamlfile.IntRange{Low: 1, High: 1_000_000})),
+	}
+	m.Close()
+	if l.QueueLength > l.Connections {
+		m.Fail("QueueLength", "at most Connections, because each waiting request holds one")
+	}
+	return l
+}
+
+func readWeightStore(m *yamlfile.Mapping, w WeightStore) WeightStore {
+	w = WeightStore{
+		LoadsPerSecond:   m.Float("LoadsPerSecond", yamlfile.FloatRange{Low: 0.001, High: 10_000}),
+		ParallelLoads:    int(m.Int("ParallelLoads", yamlfile.IntRange{Low: 1, High: 10_000})),
+		ParallelAdapters: int(m.IntOr("ParallelAdapters", int64(w.ParallelAdapters), yamlfile.IntRange{Low: 1, High: 10_000})),
+	}
+	m.Close()
+	return w
+}
+
+// readKeepAlive reads the weights, which the deployment's name gives unless it is Custom.
+func readKeepAlive(top *yamlfile.Mapping, deployment string, k KeepAlive) KeepAlive {
+	span := yamlfile.DurationRange{High: 24 * time.Hour}
+	weight := yamlfile.FloatRange{Low: weightMinimum, High: weightMaximum}
+	if deployment == DeploymentCustom && !top.Has("KeepAlive") {
+		top.Fail("Deployment", "KeepAlive with ColdStartWeight and IdleWeight beside Custom")
+		return k
+	}
+	m := top.MappingOr("KeepAlive")
+	if deployment == DeploymentCustom {
+		k.ColdStartWeight = m.Float("ColdStartWeight", weight)
+		k.IdleWeight = m.Float("IdleWeight", weight)
+	} else {
+		refuseWeight(m, "ColdStartWeight", deployment)
+		refuseWeight(m, "IdleWeight", deployment)
+	}
+	k.Shortest = m.DurationOr("Shortest", k.Shortest, span)
+	k.Longest = m.DurationOr("Longest", k.Longest, span)
+	m.Close()
+	if k.Shortest > k.Longest {
+		m.Fail("Shortest", "at most Longest")
+	}
+	return k
+}
+
+// refuseWeight refuses a weight beside a deployment that brings its own.
+func refuseWeight(m *yamlfile.Mapping, key, deployment string) {
+	if !m.Has(key) {
+		return
+	}
+	m.Float(key, yamlfile.FloatRange{Low: weightMinimum, High: weightMaximum})
+	m.Fail(key, "no weight here, because Deployment "+deployment+" brings its own; weights go with Custom")
+}
+
+// checkAddresses refuses one address for two listeners or for a listener and the platform.
+func checkAddresses(m *yamlfile.Mapping, s Settings) {
+	named := []struct{ key, address string }{
+		{"CallerAddress", s.CallerAddress},
+		{"PeerAddress", s.PeerAddress},
+		{"OperatorAddress", s.OperatorAddress},
+		{"StoreAddress", s.StoreAddress},
+		{"HostListAddress", s.HostListAddress},
+	}
+	for i, a := range named {
+		for _, b := range named[:i] {
+			if a.address != "" && a.address == b.address {
+				m.Fail(a.key, "an address of its own, it equals "+b.key)
+			}
+		}
+	}
+}
