--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -69,6 +69,7 @@
 		b.cell.readWanted = true
 		b.reset()
 		h.backends[name] = b
+		h.byName = nil
 	}
 	b.usedAt = now
 	return b
@@ -114,11 +115,7 @@
 		h.loseBackend(b)
 		b.observeAt = now
 	}
-	for _, r := range old.Reservations {
-		if findKey(record, r.Key) < 0 {
-			h.model(r.Key).check = true
-		}
-	}
+	h.checkSlots(b, old, record)
 	for key, i := range b.intents {
 		if findOrder(record, i.orderID) >= 0 {
 			delete(b.intents, key)
@@ -136,7 +133,7 @@
 	for _, d := range b.drains {
 		h.orders.close(d.orderID)
 	}
-	for key := range b.wants {
+	for _, key := range sortedKeys(b.wants) {
 		h.emit(LoadRefused{Key: key, Backend: b.name, Reason: RefusedNotOwner})
 	}
 	for _, r := range b.record.Reservations {
@@ -180,6 +177,7 @@
 		b.cell.readWanted = true
 	}
 	h.planIntents(now, b)
+	h.drainSurplus(now, b)
 	h.send(b)
 	h.observeBackend(now, b)
 	h.askIssuers(now, b)
--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,106 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"citronspread/model"
+)
+
+// benchStore answers every call at once.
+type benchStore struct {
+	values    map[string][]byte
+	revisions map[string]int64
+}
+
+// steadyHost returns a host that owns backend servers, each with ten loaded models of all that are declared.
+func steadyHost(b *testing.B, backends, models int) (*Host, time.Time) {
+	b.Helper()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	h := &Host{Name: "h", Zone: "z", Address: "127.0.0.1:1", Incarnation: "h#1", LongestOrderTime: 4 * time.Second}
+	s := &benchStore{values: map[string][]byte{}, revisions: map[string]int64{}}
+	engines := map[string]model.Observation{}
+	var assigned BackendsChanged
+	for i := range backends {
+		name := fmt.Sprintf("e%d", i)
+		engines[name] = model.Observation{Backend: name, Incarnation: "e#1", MemoryBytes: 1000}
+		assigned.Backends = append(assigned.Backends, Assignment{Backend: name, Owner: "h"})
+	}
+	var sources SourcesChanged
+	for i := range models {
+		key := model.ModelKey{Model: fmt.Sprintf("m%d", i), Version: "1"}
+		sources.Models = append(sources.Models, ModelSources{
+			Key: key, Bytes: 100, Lead: i%6 == 0, Sources: []model.Source{{Record: "r", Generation: 1, Replicas: 9}},
+		})
+	}
+	s.run(h, now, engines, PeersChanged{Peers: []model.Peer{{Name: "h", Incarnation: "h#1"}}})
+	s.run(h, now, engines, sources)
+	s.run(h, now, engines, assigned)
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		s.run(h, now, engines, Tick{})
+	}
+	for i := range backends {
+		for j := range 10 {
+			s.run(h, now, engines, LoadWanted{Key: sources.Models[(i*10+j)%models].Key, Backend: fmt.Sprintf("e%d", i)})
+		}
+	}
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		s.run(h, now, engines, Tick{})
+	}
+	if got, want := len(h.Replicas()), backends*10; got != want {
+		b.Fatalf("got %d replicas, want %d", got, want)
+	}
+	return h, now
+}
+
+// run feeds an event and all that it leads to.
+func (s *benchStore) run(h *Host, now time.Time, engines map[string]model.Observation, e Event) {
+	events := []Event{e}
+	for len(events) > 0 {
+		actions := h.Step(now, events[0])
+		events = events[1:]
+		for _, a := range actions {
+			if v := s.answer(engines, a); v != nil {
+				events = append(events, v)
+			}
+		}
+	}
+}
+
+// answer carries an action out.
+func (s *benchStore) answer(engines map[string]model.Observation, a Action) Event {
+	switch a := a.(type) {
+	case ReadRecord:
+		if s.revisions[a.Key] == 0 {
+			return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreNotFound}
+		}
+		return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreRead, Value: s.values[a.Key], Revision: s.revisions[a.Key]}
+	case WriteRecord:
+		s.values[a.Key], s.revisions[a.Key] = a.Value, s.revisions[a.Key]+1
+		return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreApplied, Revision: s.revisions[a.Key]}
+	case SendOrder:
+		o := engines[a.Backend]
+		o.Models = append(o.Models, model.LoadedModel{Key: a.Order.Key, Bytes: a.Order.Bytes, Ready: true})
+		engines[a.Backend] = o
+		return OrderAnswered{OrderID: a.Order.ID, Outcome: OrderDone}
+	case ObserveEngine:
+		return Observed{Token: a.Token, Backend: a.Backend, Observation: engines[a.Backend]}
+	}
+	return nil
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, backends := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			h, now := steadyHost(b, backends, 120)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				h.Step(now.Add(time.Duration(i)*time.Microsecond), Tick{})
+			}
+		})
+	}
+}
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -26,6 +26,8 @@
 	orders   orderTable
 	backends map[string]*backend
 	models   map[model.ModelKey]*modelState
+	byName   []*backend    // the backend servers, sorted
+	byKey    []*modelState // the models, sorted
 	standing map[string][]model.ModelKey
 	records  []RecordGeneration
 	peers    map[model.Incarnation]livePeer
@@ -44,9 +46,10 @@
 func (h *Host) Step(now time.Time, e Event) []Action {
 	h.init()
 	h.take(now, e)
-	for _, name := range slices.Sorted(maps.Keys(h.backends)) {
-		h.reconcileBackend(now, h.backends[name])
+	for _, b := range h.sortedBackends() {
+		h.reconcileBackend(now, b)
 	}
+	h.noteInvolved()
 	for _, m := range h.sortedModels() {
 		h.reconcileModel(now, m)
 	}
@@ -167,7 +170,7 @@
 		m.sources, m.bytes, m.adapters, m.lead = s.Sources, s.Bytes, s.Adapters, s.Lead
 	}
 	for _, m := range h.models {
-		m.changedAt = now
+		m.changedAt, m.check, m.surplusKnown = now, true, false
 	}
 }
 
@@ -207,10 +210,22 @@
 	}
 }
 
+// sortedModels returns the models in a fixed order. It must not be kept.
 func (h *Host) sortedModels() []*modelState {
-	return slices.SortedFunc(maps.Values(h.models), func(a, b *modelState) int {
-		return cmp.Compare(a.cell.key, b.cell.key)
-	})
+	if len(h.byKey) != len(h.models) {
+		h.byKey = slices.SortedFunc(maps.Values(h.models), func(a, b *modelState) int {
+			return cmp.Compare(a.cell.key, b.cell.key)
+		})
+	}
+	return h.byKey
+}
+
+// sortedBackends returns the backend servers in a fixed order. It must not be kept.
+func (h *Host) sortedBackends() []*backend {
+	if h.byName == nil {
+		h.byName = slices.SortedFunc(maps.Values(h.backends), func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
+	}
+	return h.byName
 }
 
 // sweep forgets what is of no more use.
@@ -233,6 +248,7 @@
 		idle := b.cell.token == 0 && b.cell.wroteAt < b.cell.revision && now.Sub(b.usedAt) > forgetAfter
 		if !b.assigned && !h.owns(b) && idle {
 			delete(h.backends, name)
+			h.byName = nil
 		}
 	}
 }
--- a/ledger/modelstate.go
+++ b/ledger/modelstate.go
@@ -29,6 +29,12 @@
 	check     bool      // slots of owned backend servers may have to be freed
 	verifyAt  time.Time
 	starved   bool // a slot was wanted and none was free
+	involved  bool // an owned backend server holds or will hold a replica
+	unbound   bool // an intent has no slot yet
+
+	surplusIDs   []int // slots beyond the decided number
+	surplusKnown bool
+	behind       bool // the record's sources are older than the known configuration
 }
 
 // model returns the state for a model version, which is created when needed.
@@ -46,6 +52,16 @@
 	return decidedBy(mergeSources(m.record.Sources, m.sources, h.records))
 }
 
+// surplus returns the slots beyond the decided number.
+func (m *modelState) surplus(h *Host) []int {
+	if !m.surplusKnown {
+		merged := mergeSources(m.record.Sources, m.sources, h.records)
+		m.surplusIDs, m.surplusKnown = surplusSlots(m.record, decidedBy(merged)), true
+		m.behind = !slices.Equal(merged, m.record.Sources)
+	}
+	return m.surplusIDs
+}
+
 // adoptModel takes over a newer content of the record.
 func (h *Host) adoptModel(m *modelState, content []byte) {
 	record := model.ModelRecord{Key: m.key}
@@ -55,7 +71,7 @@
 			return
 		}
 	}
-	m.record, m.check = record, true
+	m.record, m.check, m.surplusKnown = record, true, false
 	h.findSlots(m)
 }
 
@@ -78,37 +94,57 @@
 // reconcileModel brings one model record a step nearer to what is wanted.
 func (h *Host) reconcileModel(now time.Time, m *modelState) {
 	m.cell.expire(now)
-	involved := h.involved(m)
-	h.wantRead(now, m, involved)
-	if m.cell.known {
-		h.drainSurplus(now, m)
-	}
-	if m.cell.idle(now) && (involved || m.lead || m.check || m.cell.touchWanted) {
+	h.wantRead(now, m)
+	if m.cell.idle(now) && (m.check || m.unbound || m.cell.touchWanted || h.verifyDue(now, m)) {
 		h.planModel(now, m)
 	}
 	h.actions = append(h.actions, m.cell.read(now, h.token)...)
 }
 
-// involved reports whether an owned backend server holds or will hold a replica.
-func (h *Host) involved(m *modelState) bool {
-	for _, b := range h.backends {
-		if h.owns(b) && (b.intents[m.key] != nil || findKey(b.record, m.key) >= 0) {
-			return true
+// noteInvolved notes the models that an owned backend server holds or will hold.
+func (h *Host) noteInvolved() {
+	for _, m := range h.models {
+		m.involved, m.unbound = false, false
+	}
+	for _, b := range h.sortedBackends() {
+		if !h.owns(b) {
+			continue
+		}
+		for _, r := range b.record.Reservations {
+			h.model(r.Key).involved = true
+		}
+		for key, i := range b.intents {
+			m := h.model(key)
+			m.involved = true
+			m.unbound = m.unbound || i.slotID == noSlot
 		}
 	}
-	return false
+}
+
+// checkSlots has the slots looked at that a change of a backend record may concern.
+func (h *Host) checkSlots(b *backend, old, record model.BackendRecord) {
+	for _, r := range slices.Concat(old.Reservations, record.Reservations) {
+		h.model(r.Key).check = true
+	}
+	for _, m := range h.models {
+		m.check = m.check || slices.ContainsFunc(m.record.Slots, func(s model.Slot) bool { return s.Backend == b.name })
+	}
 }
 
 // wantRead asks for a read of the record when what is known may be too old.
-func (h *Host) wantRead(now time.Time, m *modelState, involved bool) {
+func (h *Host) wantRead(now time.Time, m *modelState) {
 	if !m.cell.known {
-		if involved || m.lead || m.check {
+		if m.involved || m.lead || m.check {
 			m.cell.readWanted = true
 		}
 		return
 	}
 	age := now.Sub(m.cell.readAt)
-	if m.lead && age >= leadInterval || involved && m.cell.readAt.Before(m.changedAt) {
+	if m.involved && age >= surplusMaxAge {
+		m.surplus(h)
+		m.cell.readWanted = m.cell.readWanted || m.behind // slots may still be bound under the older number
+	}
+	if m.lead && age >= leadInterval || m.involved && m.cell.readAt.Before(m.changedAt) {
 		m.cell.readWanted = true
 	}
 }
@@ -138,10 +174,15 @@
 	h.emit(m.cell.write(now, h.token(), value))
 }
 
+// verifyDue reports whether it is time to look for slots that were left behind.
+func (h *Host) verifyDue(now time.Time, m *modelState) bool {
+	return (m.lead || m.starved) && !now.Before(m.verifyAt)
+}
+
 // freeSlots frees the slots whose reservations are gone and can't come back.
 func (h *Host) freeSlots(now time.Time, m *modelState, next *model.ModelRecord) bool {
 	changed := false
-	verify := (m.lead || m.starved) && !now.Before(m.verifyAt)
+	verify := h.verifyDue(now, m)
 	if verify {
 		m.starved = false
 		m.verifyAt = now.Add(verifyInterval)
@@ -227,28 +268,24 @@
 	return changed
 }
 
-// drainSurplus drains replicas beyond the decided number on owned backend servers.
-func (h *Host) drainSurplus(now time.Time, m *modelState) {
-	surplus := surplusSlots(m.record, m.decided(h))
-	for _, b := range h.backends {
-		if !h.owns(b) {
-			continue
-		}
-		i := findKey(b.record, m.key)
-		if i < 0 || b.record.Reservations[i].SlotID == noSlot {
+// drainSurplus drains the replicas of an owned backend server that are beyond the decided number.
+func (h *Host) drainSurplus(now time.Time, b *backend) {
+	for _, r := range b.record.Reservations {
+		m := h.model(r.Key)
+		if !m.cell.known || r.SlotID == noSlot {
 			continue
 		}
-		d := b.drains[m.key]
-		if !slices.Contains(surplus, b.record.Reservations[i].SlotID) {
+		d := b.drains[r.Key]
+		if !slices.Contains(m.surplus(h), r.SlotID) {
 			if d != nil && d.surplus && d.orderID == "" {
-				delete(b.drains, m.key)
+				delete(b.drains, r.Key)
 			}
 			continue
 		}
 		if now.Sub(m.cell.readAt) > surplusMaxAge {
 			m.cell.readWanted = true
-		} else if d == nil && !h.isOpenStanding(b.record.Reservations[i]) {
-			b.drains[m.key] = &drain{since: now, surplus: true}
+		} else if d == nil && !h.isOpenStanding(r) {
+			b.drains[r.Key] = &drain{since: now, surplus: true}
 		}
 	}
 }
@@ -260,7 +297,7 @@
 	if i < 0 || !m.cell.known {
 		return false
 	}
-	return slices.Contains(surplusSlots(m.record, m.decided(h)), b.record.Reservations[i].SlotID)
+	return slices.Contains(m.surplus(h), b.record.Reservations[i].SlotID)
 }
 
 func isLoaded(r model.BackendRecord, key model.ModelKey) bool {
--- a/ledger/query.go
+++ b/ledger/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -60,7 +59,3 @@
 	})
 	return replicas
 }
-
-func (h *Host) sortedBackends() []*backend {
-	return slices.SortedFunc(maps.Values(h.backends), func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
-}
--- a/ledger/want.go
+++ b/ledger/want.go
@@ -133,7 +133,7 @@
 	if now.Sub(m.cell.readAt) >= leadInterval {
 		m.cell.readWanted = true
 	}
-	return m.record.Used() < m.decided(h) && fits(b.record, m.bytes+intentBytes(h, b))
+	return fits(b.record, m.bytes+intentBytes(h, b)) && m.record.Used() < m.decided(h)
 }
 
 // intentBytes returns the memory that all intents will take.
