standin: the host list ends with its last change

Cause: changes made together were published in any order, so the list could stay without a host for good; path-check got 404 for a booking. Ruled out: the entry hosts, whose last read list was the published one.

--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -32,6 +32,7 @@
 	once      sync.Once
 	mu        sync.Mutex
 	current   []model.Host
+	edits     int64 // number of the last change
 	published hostListRevision
 	changed   chan struct{}
 	fault     HostListFault
@@ -73,20 +74,25 @@
 	h.once.Do(h.init)
 	h.mu.Lock()
 	change()
-	hosts := slices.Clone(h.current)
+	h.edits++
+	next := hostListRevision{Revision: h.edits, Hosts: slices.Clone(h.current)}
 	lag := h.Lag
 	h.mu.Unlock()
 	if lag == 0 {
-		h.publish(hosts)
+		h.publish(next)
 		return
 	}
-	time.AfterFunc(lag, func() { h.publish(hosts) })
+	time.AfterFunc(lag, func() { h.publish(next) })
 }
 
-func (h *HostList) publish(hosts []model.Host) {
+// publish shows a list unless a later one is already shown: changes made together come in any order.
+func (h *HostList) publish(next hostListRevision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.published = hostListRevision{Revision: h.published.Revision + 1, Hosts: hosts}
+	if next.Revision <= h.published.Revision {
+		return
+	}
+	h.published = next
 	h.announce()
 }
 
