--- a/faults/booking.go
+++ b/faults/booking.go
@@ -17,7 +17,6 @@
 type bookingAnswer struct {
 	Body string
 	Path string
-	Runs int
 }
 
 func bookingContent(id string) string {
@@ -43,7 +42,7 @@
 		x.detail = fmt.Sprintf("status %d, %v, %s", a.status, a.err, firstBytes(a.body))
 		return x
 	}
-	x.outcome, x.detail = judgeEcho(a.body, func(echo bookingAnswer) bool { return echo.Body == x.content && echo.Runs == 1 })
+	x.outcome, x.detail = judgeEcho(a.body, func(echo bookingAnswer) bool { return echo.Body == x.content })
 	return x
 }
 
--- a/faults/entryhost.go
+++ b/faults/entryhost.go
@@ -33,22 +33,17 @@
 	disturbed       atomic.Bool // a fault of the process lasts
 }
 
-func newEntryHosts(zones []string) ([]*entryHost, error) {
+func newEntryHosts(zones []string, free *addresses) []*entryHost {
 	var hosts []*entryHost
-	addresses, err := freeAddresses(3 * hostsPerZone * len(zones))
-	if err != nil {
-		return nil, err
-	}
 	for _, zone := range zones {
 		for i := range hostsPerZone {
 			hosts = append(hosts, &entryHost{
 				name: fmt.Sprintf("%s-entry-%d", zone, i+1), zone: zone,
-				callerAddress: addresses[0], peerAddress: addresses[1], operatorAddress: addresses[2],
+				callerAddress: free.take(), peerAddress: free.take(), operatorAddress: free.take(),
 			})
-			addresses = addresses[3:]
 		}
 	}
-	return hosts, nil
+	return hosts
 }
 
 func (h *entryHost) line() model.Host {
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -12,10 +12,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Phases of a run.
+// Bounds of a run.
 const (
-	warmUp       = 6 * time.Second // without faults
-	coolDown     = 15 * time.Second
 	startTimeout = 10 * time.Second
 	callerCount  = 24
 	configEvery  = 4 * time.Second
@@ -36,10 +34,13 @@
 type Run struct {
 	Seed      uint64
 	Duration  time.Duration
-	Directory string // for settings files
+	WarmUp    time.Duration // without faults
+	CoolDown  time.Duration // without faults
+	Directory string        // for settings files
 	Processes Processes
 	Log       func(format string, values ...any)
 
+	schedule     []fault // drawn from the seed when nil
 	tally        *Tally
 	platform     *platform
 	hosts        []*entryHost
@@ -63,10 +64,13 @@
 	defer stopCalling()
 	r.startCallers(calling, &callers)
 
-	sleep(ctx, warmUp)
-	r.playSchedule(ctx, newSchedule(r.random(scheduleStream), r.faultTime(), r.hosts, r.platform))
+	sleep(ctx, r.WarmUp)
+	if r.schedule == nil {
+		r.schedule = newSchedule(r.random(scheduleStream), r.faultTime(), r.hosts, r.platform)
+	}
+	r.playSchedule(ctx)
 	r.Log("faults: all faults ended, cooling down")
-	sleep(ctx, coolDown)
+	sleep(ctx, r.CoolDown)
 	stopCalling()
 	callers.Wait()
 	r.judge()
@@ -83,18 +87,15 @@
 func (r *Run) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(r.Seed, stream)) }
 
 func (r *Run) faultTime() time.Duration {
-	return max(time.Second, r.Duration-warmUp-coolDown)
+	return max(time.Second, r.Duration-r.WarmUp-r.CoolDown)
 }
 
 func (r *Run) startAll(ctx context.Context) error {
-	p, err := newPlatform()
-	if err != nil {
-		return err
-	}
+	free := newAddresses()
+	p := newPlatform(free)
 	r.platform = p
-	if r.hosts, err = newEntryHosts(p.zones); err != nil {
-		return err
-	}
+	r.hosts = newEntryHosts(p.zones, free)
+	var err error
 	if r.links, err = newLinks(ctx, p.zones, r.hosts); err != nil {
 		return err
 	}
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -28,6 +28,8 @@
 	run := &Run{
 		Seed:      *seed,
 		Duration:  time.Duration(*seconds) * time.Second,
+		WarmUp:    6 * time.Second,
+		CoolDown:  15 * time.Second,
 		Directory: filepath.Join(t.TempDir(), "settings"),
 		Processes: running,
 		Log:       func(format string, values ...any) { fmt.Fprintf(os.Stderr, format+"\n", values...) },
--- /dev/null
+++ b/faults/naive_test.go
@@ -0,0 +1,241 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"citronspread/engine"
+	"citronspread/hostlist"
+	"citronspread/model"
+	"citronspread/record"
+	"citronspread/settings"
+	"citronspread/store"
+
+	"github.com/google/uuid"
+)
+
+// naiveHost is the baseline that the checks must catch: it loads without a reservation, repeats what failed,
+// holds whatever the store shows and stops at once.
+type naiveHost struct {
+	settings settings.Settings
+	cancel   context.CancelFunc
+	servers  []*http.Server
+
+	mu       sync.Mutex
+	frozen   sync.RWMutex
+	hosts    []model.Host
+	records  []model.ModelDeclaration
+	replicas map[model.ModelKey][]string // addresses
+}
+
+// naiveProcesses runs naive entry hosts in place of processes.
+type naiveProcesses struct {
+	mu      sync.Mutex
+	running map[string]*naiveHost
+}
+
+func (p *naiveProcesses) get(name string) *naiveHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running[name]
+}
+
+func (p *naiveProcesses) Start(name, settingsFile string) error {
+	s, err := settings.Load(settingsFile)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &naiveHost{settings: s, cancel: cancel, replicas: map[model.ModelKey][]string{}}
+	calls := http.NewServeMux()
+	calls.HandleFunc("POST /v1/chat/completions", h.chat)
+	calls.HandleFunc("/services/order-desk/", h.book)
+	operators := http.NewServeMux()
+	operators.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
+	operators.HandleFunc("/debug/state", h.dump)
+	for address, handler := range map[string]http.Handler{s.CallerAddress: calls, s.OperatorAddress: operators} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			cancel()
+			return err
+		}
+		server := &http.Server{Handler: handler}
+		h.servers = append(h.servers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	go h.refresh(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[name] = h
+	return nil
+}
+
+func (p *naiveProcesses) Kill(name string) error {
+	h := p.get(name)
+	h.cancel()
+	for _, server := range h.servers {
+		server.Close()
+	}
+	return nil
+}
+
+func (p *naiveProcesses) Terminate(_ context.Context, name string) (int, error) {
+	return 0, p.Kill(name)
+}
+
+func (p *naiveProcesses) Freeze(name string) error {
+	p.get(name).frozen.Lock()
+	return nil
+}
+
+func (p *naiveProcesses) Thaw(name string) error {
+	p.get(name).frozen.Unlock()
+	return nil
+}
+
+// refresh takes over the host list and the records of the store as they are.
+func (h *naiveHost) refresh(ctx context.Context) {
+	list := &hostlist.Client{Address: h.settings.HostListAddress}
+	config := &store.Client{Address: h.settings.StoreAddress}
+	for ctx.Err() == nil {
+		h.frozen.RLock()
+		hosts, hostsErr := list.Hosts(ctx, 0, 0)
+		entries, configErr := config.List(ctx, configPrefix)
+		h.mu.Lock()
+		if hostsErr == nil {
+			h.hosts = hosts.Hosts
+		}
+		if configErr == nil {
+			h.records = nil
+		}
+		for _, entry := range entries.Entries {
+			var r model.Record
+			if json.Unmarshal(entry.Value, &r) == nil {
+				d, _ := record.Decode(r)
+				h.records = append(h.records, d.Models...)
+			}
+		}
+		h.mu.Unlock()
+		h.frozen.RUnlock()
+		sleep(ctx, probeInterval)
+	}
+}
+
+func (h *naiveHost) dump(w http.ResponseWriter, _ *http.Request) {
+	h.frozen.RLock()
+	defer h.frozen.RUnlock()
+	d := dump{ControlThread: "answered"}
+	h.mu.Lock()
+	for _, declaration := range h.records {
+		d.Snapshot.Models = append(d.Snapshot.Models, model.RoutedModel{Declaration: declaration})
+	}
+	h.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(d)
+}
+
+func (h *naiveHost) pick(kind model.HostKind) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var addresses []string
+	for _, host := range h.hosts {
+		if host.Kind == kind {
+			addresses = append(addresses, host.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// load loads a model anywhere, without regard to what others loaded.
+func (h *naiveHost) load(ctx context.Context, name string) {
+	key := model.ModelKey{Model: strings.Split(name, "@")[0], Version: "v1"}
+	address := h.pick(model.KindBackend)
+	control := engine.Control{Address: address}
+	order := model.Order{ID: uuid.NewString(), Kind: model.OrderLoad, Key: key, Bytes: modelMemoryMB * 1_000_000}
+	_, _ = control.SendOrder(ctx, order)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replicas[key] = append(h.replicas[key], address)
+}
+
+// chat passes a request on as it is, again and again, and tells "not run" whenever it failed.
+func (h *naiveHost) chat(w http.ResponseWriter, r *http.Request) {
+	h.frozen.RLock()
+	defer h.frozen.RUnlock()
+	var body chatRequest
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	body.Stream = true
+	for range 4 {
+		if a := postJSON(r.Context(), "http://"+h.pick(model.KindBackend)+"/v1/chat/completions", body, ""); a.status == http.StatusOK {
+			_, _ = w.Write(a.body)
+			return
+		}
+		h.load(r.Context(), body.Model)
+	}
+	w.Header().Set(ranHeader, notRun)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// book sends a booking again when it failed.
+func (h *naiveHost) book(w http.ResponseWriter, r *http.Request) {
+	h.frozen.RLock()
+	defer h.frozen.RUnlock()
+	payload, _ := io.ReadAll(r.Body)
+	for range 2 {
+		url := "http://" + h.pick(model.KindService) + strings.TrimPrefix(r.URL.Path, "/services/order-desk")
+		req, _ := http.NewRequest(r.Method, url, strings.NewReader(string(payload)))
+		if a := send(r.Context(), req); a.status == http.StatusOK {
+			_, _ = w.Write(a.body)
+			return
+		}
+	}
+	w.Header().Set(ranHeader, notRun)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// TestNaiveHostIsCaught shows that the checks bite on a whole run.
+func TestNaiveHostIsCaught(t *testing.T) {
+	p := &naiveProcesses{running: map[string]*naiveHost{}}
+	run := &Run{
+		Seed: 1, WarmUp: time.Second, CoolDown: time.Second,
+		Directory: filepath.Join(t.TempDir(), "settings"), Processes: p, Log: t.Logf,
+		schedule: []fault{
+			{kind: faultStoreRestore, duration: 7 * time.Second},
+			{kind: faultEngineLeaves, duration: 8 * time.Second},
+			{kind: faultService, target: 0, duration: 8 * time.Second, amount: 40},
+			{kind: faultService, target: 1, duration: 8 * time.Second, amount: 40},
+			{kind: faultService, target: 2, duration: 8 * time.Second, amount: 40},
+			{kind: faultEngineAnswers, target: 1, duration: 8 * time.Second, amount: 40},
+			{kind: faultTerminateHost, target: 0, at: time.Second, duration: time.Second},
+			{kind: faultTerminateHost, target: 1, at: 2 * time.Second, duration: time.Second},
+			{kind: faultTerminateHost, target: 2, at: 3 * time.Second, duration: time.Second},
+			{kind: faultCrashText, at: 4 * time.Second, duration: 4 * time.Second},
+		},
+	}
+	tally, err := run.Execute(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range p.running {
+		h.cancel()
+	}
+	got := breaches(tally)
+	for want := range promiseCount {
+		if want != ServedOrRefusedInTime && !slices.Contains(got, want) {
+			t.Errorf("got %v, want a breach of %q", got, promiseNames[want])
+		}
+	}
+	t.Log(strings.Join(tally.Lines(), "\n"))
+}
--- a/faults/platform.go
+++ b/faults/platform.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"citronspread/model"
 	"citronspread/standin"
 	"citronspread/store"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Sizes of the imitated platform.
@@ -55,30 +52,24 @@
 	}
 }
 
-func newPlatform() (*platform, error) {
+func newPlatform(free *addresses) *platform {
 	p := &platform{
 		zones:   []string{"sialkot-a", "sialkot-b", "gujranwala"},
 		census:  &standin.Census{},
 		weights: &standin.WeightStore{LoadsPerSecond: loadsPerSecond, FullSpeedLoads: parallelLoads},
 		runs:    &runLog{},
 	}
-	addresses, err := freeAddresses(2 + len(p.zones)*(enginesPerZone+1))
-	if err != nil {
-		return nil, err
-	}
-	p.store = &standin.Store{Address: addresses[0]}
-	p.hosts = &standin.HostList{Address: addresses[1], Lag: hostListLag}
-	addresses = addresses[2:]
+	p.store = &standin.Store{Address: free.take()}
+	p.hosts = &standin.HostList{Address: free.take(), Lag: hostListLag}
 	for _, zone := range p.zones {
 		for i := range enginesPerZone {
-			p.engines = append(p.engines, p.newEngine(zone, i, addresses[i]))
+			p.engines = append(p.engines, p.newEngine(zone, i, free.take()))
 		}
 		p.services = append(p.services, &standin.Service{
-			Name: bookingService + "-" + zone, Address: addresses[enginesPerZone], Delay: 10 * time.Millisecond, Runs: p.runs,
+			Name: bookingService + "-" + zone, Address: free.take(), Delay: 10 * time.Millisecond, Runs: p.runs,
 		})
-		addresses = addresses[enginesPerZone+1:]
 	}
-	return p, nil
+	return p
 }
 
 func (p *platform) newEngine(zone string, i int, address string) *platformEngine {
@@ -126,20 +117,6 @@
 	return ""
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "faults: free address")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // runLog keeps the runs that the stand-ins report.
 type runLog struct {
 	mu   sync.Mutex
--- a/faults/promise.go
+++ b/faults/promise.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 )
 
@@ -36,8 +37,11 @@
 	"a crashing request loses at most two backend servers a zone",
 }
 
-// maxBreachesShown bounds the details kept for each promise.
-const maxBreachesShown = 5
+// Bounds of the details kept for each promise.
+const (
+	maxBreachesShown = 5
+	maxDetailBytes   = 300
+)
 
 // Tally counts the checks and breaches of the promises.
 type Tally struct {
@@ -57,7 +61,8 @@
 	}
 	t.breached[p]++
 	if len(t.details[p]) < maxBreachesShown {
-		t.details[p] = append(t.details[p], fmt.Sprintf(format, values...))
+		detail := fmt.Sprintf(format, values...)
+		t.details[p] = append(t.details[p], strings.Join(strings.Fields(detail[:min(len(detail), maxDetailBytes)]), " "))
 	}
 }
 
