cli, fleet: publish the first host list without a lag

Each change of the stand-in is published by its own timer, so that a list put together from many changes at once could end up without the last one: path-check saw 10 of 11 hosts.

--- a/cli/standin_hosts.go
+++ b/cli/standin_hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
@@ -15,13 +16,14 @@
 type standInHostsCommand struct {
 	listen listenFlag
 	file   string
+	lag    time.Duration
 	list   standin.HostList
 }
 
 func (c *standInHostsCommand) register(parent parent) *kingpin.CmdClause {
 	clause := parent.Command("hosts", "Imitate the platform's host list. POST /hosts changes one line.")
 	c.listen.register(clause)
-	clause.Flag("lag", "Time from a change to its publication.").Default("500ms").DurationVar(&c.list.Lag)
+	clause.Flag("lag", "Time from a change to its publication.").Default("500ms").DurationVar(&c.lag)
 	clause.Flag("file", "JSON list of the first hosts.").PlaceHolder("FILE").StringVar(&c.file)
 	return clause
 }
@@ -35,6 +37,7 @@
 	for _, h := range hosts {
 		c.list.Set(h)
 	}
+	c.list.Lag = c.lag
 	return c.listen.serve(ctx, out, "hosts", &c.list)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,8 +101,11 @@
 	g.Add(func() error { return execute(ctx) }, func(error) { cancel() })
 }
 
-// listHosts puts every host into the host list.
+// listHosts puts every host into the host list. The first list is published at once.
 func (f *Fleet) listHosts() {
+	lag := f.HostList.Lag
+	f.HostList.Lag = 0
+	defer func() { f.HostList.Lag = lag }()
 	for _, s := range f.EntryHosts {
 		f.HostList.Set(model.Host{
 			Name: s.Name, Kind: model.KindEntry, Zone: s.Zone, Region: s.Region,
