--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,10 +66,10 @@
 	err := f.runEntryHosts(hosts)
 	stopPlatform()
 	<-stopped
-	if cause := context.Cause(hosts); err == nil && cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
+	if err != nil || ctx.Err() != nil {
+		return err
 	}
-	return err
+	return context.Cause(hosts)
 }
 
 // runPlatform runs the stand-ins as a group that stops together.
