--- a/measure/result.go
+++ b/measure/result.go
@@ -100,9 +100,9 @@
 	if s.Outcome != outcomeWhole && s.Outcome != outcomeLate {
 		return
 	}
-	record(t.total, s.Total)
+	recordLatency(t.total, s.Total)
 	if s.First > 0 {
-		record(t.first, s.First)
+		recordLatency(t.first, s.First)
 	}
 }
 
@@ -112,7 +112,7 @@
 	return t.result
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
+func recordLatency(h *hdrhistogram.Histogram, d time.Duration) {
 	// Values above the highest are recorded as the highest.
 	_ = h.RecordValue(min(d, longestLatency).Microseconds())
 }
--- a/yamlfile/scalar.go
+++ b/yamlfile/scalar.go
@@ -264,6 +264,9 @@
 	{"B", 1},
 }
 
+// maxExactBytes is the largest size up to which a float64 holds each whole number.
+const maxExactBytes = 1 << 53
+
 func parseBytes(text string) (int64, bool) {
 	for _, unit := range byteUnits {
 		digits, ok := strings.CutSuffix(text, unit.suffix)
@@ -271,10 +274,11 @@
 			continue
 		}
 		number, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
-		if err != nil || !(number >= 0 && number < 1e9) {
+		size := number * float64(unit.factor)
+		if err != nil || !(size >= 0 && size <= maxExactBytes) {
 			return 0, false
 		}
-		return int64(number * float64(unit.factor)), true
+		return int64(size), true
 	}
 	return 0, false
 }
