--- a/measure/call.go
+++ b/measure/call.go
@@ -31,7 +31,9 @@
 	outcomeLate    outcome = "Late"    // the whole answer after the deadline
 	outcomeRefused outcome = "Refused" // refused and not run
 	outcomeFailed  outcome = "Failed"  // an error that says it may have run
-	outcomeBroken  outcome = "Broken"  // no answer, or one that isn't whole
+	outcomeSilent  outcome = "Silent"  // no byte of an answer when the caller gave up
+	outcomeCut     outcome = "Cut"     // under way when the caller gave up
+	outcomeBroken  outcome = "Broken"  // ended without being whole
 	outcomeWrong   outcome = "Wrong"   // an answer that isn't the request's own
 )
 
@@ -40,6 +42,7 @@
 	Arrival
 	Cold    bool // no replica of its model was loaded when it was due
 	Outcome outcome
+	Reason  string        // of a refusal or failure
 	First   time.Duration // to the first token, 0 when there was none
 	Total   time.Duration
 }
@@ -53,8 +56,12 @@
 
 // completion is the part of an answer that is checked.
 type completion struct {
-	Choices []choice `json:"choices"`
-	Error   any      `json:"error"`
+	Choices []choice  `json:"choices"`
+	Error   *apiError `json:"error"`
+}
+
+type apiError struct {
+	Code string `json:"code"`
 }
 
 type choice struct {
@@ -72,6 +79,7 @@
 	text    string
 	whole   bool
 	firstAt time.Time
+	reason  string // why there is no whole answer
 }
 
 func newCaller(p Plan, addresses []string) *caller {
@@ -90,6 +98,7 @@
 	if !got.firstAt.IsZero() {
 		s.First = got.firstAt.Sub(dueAt)
 	}
+	s.Reason = got.reason
 	s.Outcome = c.judge(a, class, got, ended, s.Total)
 	return s
 }
@@ -116,23 +125,44 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return answer{}, outcomeBroken
+		return answer{reason: err.Error()}, givenUp(ctx, outcomeSilent)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer))
+		refused := answer{reason: readReason(response)}
 		if response.Header.Get(runHeader) == runNot {
-			return answer{}, outcomeRefused
+			return refused, outcomeRefused
 		}
-		return answer{}, outcomeFailed
+		return refused, outcomeFailed
 	}
 	got, err := readAnswer(response.Body, class)
+	if err != nil {
+		got.reason = err.Error()
+	}
 	if err != nil || !got.whole {
-		return got, outcomeBroken
+		return got, givenUp(ctx, outcomeCut)
 	}
 	return got, outcomeWhole
 }
 
+// givenUp returns what the outcome is when the caller's time is up, else Broken.
+func givenUp(ctx context.Context, late outcome) outcome {
+	if ctx.Err() != nil {
+		return late
+	}
+	return outcomeBroken
+}
+
+// readReason returns the code of an error, or the status when there is none.
+func readReason(response *http.Response) string {
+	var got completion
+	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&got)
+	if err != nil || got.Error == nil {
+		return response.Status
+	}
+	return got.Error.Code
+}
+
 func (c *caller) request(ctx context.Context, a Arrival, class Class) (*http.Request, error) {
 	path, body := "/v1/chat/completions", c.body(a, class)
 	if class.Service != "" {
@@ -201,7 +231,11 @@
 			return got, nil
 		}
 		var chunk completion
-		if err := json.Unmarshal([]byte(data), &chunk); err != nil || chunk.Error != nil || len(chunk.Choices) == 0 {
+		err := json.Unmarshal([]byte(data), &chunk)
+		if err == nil && chunk.Error != nil {
+			return got, errors.Newf("measure: error event %s", chunk.Error.Code)
+		}
+		if err != nil || len(chunk.Choices) == 0 {
 			return got, errors.New("measure: not a chunk")
 		}
 		if got.firstAt.IsZero() {
@@ -210,5 +244,5 @@
 		text.WriteString(chunk.Choices[0].Delta.Content)
 		got.whole = got.whole || chunk.Choices[0].FinishReason != ""
 	}
-	return answer{firstAt: got.firstAt}, lines.Err()
+	return answer{firstAt: got.firstAt, reason: "no [DONE]"}, lines.Err()
 }
--- a/measure/result.go
+++ b/measure/result.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -51,12 +53,22 @@
 	Late    int
 	Refused int
 	Failed  int
+	Silent  int
+	Cut     int
 	Broken  int
 	Wrong   int
+	Reasons []ReasonCount
 	First   Latency // to the first token, of whole answers that were streamed
 	Total   Latency // of whole answers, also late ones
 }
 
+// ReasonCount counts the requests that ended for one reason other than a whole answer.
+type ReasonCount struct {
+	Outcome string
+	Reason  string
+	Count   int
+}
+
 // Latency is a distribution in milliseconds, counted from when a request was due.
 type Latency struct {
 	P50  float64
@@ -68,13 +80,14 @@
 
 // tally adds up the samples of one class.
 type tally struct {
-	result ClassResult
-	first  *hdrhistogram.Histogram
-	total  *hdrhistogram.Histogram
+	result  ClassResult
+	reasons map[ReasonCount]int // by reason with a Count of zero
+	first   *hdrhistogram.Histogram
+	total   *hdrhistogram.Histogram
 }
 
 func newTally(class string) *tally {
-	return &tally{result: ClassResult{Class: class}, first: newHistogram(), total: newHistogram()}
+	return &tally{result: ClassResult{Class: class}, reasons: make(map[ReasonCount]int), first: newHistogram(), total: newHistogram()}
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -92,12 +105,17 @@
 		t.result.Refused++
 	case outcomeFailed:
 		t.result.Failed++
+	case outcomeSilent:
+		t.result.Silent++
+	case outcomeCut:
+		t.result.Cut++
 	case outcomeWrong:
 		t.result.Wrong++
 	default:
 		t.result.Broken++
 	}
 	if s.Outcome != outcomeWhole && s.Outcome != outcomeLate {
+		t.reasons[ReasonCount{Outcome: string(s.Outcome), Reason: s.Reason}]++
 		return
 	}
 	recordLatency(t.total, s.Total)
@@ -107,6 +125,13 @@
 }
 
 func (t *tally) finish() ClassResult {
+	for reason, count := range t.reasons {
+		reason.Count = count
+		t.result.Reasons = append(t.result.Reasons, reason)
+	}
+	slices.SortFunc(t.result.Reasons, func(a, b ReasonCount) int {
+		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
+	})
 	t.result.First = latencyOf(t.first)
 	t.result.Total = latencyOf(t.total)
 	return t.result
--- a/measure/table.go
+++ b/measure/table.go
@@ -20,17 +20,18 @@
 func (r Result) WriteTable(w io.Writer) error {
 	fmt.Fprintf(w, "plan %s, seed %d, revision %s, scale: %s\n", r.Name, r.Seed, r.Revision, r.Scale)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "variant\tclass\tsent\twhole\tlate\trefused\tfailed\tbroken\twrong\tfirst p50\tp99\ttotal p50\tp99\tp99.9 ms\t")
+	fmt.Fprintln(t, "variant\tclass\tsent\twhole\tlate\trefused\tfailed\tsilent\tcut\tbroken\twrong\tfirst p50\tp99\ttotal p50\tp99\tp99.9 ms\t")
 	for _, v := range r.Variants {
 		for _, c := range v.Classes {
-			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n", v.Name, c.Class,
-				c.Sent, c.Whole, c.Late, c.Refused, c.Failed, c.Broken, c.Wrong,
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n", v.Name, c.Class,
+				c.Sent, c.Whole, c.Late, c.Refused, c.Failed, c.Silent, c.Cut, c.Broken, c.Wrong,
 				c.First.P50, c.First.P99, c.Total.P50, c.Total.P99, c.Total.P999)
 		}
 	}
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "measure")
 	}
+	r.writeReasons(w)
 	for _, v := range r.Variants {
 		fmt.Fprintf(w, "%s: idle %.0f of %.0f replica seconds loaded, %d loads of which %d slow, floor of a cold start %.0f ms, "+
 			"store reads %d writes %d watches %d, overcommits %d, surplus replicas %d, doubled bookings %d\n",
@@ -39,3 +40,13 @@
 	}
 	return nil
 }
+
+func (r Result) writeReasons(w io.Writer) {
+	for _, v := range r.Variants {
+		for _, c := range v.Classes {
+			for _, reason := range c.Reasons {
+				fmt.Fprintf(w, "%s, %s: %d %s: %s\n", v.Name, c.Class, reason.Count, reason.Outcome, reason.Reason)
+			}
+		}
+	}
+}
