--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEED ?= 1
 SECONDS ?= 40
 
-.PHONY: build demo faults format lint path-check test
+.PHONY: bench build demo faults format lint path-check test
 
 build:
 	go build -o citronspread .
@@ -21,7 +21,13 @@
 path-check: build
 	@mkdir -p out
 	go test -c -o out/pathcheck.test ./pathcheck
-	./out/pathcheck.test -test.timeout 50s -path-binary ./citronspread
+	./out/pathcheck.test -test.run TestPathCheck -test.timeout 50s -path-binary ./citronspread
+
+# bench measures one entry host against its engine.
+bench: build
+	@mkdir -p out
+	go test -c -o out/pathcheck.test ./pathcheck
+	./out/pathcheck.test -test.run TestBench -test.timeout 120s -check-name bench -path-binary ./citronspread
 
 # demo runs everything inside one process on loopback ports.
 demo: build
--- a/cli/standin_engine.go
+++ b/cli/standin_engine.go
@@ -23,6 +23,8 @@
 	clause.Flag("memory-gb", "Accelerator memory in GB.").Default("24").Int64Var(&c.memory)
 	clause.Flag("checks-fencing", "Refuse orders with an old fencing number.").BoolVar(&c.engine.ChecksFencing)
 	clause.Flag("tokens-per-second", "Speed of a stream that runs alone.").Default("50").Float64Var(&c.engine.TokensPerSecond)
+	clause.Flag("slow-per-stream", "Share that each further stream adds to the time of a token.").Default("0.01").Float64Var(&c.engine.SlowPerStream)
+	clause.Flag("batch", "Requests that run at once.").Default("32").IntVar(&c.engine.BatchCapacity)
 	clause.Flag("remote-rate", "Bytes a second of a load from the weight store.").Default("1e9").Float64Var(&c.engine.Rates.Remote)
 	clause.Flag("weights", "Address of the weight store's stand-in.").PlaceHolder("IP:PORT").StringVar(&c.weights)
 	clause.Flag("census", "Address of the census that counts replicas.").PlaceHolder("IP:PORT").StringVar(&c.census)
--- /dev/null
+++ b/pathcheck/bench_test.go
@@ -0,0 +1,256 @@
+package pathcheck
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"citronspread/model"
+)
+
+const (
+	benchStreams    = 300
+	benchTokens     = 100 // of each streamed answer
+	benchTime       = 6 * time.Second
+	benchPause      = 5 * time.Millisecond // between two requests for the latency
+	benchSamples    = 400
+	openStreams     = 1000
+	openTokens      = 2000
+	openSettle      = 4 * time.Second
+	ticksPerSecond  = 100 // of the times in /proc
+	nanosPerMinute  = int64(time.Minute)
+	latencyDigits   = 3
+	benchEngineRate = "100" // tokens a second of one stream
+)
+
+// target is where the bench sends its load: the engine itself or an entry host.
+type target struct {
+	name    string
+	address string
+}
+
+// throughput is what a target carried.
+type throughput struct {
+	requests float64 // a second
+	tokens   float64 // a second
+	cores    float64 // of the entry host
+}
+
+// TestBench measures one entry host against its engine. It is run by make bench.
+func TestBench(t *testing.T) {
+	if *binary == "" {
+		t.Skip("run by make bench")
+	}
+	c, entry := startBench(t)
+	targets := []target{{"engine", c.engines[0]}, {"entry host", entry.caller}}
+	pid := entry.process.command.Process.Pid
+	fmt.Printf("bench: entry host idle: %.0f MB resident\n", resident(t, pid))
+	c.benchLatency(t, targets)
+	var rates []throughput
+	for _, to := range targets {
+		got := c.benchStreams(t, to, pid)
+		rates = append(rates, got)
+		fmt.Printf("bench: %s, %d streams: %.0f requests and %.0f tokens a second\n", to.name, benchStreams, got.requests, got.tokens)
+	}
+	fmt.Printf("bench: ratio %.3f, entry host used %.2f cores, %.0f tokens a second a core\n",
+		rates[1].tokens/rates[0].tokens, rates[1].cores, rates[1].tokens/rates[1].cores)
+	c.benchOpen(t, targets[1], pid)
+}
+
+// startBench starts one engine and one entry host.
+func startBench(t *testing.T) (*cluster, *entryHost) {
+	t.Helper()
+	free := freeAddresses(t, 6)
+	c := &cluster{store: free[0], hosts: free[1], engines: free[2:3]}
+	entry := &entryHost{name: "bench-entry", zone: zones[0], caller: free[3], peer: free[4], operator: free[5]}
+	c.entries = []*entryHost{entry, entry, entry, entry, entry}
+	start(t, "store", "stand-in", "store", "--address", c.store)
+	start(t, "engine", "stand-in", "engine", "--address", c.engines[0], "--backend", backendName(0), "--remote-rate", "16e9",
+		"--batch", "2000", "--slow-per-stream", "0.000001", "--tokens-per-second", benchEngineRate)
+	hosts := []model.Host{
+		{Name: entry.name, Kind: model.KindEntry, Zone: entry.zone, Region: region, Address: entry.peer, State: model.HostLive},
+		{
+			Name: backendName(0), Kind: model.KindBackend, Zone: zones[0], Region: region,
+			Address: c.engines[0], State: model.HostLive, Service: engineService,
+		},
+	}
+	start(t, "hosts", "stand-in", "hosts", "--address", c.hosts, "--file", writeHostLines(t, hosts))
+	waitUntil(t, "store", func() bool { return answers(c.store, "/counts") })
+	if out, code := runCommand(t, "record", "put", writeFile(t, "scribe.yaml", version1), "--store", c.store); code != 0 {
+		t.Fatalf("got exit code %d: %s", code, out)
+	}
+	entry.process = start(t, entry.name, "serve", "--settings", writeFile(t, "entry.yaml", c.settings(entry)))
+	waitUntil(t, entry.name, func() bool { return answers(entry.operator, "/readyz") })
+	ask(t, entry.caller, scribe)
+	return c, entry
+}
+
+func benchBody(tokens int) string {
+	q := question{model: scribe.key, prompt: "a bench", tokens: tokens}
+	return q.body(true)
+}
+
+// benchLatency sends single requests in turn to all targets, while the entry host carries half of the streams.
+func (c *cluster) benchLatency(t *testing.T, targets []target) {
+	t.Helper()
+	stop := make(chan struct{})
+	var open sync.WaitGroup
+	defer open.Wait()
+	defer close(stop)
+	for range benchStreams / 2 {
+		open.Go(func() { holdStream(targets[1].address, benchBody(openTokens), new(atomic.Int64), stop) })
+	}
+	time.Sleep(openSettle)
+	histograms := make([]*hdrhistogram.Histogram, len(targets))
+	for i := range targets {
+		histograms[i] = hdrhistogram.New(1, nanosPerMinute/1_000, latencyDigits)
+	}
+	body := benchBody(1)
+	for range benchSamples {
+		for i, to := range targets {
+			began := time.Now()
+			if n, err := readTokens(to.address, body); err != nil || n != 1 {
+				t.Fatalf("%s: got %d tokens, %v", to.name, n, err)
+			}
+			histograms[i].RecordValue(time.Since(began).Microseconds())
+			time.Sleep(benchPause)
+		}
+	}
+	for _, quantile := range []float64{50, 99} {
+		direct, through := histograms[0].ValueAtQuantile(quantile), histograms[1].ValueAtQuantile(quantile)
+		fmt.Printf("bench: one token beside %d streams, p%.0f: %.2f ms at the engine, %.2f ms through the entry host, %.2f ms added\n",
+			benchStreams/2, quantile, float64(direct)/1_000, float64(through)/1_000, float64(through-direct)/1_000)
+	}
+}
+
+// benchStreams keeps a number of streams open for a time.
+func (c *cluster) benchStreams(t *testing.T, to target, pid int) throughput {
+	t.Helper()
+	var requests, tokens atomic.Int64
+	var open sync.WaitGroup
+	body := benchBody(benchTokens)
+	began, used := time.Now(), processorTime(t, pid)
+	for range benchStreams {
+		open.Go(func() {
+			for time.Since(began) < benchTime {
+				n, err := readTokens(to.address, body)
+				if err != nil || n != benchTokens {
+					t.Errorf("%s: got %d tokens, %v", to.name, n, err)
+					return
+				}
+				requests.Add(1)
+				tokens.Add(int64(n))
+			}
+		})
+	}
+	open.Wait()
+	took := time.Since(began).Seconds()
+	return throughput{
+		requests: float64(requests.Load()) / took,
+		tokens:   float64(tokens.Load()) / took,
+		cores:    (processorTime(t, pid) - used) / took,
+	}
+}
+
+// benchOpen measures the memory of an entry host with many open streams.
+func (c *cluster) benchOpen(t *testing.T, to target, pid int) {
+	t.Helper()
+	body := benchBody(openTokens)
+	var tokens atomic.Int64
+	stop := make(chan struct{})
+	var open sync.WaitGroup
+	for range openStreams {
+		open.Go(func() { holdStream(to.address, body, &tokens, stop) })
+	}
+	time.Sleep(openSettle)
+	before, began, used := tokens.Load(), time.Now(), processorTime(t, pid)
+	time.Sleep(openSettle)
+	took := time.Since(began).Seconds()
+	rate, cores := float64(tokens.Load()-before)/took, (processorTime(t, pid)-used)/took
+	fmt.Printf("bench: entry host with %d open streams: %.0f MB resident, %.0f tokens a second, %.2f cores\n",
+		openStreams, resident(t, pid), rate, cores)
+	close(stop)
+	open.Wait()
+}
+
+var tokenMark = []byte(`"token_index"`)
+
+// holdStream reads a stream until it is told to stop.
+func holdStream(address, body string, tokens *atomic.Int64, stop <-chan struct{}) {
+	response, err := post(address, "/v1/chat/completions", body, "")
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if bytes.Contains(lines.Bytes(), tokenMark) {
+			tokens.Add(1)
+		}
+		select {
+		case <-stop:
+			return
+		default:
+		}
+	}
+}
+
+// readTokens returns the number of tokens of a stream that ended as it must.
+func readTokens(address, body string) (int, error) {
+	response, err := post(address, "/v1/chat/completions", body, "")
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	all, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if !bytes.Contains(all, []byte("[DONE]")) {
+		return 0, fmt.Errorf("got status %d: %.200s", response.StatusCode, all)
+	}
+	// The chunk with the finish_reason has an index too.
+	return bytes.Count(all, tokenMark) - 1, nil
+}
+
+// resident returns the resident memory of a process in MB.
+func resident(t *testing.T, pid int) float64 {
+	t.Helper()
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(body), "VmRSS:")
+	kilobytes, err := strconv.ParseFloat(strings.Fields(after)[0], 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kilobytes * 1024 / 1e6
+}
+
+// processorTime returns the seconds of processor time that a process used.
+func processorTime(t *testing.T, pid int) float64 {
+	t.Helper()
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(body), ") ")
+	fields := strings.Fields(after)
+	user, err1 := strconv.ParseFloat(fields[11], 64)
+	system, err2 := strconv.ParseFloat(fields[12], 64)
+	if err1 != nil || err2 != nil {
+		t.Fatal(err1, err2)
+	}
+	return (user + system) / ticksPerSecond
+}
--- a/pathcheck/cluster_test.go
+++ b/pathcheck/cluster_test.go
@@ -99,6 +99,11 @@
 		Name: plainService, Kind: model.KindService, Zone: zones[0], Region: region,
 		Address: c.service, State: model.HostLive, Service: plainService,
 	})
+	return writeHostLines(t, hosts)
+}
+
+func writeHostLines(t *testing.T, hosts []model.Host) string {
+	t.Helper()
 	body, err := json.Marshal(hosts)
 	if err != nil {
 		t.Fatal(err)
--- a/pathcheck/path_check_test.go
+++ b/pathcheck/path_check_test.go
@@ -16,6 +16,8 @@
 
 var binary = flag.String("path-binary", "", "the built binary; without it the check is not run")
 
+var checkName = flag.String("check-name", "path-check", "the name in the last line")
+
 const version1 = `SchemaVersion: 1
 Name: scribe
 Service: link-scribe
@@ -54,11 +56,11 @@
 	code := m.Run()
 	switch {
 	case *binary == "":
-		fmt.Println("path-check: not run, -path-binary is missing")
+		fmt.Println("not run, -path-binary is missing")
 	case code == 0:
-		fmt.Println("path-check: passed")
+		fmt.Println(*checkName + ": passed")
 	default:
-		fmt.Println("path-check: failed")
+		fmt.Println(*checkName + ": failed")
 	}
 	os.Exit(code)
 }
