--- a/caller/completion.go
+++ b/caller/completion.go
@@ -22,6 +22,8 @@
 	pathText = "/v1/completions"
 )
 
+var errRevoked = errors.New("caller: another entry host lost a backend server to the same request")
+
 // completion is one request for a completion and what became of it so far.
 type completion struct {
 	id          string
@@ -116,7 +118,10 @@
 // attempt sends the request once and passes its answer on.
 func (s *Server) attempt(ctx context.Context, c *completion, grant *routing.Grant, answer answer) error {
 	answer.admitted()
-	stream, err := s.Streamer.Open(ctx, c.call(grant))
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	grant.OnRevoke(func() { cancel(errRevoked) })
+	stream, err := s.Streamer.Open(sending, c.call(grant))
 	if err == nil {
 		err = s.relay(stream, grant, answer)
 		stream.Close()
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -128,8 +128,7 @@
 	if t.prime {
 		b.trialsPrime++
 	}
-	r.pin(t.Fingerprint, replica.Backend)
-	t.settle(result{grant: &Grant{
+	g := &Grant{
 		Replica:  *replica,
 		Priority: enginePriority(t),
 		Waited:   now.Sub(t.Since),
@@ -137,33 +136,9 @@
 		router:   r,
 		started:  now,
 		long:     t.Class == Long,
-	}})
-}
-
-// pin ties copies of a request that has never been answered to the backend server that runs it.
-func (r *Router) pin(f model.Fingerprint, backend string) {
-	p, pinned := r.pins[f]
-	if !pinned {
-		if r.Suspects.Proven(f) {
-			return
-		}
-		p.backend = backend
-	}
-	p.running++
-	r.pins[f] = p
-}
-
-func (r *Router) unpin(f model.Fingerprint, backend string) {
-	p, pinned := r.pins[f]
-	if !pinned || p.backend != backend {
-		return
-	}
-	p.running--
-	if p.running <= 0 {
-		delete(r.pins, f)
-		return
 	}
-	r.pins[f] = p
+	r.pin(g)
+	t.settle(result{grant: g})
 }
 
 // longWaits counts for each backend server the long requests that could run there.
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -37,6 +37,30 @@
 	tokens  int
 	long    bool
 	ended   bool
+	revoked bool
+	stop    func()
+}
+
+// OnRevoke sets what is called when the attempt must be given up, because another entry host
+// lost a backend server to the same request. It is called at once when that is so already.
+func (g *Grant) OnRevoke(stop func()) {
+	g.router.mu.Lock()
+	defer g.router.mu.Unlock()
+	g.stop = stop
+	if g.revoked {
+		stop()
+	}
+}
+
+// revoke gives the attempt up, unless it is the only one that may run. The caller holds the router's mutex.
+func (g *Grant) revoke() {
+	if g.ticket.trial || g.revoked {
+		return
+	}
+	g.revoked = true
+	if g.stop != nil {
+		g.stop()
+	}
 }
 
 // Token notes a delivered token.
@@ -77,6 +101,8 @@
 func (g *Grant) settleSuspect(now time.Time, outcome Outcome, blamed bool) {
 	f, suspects := g.ticket.Fingerprint, g.router.Suspects
 	switch {
+	case blamed && suspects.Proven(f) && !g.ticket.trial:
+		suspects.Doubt(f)
 	case blamed:
 		recent := g.ticket.prime || now.Sub(g.started) <= primeAge
 		suspects.Died(now, f, g.Replica.Backend, recent)
@@ -96,7 +122,7 @@
 	if g.long {
 		b.ownLong--
 	}
-	r.unpin(g.ticket.Fingerprint, g.Replica.Backend)
+	r.unpin(g)
 	if g.ticket.trial {
 		b.trials--
 		if g.ticket.prime {
--- a/routing/review.go
+++ b/routing/review.go
@@ -14,7 +14,7 @@
 	}
 	r.index = newIndex(snapshot)
 	r.fleet.reported(snapshot)
-	r.Suspects.Merge(now, snapshot.Suspects)
+	r.mergeSuspects(now, snapshot.Suspects)
 	r.noteLoaded(now)
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -57,7 +57,7 @@
 // pin ties copies of one unproven request to one backend server.
 type pin struct {
 	backend string
-	running int
+	grants  []*Grant
 }
 
 type result struct {
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -168,6 +168,20 @@
 	return found
 }
 
+// Doubt takes the proof back, because a backend server died while a proven request ran.
+func (s *Suspects) Doubt(f model.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.proven, f)
+}
+
+// IsSuspect reports whether a backend server was lost while the request ran.
+func (s *Suspects) IsSuspect(f model.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[f].Deaths > 0
+}
+
 // Merge takes in what other entry hosts know.
 func (s *Suspects) Merge(now time.Time, others []model.Suspect) {
 	s.mu.Lock()
