--- /dev/null
+++ b/routing/policy_test.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const policySeeds = 5
+
+// total runs a plan with several seeds and adds up the figures.
+func total(p plan) figures {
+	sum := figures{short: hdrhistogram.New(1, 3_600_000, 3), long: hdrhistogram.New(1, 3_600_000, 3)}
+	for seed := range uint64(policySeeds) {
+		p.seed = seed + 1
+		f := newPolicyWorld(p).run()
+		sum.short.Merge(f.short)
+		sum.long.Merge(f.long)
+		sum.shortSent += f.shortSent
+		sum.shortInTime += f.shortInTime
+		sum.longSent += f.longSent
+		sum.longFinished += f.longFinished
+		sum.refused += f.refused
+	}
+	return sum
+}
+
+func reportShort(b *testing.B, f figures) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(f.short.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(f.short.ValueAtQuantile(99)), "p99-ms")
+	b.ReportMetric(float64(f.short.ValueAtQuantile(99.9)), "p99.9-ms")
+	b.ReportMetric(100*float64(f.shortInTime)/float64(max(1, f.shortSent)), "%intime")
+}
+
+// BenchmarkPolicyPickers slows a third of the replicas for moments, under reports that are two seconds late.
+func BenchmarkPolicyPickers(b *testing.B) {
+	for _, load := range []float64{0.3, 0.5, 0.7} {
+		for _, picker := range []Picker{RandomPicker{}, LeastPicker{}, LatencyPicker{}, CreditPicker{}} {
+			b.Run(fmt.Sprintf("load=%v/%T", load, picker), func(b *testing.B) {
+				// Nine replicas of eight places, 30 tokens at 20 ms and more: about 70 requests a second.
+				f := total(plan{
+					routers: 3, replicas: 9, capacity: 8, length: time.Minute, policy: DefaultPolicy(), picker: picker,
+					shortRate: 70 * load, shortTokens: 30, shortTimeout: 30 * time.Second, enginePrio: true,
+					slowFactor: 8, slowFor: 1500 * time.Millisecond, slowEvery: 4 * time.Second,
+				})
+				reportShort(b, f)
+			})
+		}
+	}
+}
+
+// BenchmarkPolicyLanes puts long work beside short work.
+func BenchmarkPolicyLanes(b *testing.B) {
+	shared, engines, lanes, both := DefaultPolicy(), DefaultPolicy(), DefaultPolicy(), DefaultPolicy()
+	shared.LongTokens, engines.LongCapShare = 1<<30, 1
+	engines.LongFloorShare = 1
+	variants := []struct {
+		name string
+		plan plan
+	}{
+		{"shared", plan{policy: shared, noDeadline: true}},
+		{"engine-priorities", plan{policy: engines, noDeadline: true, engineQueue: true, enginePrio: true}},
+		{"lanes", plan{policy: lanes}},
+		{"lanes+priorities", plan{policy: both, enginePrio: true}},
+	}
+	for _, longRate := range []float64{0, 0.3, 0.6} {
+		for _, v := range variants {
+			b.Run(fmt.Sprintf("long=%v/%s", longRate, v.name), func(b *testing.B) {
+				p := v.plan
+				p.routers, p.replicas, p.capacity, p.length, p.picker = 2, 4, 8, 4*time.Minute, LatencyPicker{}
+				p.shortRate, p.shortTokens, p.shortTimeout = 12, 30, 20*time.Second
+				p.longRate, p.longTokens, p.longTimeout = longRate, 1500, 30*time.Minute
+				f := total(p)
+				reportShort(b, f)
+				b.ReportMetric(100*float64(f.longFinished)/float64(max(1, f.longSent)), "%long")
+			})
+		}
+	}
+}
+
+// BenchmarkPolicyAdmission offers a multiple of what the replicas can serve.
+func BenchmarkPolicyAdmission(b *testing.B) {
+	bounded := DefaultPolicy()
+	unbounded := DefaultPolicy()
+	unbounded.QueueLimit = 1 << 20
+	variants := []struct {
+		name string
+		plan plan
+	}{
+		{"none", plan{policy: unbounded, noDeadline: true}},
+		{"at-deadline", plan{policy: bounded, noPrediction: true}},
+		{"predicted", plan{policy: bounded}},
+	}
+	for _, times := range []float64{0.8, 1, 2, 5} {
+		for _, v := range variants {
+			b.Run(fmt.Sprintf("offered=%v/%s", times, v.name), func(b *testing.B) {
+				p := v.plan
+				p.routers, p.replicas, p.capacity, p.length, p.picker = 2, 4, 8, time.Minute, LatencyPicker{}
+				p.shortRate, p.shortTokens, p.shortTimeout = 33*times, 30, 3*time.Second
+				f := total(p)
+				reportShort(b, f)
+				b.ReportMetric(float64(f.shortInTime)/(policySeeds*p.length.Seconds()), "goodput/s")
+				b.ReportMetric(float64(f.refused), "refused")
+			})
+		}
+	}
+}
