--- a/caller/answer.go
+++ b/caller/answer.go
@@ -1,11 +1,15 @@
 package caller
 
 import (
+	"errors"
 	"net/http"
 
 	"citronspread/engine"
 )
 
+// errBarred means that the answer is left to another attempt.
+var errBarred = errors.New("caller: the answer is left to another attempt")
+
 // answer takes in the checked chunks of a completion and gives them to the caller.
 type answer interface {
 	admitted()              // a replica was granted; the wait may be shown from now on
@@ -13,6 +17,7 @@
 	finish() error          // the answer is whole
 	fail(failure)           // the answer stays incomplete
 	started() bool          // the caller has seen a part
+	bar() bool              // takes in nothing until reset; fails when the caller has seen a part
 	reset()                 // drops what the caller has not seen
 	close()
 }
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -38,6 +38,7 @@
 
 	progress engine.Progress
 	failed   []string // backend servers that failed it
+	moves    int      // how often it was given up for a faster replica
 	ran      bool     // an attempt may have run
 }
 
@@ -107,7 +108,7 @@
 			return err
 		}
 		err = s.attempt(ctx, c, grant, answer)
-		if err == nil || attempt >= s.Limits.MaxAttempts || !s.mayRepeat(ctx, c, answer, err) {
+		if err == nil || attempt >= s.Limits.MaxAttempts || !s.mayRepeat(ctx, c, grant.Replica.Backend, answer, err) {
 			return err
 		}
 		s.Log.Info("attempt repeated", zap.String("Request", c.id), zap.String("Backend", grant.Replica.Backend),
@@ -121,7 +122,7 @@
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	grant.OnRevoke(func() { cancel(errRevoked) })
-	stream, err := s.Streamer.Open(sending, c.call(grant))
+	stream, err := s.Streamer.Open(sending, s.call(c, grant, answer))
 	if err == nil {
 		err = s.relay(stream, grant, answer)
 		stream.Close()
@@ -149,7 +150,7 @@
 }
 
 // mayRepeat decides whether another attempt follows a failed one.
-func (s *Server) mayRepeat(ctx context.Context, c *completion, answer answer, err error) bool {
+func (s *Server) mayRepeat(ctx context.Context, c *completion, backend string, answer answer, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -160,6 +161,9 @@
 	var mismatch *engine.MismatchError
 	var status *engine.StatusError
 	switch {
+	case errors.Is(err, engine.ErrGivenUp) || errors.Is(err, errBarred):
+		s.move(c, answer, backend)
+		return true
 	case errors.As(err, &broken):
 		c.failed = append(c.failed, broken.Backend)
 	case errors.As(err, &mismatch):
@@ -172,6 +176,19 @@
 	return s.mayStartAgain(c, answer)
 }
 
+// move prepares the attempt on a faster replica, which the budget has been asked for already.
+func (s *Server) move(c *completion, answer answer, backend string) {
+	c.failed = append(c.failed, backend)
+	c.moves++
+	s.Totals.Moved.Add(1)
+	if len(c.progress.Hashes) > 0 && c.question.exact() {
+		c.progress.Finished = false
+		return
+	}
+	answer.reset()
+	c.progress = engine.Progress{}
+}
+
 // mayStartAgain decides between a resumption and a retry from the start, and asks the budget.
 func (s *Server) mayStartAgain(c *completion, answer answer) bool {
 	now := time.Now()
@@ -217,6 +234,7 @@
 		Priority:    c.terms.priority,
 		Deadline:    c.terms.deadline,
 		MaxTokens:   c.question.maxTokens(),
+		Moves:       c.moves,
 		Avoid:       c.failed,
 	}
 	if delivered := len(c.progress.Hashes); delivered > 0 {
@@ -225,7 +243,7 @@
 	return request
 }
 
-func (c *completion) call(grant *routing.Grant) engine.Call {
+func (s *Server) call(c *completion, grant *routing.Grant, answer answer) engine.Call {
 	return engine.Call{
 		Address:  grant.Replica.Address,
 		Backend:  grant.Replica.Backend,
@@ -236,6 +254,10 @@
 		Adapter:  c.target.Adapter,
 		Priority: grant.Priority,
 		Progress: &c.progress,
+		Patience: s.Router.Policy.MoveSilence,
+		GiveUp: func() bool {
+			return (c.question.exact() || !answer.started()) && grant.ShouldMove(time.Now()) && (c.question.exact() || answer.bar())
+		},
 	}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -55,6 +55,7 @@
 	Completed atomic.Int64
 	Resumed   atomic.Int64
 	Retried   atomic.Int64
+	Moved     atomic.Int64 // given up for a faster replica
 	CutShort  atomic.Int64 // streams that ended with an error event
 	Replayed  atomic.Int64 // answers repeated from a claim
 }
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -25,6 +25,7 @@
 	timer    *time.Timer
 	headers  bool // sent
 	shown    bool // a chunk was sent
+	barred   bool
 	closed   bool
 	deadline time.Time // of writes
 	err      error
@@ -48,6 +49,9 @@
 func (a *streamAnswer) add(chunk engine.Chunk) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.barred {
+		return errBarred
+	}
 	a.shown = true
 	a.timer.Reset(a.server.Limits.KeepAlive)
 	a.buffer = append(a.buffer[:0], "data: "...)
@@ -86,7 +90,18 @@
 	return a.shown
 }
 
-func (a *streamAnswer) reset() {}
+func (a *streamAnswer) bar() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.barred = !a.shown
+	return a.barred
+}
+
+func (a *streamAnswer) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.barred = false
+}
 
 func (a *streamAnswer) close() {
 	a.mu.Lock()
--- a/caller/whole.go
+++ b/caller/whole.go
@@ -90,6 +90,8 @@
 
 func (a *wholeAnswer) started() bool { return false }
 
+func (a *wholeAnswer) bar() bool { return true }
+
 func (a *wholeAnswer) reset() {
 	a.text.Reset()
 	a.tokens, a.reason, a.usage = 0, "", nil
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -30,10 +30,7 @@
 	finishCancelled = "cancelled"
 )
 
-var (
-	errStalled   = errors.New("engine: no chunk in time")
-	errCancelled = errors.New("engine: request cancelled")
-)
+var errCancelled = errors.New("engine: request cancelled")
 
 // Document is a caller's JSON object, whose unknown fields are passed on.
 type Document map[string]json.RawMessage
@@ -49,6 +46,9 @@
 	Adapter  string
 	Priority int       // lower runs earlier
 	Progress *Progress // what earlier streams of the same request delivered
+
+	Patience time.Duration // silence after which GiveUp is asked
+	GiveUp   func() bool   // whether to leave the answer to a faster replica; may be nil
 }
 
 // Progress counts the delivered tokens of one request over all its streams.
@@ -79,8 +79,7 @@
 	response *http.Response
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
-	stall    *time.Timer
-	timeout  time.Duration
+	watchdog *watchdog
 	body     cutReader
 }
 
@@ -138,15 +137,15 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("X-Request-Id", call.ID)
-	stall := time.AfterFunc(s.StallTimeout, func() { cancel(errStalled) })
+	watchdog := newWatchdog(&call, s.StallTimeout, cancel)
 	response, err := s.Client.Do(request)
 	if err != nil {
-		stall.Stop()
+		watchdog.stop()
 		err = call.openError(ctx, err)
 		cancel(nil)
 		return nil, err
 	}
-	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, stall: stall, timeout: s.StallTimeout}
+	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, watchdog: watchdog}
 	stream.body.reader = response.Body
 	if response.StatusCode != http.StatusOK {
 		defer stream.Close()
@@ -175,7 +174,7 @@
 	return func(yield func(Chunk, error) bool) {
 		config := &sse.ReadConfig{MaxEventSize: maxEventBytes}
 		for event, err := range sse.Read(&s.body, config) {
-			s.stall.Reset(s.timeout)
+			s.watchdog.hear()
 			if err != nil {
 				yield(Chunk{}, s.broken(err))
 				return
@@ -199,7 +198,7 @@
 
 // Close gives the stream up or releases it after its end.
 func (s *Stream) Close() {
-	s.stall.Stop()
+	s.watchdog.stop()
 	s.cancel(nil)
 	s.response.Body.Close()
 }
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -93,24 +93,26 @@
 // fits reports whether the replica has room for the ticket now.
 func (r *Router) fits(now time.Time, t *Ticket, replica *model.Replica, longWaits map[string]int) bool {
 	b := r.fleet.get(replica.Backend)
-	if now.Before(b.pausedUntil) {
+	if !r.hasRoom(now, t, replica) || !r.trialFits(t, b) || !r.pinFits(t, replica.Backend) {
 		return false
 	}
-	if !r.trialFits(t, b) || !r.pinFits(t, replica.Backend) {
-		return false
-	}
-	capacity := r.capacity(replica)
-	if b.own+b.others >= capacity {
-		return false
-	}
-	routers := r.routers()
 	if t.Class == Long {
-		return b.ownLong < r.Policy.longCap(capacity, routers)
+		return true
 	}
+	capacity, routers := r.capacity(replica), r.routers()
 	owed := longWaits[replica.Backend] > 0 && b.ownLong < r.Policy.longFloor(capacity, routers)
 	return !owed || b.shortRun < r.Policy.ShortRun
 }
 
+// hasRoom reports whether the replica has a place for a request of the ticket's class.
+func (r *Router) hasRoom(now time.Time, t *Ticket, replica *model.Replica) bool {
+	b, capacity := r.fleet.get(replica.Backend), r.capacity(replica)
+	if now.Before(b.pausedUntil) || b.own+b.others >= capacity {
+		return false
+	}
+	return t.Class != Long || b.ownLong < r.Policy.longCap(capacity, r.routers())
+}
+
 // trialFits keeps a suspect that had just begun apart from all other suspects,
 // so that a second death tells which one it was.
 func (r *Router) trialFits(t *Ticket, b *backend) bool {
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -33,7 +33,8 @@
 	ticket  *Ticket
 	router  *Router
 	started time.Time
-	last    time.Time
+	last    time.Time     // of the latest token
+	gap     time.Duration // before the latest token
 	tokens  int
 	long    bool
 	ended   bool
@@ -72,7 +73,8 @@
 	if g.tokens == 0 {
 		b.observed.firstToken(now, now.Sub(g.started))
 	} else {
-		b.observed.token(now, now.Sub(g.last))
+		g.gap = now.Sub(g.last)
+		b.observed.token(now, g.gap)
 	}
 	g.tokens++
 	g.last = now
--- a/routing/observed.go
+++ b/routing/observed.go
@@ -61,3 +61,13 @@
 	}
 	return time.Duration((o.first.value + float64(tokens)*gap) * float64(time.Second)), at
 }
+
+// rest estimates the time to the end of an answer that would be moved here,
+// or to its first token when none was delivered.
+func (o *observed) rest(now time.Time, outstanding, tokens int, untilFirst bool) time.Duration {
+	if untilFirst {
+		tokens = 0
+	}
+	latency, _ := o.latency(now, outstanding, tokens)
+	return latency
+}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -64,33 +65,38 @@
 	return best
 }
 
-// LatencyPicker compares two random candidates by load and by the latency that this router observed.
-type LatencyPicker struct{}
+// LatencyPicker chooses the smallest expected time by own load and by the latency that this router observed.
+type LatencyPicker struct {
+	Choices int // random candidates that are compared, 0 for all
+}
 
 // Pick implements Picker.
-func (LatencyPicker) Pick(now time.Time, candidates []Candidate, r *rand.Rand) int {
-	if len(candidates) == 1 {
-		return 0
-	}
-	i := r.IntN(len(candidates))
-	j := r.IntN(len(candidates) - 1)
-	if j >= i {
-		j++
-	}
+func (p LatencyPicker) Pick(now time.Time, candidates []Candidate, r *rand.Rand) int {
 	typical := typicalLatency(now, candidates)
-	if latencyCost(now, &candidates[j], typical) < latencyCost(now, &candidates[i], typical) {
-		return j
+	best, least := 0, math.Inf(1)
+	for n, i := range r.Perm(len(candidates)) {
+		if p.Choices > 0 && n >= p.Choices {
+			break
+		}
+		if cost := latencyCost(now, &candidates[i], typical); cost < least {
+			best, least = i, cost
+		}
 	}
-	return i
+	return best
 }
 
 // latencyCost estimates how long a new request takes on the candidate.
+// The latency that was observed lately contains what other routers send, so that their late reports are left out.
 func latencyCost(now time.Time, c *Candidate, typical time.Duration) float64 {
 	latency := typical
 	if c.fresh(now) {
 		latency = c.Latency
 	}
-	return latency.Seconds() * float64(c.load()+1) / float64(max(c.Capacity, 1))
+	load := c.load()
+	if c.fresh(now) {
+		load = c.Outstanding
+	}
+	return latency.Seconds() * float64(load+1) / float64(max(c.Capacity, 1))
 }
 
 // typicalLatency is assumed of candidates that were not observed lately.
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -21,6 +21,10 @@
 	WakeEvery       time.Duration // interval of repeated wakes
 	OverloadPause   time.Duration // no new work for a backend server that said overloaded
 	FailurePause    time.Duration // no new work for a backend server that could not be reached
+	MoveFactor      float64       // how many times sooner another replica must finish an answer to take it over, 0 for never
+	MoveGain        time.Duration // that it must finish sooner at least
+	MoveSilence     time.Duration // silence of a stream before that is asked
+	MaxMoves        int           // of one request
 }
 
 // DefaultPolicy returns the policy used when the settings state none.
@@ -37,6 +41,10 @@
 		WakeEvery:       500 * time.Millisecond,
 		OverloadPause:   50 * time.Millisecond,
 		FailurePause:    time.Second,
+		MoveFactor:      2,
+		MoveGain:        300 * time.Millisecond,
+		MoveSilence:     150 * time.Millisecond,
+		MaxMoves:        2,
 	}
 }
 
@@ -97,6 +105,7 @@
 	Deadline    time.Time
 	MaxTokens   int      // 0 when the caller stated none
 	Remaining   int      // tokens that a resumption still expects, 0 for a new request
+	Moves       int      // how often a faster replica took the answer over
 	Avoid       []string // backend servers that failed this request
 }
 
