--- /dev/null
+++ b/httponce/client_test.go
@@ -0,0 +1,119 @@
+package httponce
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+func TestDo(t *testing.T) {
+	var hits atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hits.Add(1)
+		if r.URL.Path == "/cut" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	silent := listenSilent(t)
+	tests := []struct {
+		name    string
+		address string
+		method  string
+		path    string
+		unsent  bool
+		broken  bool
+		hits    int64
+	}{
+		{name: "nobody listens", address: "127.0.0.1:1", method: http.MethodPost, unsent: true},
+		{name: "closed after accept", address: silent, method: http.MethodPost, broken: true},
+		{name: "cut", address: address, method: http.MethodPost, path: "/cut", broken: true, hits: 1},
+		{name: "GET is not replayed", address: address, method: http.MethodGet, path: "/cut", broken: true, hits: 1},
+		{name: "answered", address: address, method: http.MethodPost, hits: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := &Client{IdlePerHost: 2}
+			warm(t, client, address)
+			hits.Store(0)
+			err := send(t, client, tt.method, "http://"+tt.address+tt.path)
+			var unsent *UnsentError
+			var broken *BrokenError
+			if errors.As(err, &unsent) != tt.unsent || errors.As(err, &broken) != tt.broken {
+				t.Errorf("got %v, want unsent %v, broken %v", err, tt.unsent, tt.broken)
+			}
+			if got := hits.Load(); got != tt.hits {
+				t.Errorf("got %d requests at the server, want %d", got, tt.hits)
+			}
+		})
+	}
+}
+
+// TestStaleConnection closes the idle connection between two requests: the second never counts as unsent
+// when the server may have seen it.
+func TestStaleConnection(t *testing.T) {
+	var hits atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { hits.Add(1) }))
+	defer server.Close()
+	client := &Client{IdlePerHost: 2}
+	url := "http://" + server.Listener.Addr().String()
+	for i := range 50 {
+		warm(t, client, server.Listener.Addr().String())
+		server.CloseClientConnections()
+		before := hits.Load()
+		err := send(t, client, http.MethodPost, url)
+		var unsent *UnsentError
+		if errors.As(err, &unsent) && hits.Load() != before {
+			t.Fatalf("got an unsent request that ran, round %d", i)
+		}
+	}
+}
+
+func warm(t *testing.T, client *Client, address string) {
+	t.Helper()
+	for send(t, client, http.MethodPost, "http://"+address) != nil {
+	}
+}
+
+func send(t *testing.T, client *Client, method, url string) error {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Idempotency-Key", "k")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+	return err
+}
+
+// listenSilent accepts connections and closes them after the first byte.
+func listenSilent(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1))
+			c.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
