--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -110,6 +110,9 @@
 	if now.Before(b.pausedUntil) || b.own+b.others >= capacity {
 		return false
 	}
+	if b.total >= capacity && b.own >= r.fairShare(capacity) {
+		return false
+	}
 	return t.Class != Long || b.ownLong < r.Policy.longCap(capacity, r.routers())
 }
 
@@ -152,6 +155,12 @@
 	return r.Policy.DefaultCapacity
 }
 
+// fairShare returns the places of this router on a replica that all routers want.
+func (r *Router) fairShare(capacity int) int {
+	routers := r.routers()
+	return (capacity + routers - 1) / routers
+}
+
 func (r *Router) routers() int {
 	if r.index.snapshot == nil {
 		return 1
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -18,6 +18,7 @@
 	ownLong     int
 	shortRun    int // short grants since the last long one while long work waited
 	others      int // requests of other routers, from the last report
+	total       int // all requests, from the last report
 	reportedAt  time.Time
 	pausedUntil time.Time
 	missing     map[Target]time.Time // the engine said not loaded, against a report of that time
@@ -80,22 +81,28 @@
 	b.sampled = max(b.sampled, slot)
 }
 
-// ownAt returns the own load at a time that has passed.
-func (b *backend) ownAt(at time.Time) int {
+// ownBefore returns the highest own load in the time before, as far as it is remembered.
+func (b *backend) ownBefore(at time.Time) int {
 	slot := at.UnixNano() / int64(historyInterval)
-	if slot > b.sampled {
-		return b.own
+	if slot >= b.sampled {
+		return max(b.own, slices.Max(b.history[:]))
 	}
-	return b.history[max(slot, b.sampled-historySlots+1)%historySlots]
+	most := 0
+	for s := b.sampled - historySlots + 1; s <= slot; s++ {
+		most = max(most, b.history[(s%historySlots+historySlots)%historySlots])
+	}
+	return most
 }
 
-// report subtracts the own share from a late report.
+// report subtracts the own share from a late report. How late it is is not known exactly, so that
+// the highest own load that may be in it is taken off; engines refuse what is too much.
 func (b *backend) report(replica *model.Replica) {
 	if !replica.UpdatedAt.After(b.reportedAt) {
 		return
 	}
 	b.reportedAt = replica.UpdatedAt
-	b.others = max(0, replica.Running+replica.Waiting-b.ownAt(replica.UpdatedAt))
+	b.total = replica.Running + replica.Waiting
+	b.others = max(0, replica.Running+replica.Waiting-b.ownBefore(replica.UpdatedAt))
 }
 
 // isMissing reports whether the engine denied the target after the replica's report.
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -59,10 +59,9 @@
 }
 
 func (r *Router) slotsOf(replica *model.Replica, class Class) int {
-	capacity, routers := r.capacity(replica), r.routers()
+	capacity := r.capacity(replica)
 	if class == Long {
-		return r.Policy.longCap(capacity, routers)
+		return r.Policy.longCap(capacity, r.routers())
 	}
-	own := (capacity + routers - 1) / routers
-	return max(1, own-r.fleet.get(replica.Backend).ownLong)
+	return max(1, r.fairShare(capacity)-r.fleet.get(replica.Backend).ownLong)
 }
