routing, engine: failing backend servers are paused longer, deaths on used connections are seen

Cause: a crash before the response's head on a reused connection looked like a stale connection and made no suspect; a frozen backend server got new requests as soon as none ran there.

--- a/caller/completion_test.go
+++ b/caller/completion_test.go
@@ -278,3 +278,28 @@
 		t.Error("got a drain that ended before the stream")
 	}
 }
+
+// TestFailingLoad lets a burst wait for a model whose load never ends.
+func TestFailingLoad(t *testing.T) {
+	b := newBench(t)
+	b.server.Router.Policy.ColdStart = 0
+	var group sync.WaitGroup
+	begun := time.Now()
+	for i := range 40 {
+		group.Go(func() {
+			body := strings.Replace(fmt.Sprintf(chatBody, ""), "stuck", fmt.Sprint(i), 1)
+			got := b.post(t, pathChat, body, headerTimeout, "400ms")
+			if got.status != http.StatusServiceUnavailable || got.header.Get(headerRun) != runNot {
+				t.Errorf("got %d %s, want 503 %s", got.status, got.header.Get(headerRun), runNot)
+			}
+		})
+	}
+	group.Wait()
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("got the last refusal after %s, want it at the deadline", took)
+	}
+	counts := b.server.Router.State(time.Now()).Queue
+	if settled := counts.Refused + counts.Withdrawn; settled != 40 || counts.Unbalance+counts.Unsettled > 0 {
+		t.Errorf("got %+v, want 40 settled", counts)
+	}
+}
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -131,7 +131,7 @@
 	}
 }
 
-func newBench(t *testing.T, backends ...http.Handler) *bench {
+func newBench(t testing.TB, backends ...http.Handler) *bench {
 	t.Helper()
 	b := &bench{wakes: make(chan model.Wake, 64)}
 	var replicas []model.Replica
@@ -170,7 +170,7 @@
 	})
 }
 
-func listen(t *testing.T, h http.Handler) string {
+func listen(t testing.TB, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -184,7 +184,7 @@
 	body   string
 }
 
-func (b *bench) post(t *testing.T, path, body string, header ...string) reply {
+func (b *bench) post(t testing.TB, path, body string, header ...string) reply {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.url+path, strings.NewReader(body))
 	if err != nil {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"iter"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,9 @@
 	cancelTimeout = time.Second
 	doneData      = "[DONE]"
 
+	staleTime    = 20 * time.Millisecond // in which a closed idle connection shows
+	probeTimeout = 200 * time.Millisecond
+
 	codeModelNotLoaded   = "model_not_loaded"
 	codeAdapterNotLoaded = "adapter_not_loaded"
 	codeOverloaded       = "overloaded"
@@ -239,14 +243,32 @@
 	if errors.As(err, &unsent) {
 		return err
 	}
-	var cut *httponce.BrokenError
-	died := errors.As(err, &cut) && !cut.Reused && ctx.Err() == nil
+	died := false
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
+	} else {
+		died = c.hasDied(err)
 	}
 	return &BrokenError{Backend: c.Backend, Tokens: len(c.Progress.Hashes), Died: died, Err: err}
 }
 
+// hasDied tells a dead engine from one that closed an idle connection just as the request was sent.
+func (c *Call) hasDied(err error) bool {
+	var cut *httponce.BrokenError
+	if !errors.As(err, &cut) {
+		return false
+	}
+	if !cut.Reused || cut.Took > staleTime {
+		return true
+	}
+	connection, err := net.DialTimeout("tcp", c.Address, probeTimeout)
+	if err != nil {
+		return true
+	}
+	connection.Close()
+	return false
+}
+
 func (c *Call) encode() ([]byte, error) {
 	body := make(Document, len(c.Body)+5)
 	for k, v := range c.Body {
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -39,9 +39,13 @@
 		last.begin()
 	}}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	// A body without GetBody is never replayed by the transport, whatever the method and headers.
+	// A body without GetBody is never replayed by the transport, whatever the method and headers,
+	// and on a connection of its own nothing is replayed at all.
 	request.GetBody = nil
-	request.Body = onceBody{request.Body}
+	if !c.FreshConnection || request.ContentLength != 0 {
+		request.Body = onceBody{request.Body}
+	}
+	begun := time.Now()
 	response, err := c.transport.RoundTrip(request)
 	if err == nil {
 		return response, nil
@@ -49,7 +53,7 @@
 	if last == nil || !last.seal() {
 		return nil, &UnsentError{Address: request.URL.Host, Err: err}
 	}
-	return nil, &BrokenError{Address: request.URL.Host, Reused: reused, Err: err}
+	return nil, &BrokenError{Address: request.URL.Host, Reused: reused, Took: time.Since(begun), Err: err}
 }
 
 // Close closes the idle connections.
--- a/httponce/errors.go
+++ b/httponce/errors.go
@@ -1,6 +1,9 @@
 package httponce
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // UnsentError means that no byte of the request was ever written to a connection.
 type UnsentError struct {
@@ -19,6 +22,7 @@
 type BrokenError struct {
 	Address string
 	Reused  bool // the connection had carried earlier requests
+	Took    time.Duration
 	Err     error
 }
 
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -10,6 +10,7 @@
 const (
 	historySlots    = 32
 	historyInterval = 100 * time.Millisecond
+	maxFailures     = 3
 )
 
 // backend is what this router knows of a backend server by itself.
@@ -21,6 +22,7 @@
 	total       int // all requests, from the last report
 	reportedAt  time.Time
 	pausedUntil time.Time
+	failures    int                  // in a row, without a token between them
 	missing     map[Target]time.Time // the engine said not loaded, against a report of that time
 	observed    observed
 	trials      int // suspects that run there
@@ -115,3 +117,14 @@
 func holds(replica *model.Replica, target Target) bool {
 	return target.Adapter == "" || slices.Contains(replica.Adapters, target.Adapter)
 }
+
+// fail pauses the backend server, longer after each failure in a row.
+func (b *backend) fail(now time.Time, pause time.Duration) {
+	b.failures = min(b.failures+1, maxFailures)
+	b.pausedUntil = now.Add(pause * time.Duration(b.failures))
+}
+
+// isSilent reports whether no stream of this router has brought a token for a while.
+func (b *backend) isSilent(now time.Time, silence time.Duration) bool {
+	return now.Sub(b.observed.last) >= silence
+}
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -78,6 +78,7 @@
 	}
 	g.tokens++
 	g.last = now
+	b.failures = 0
 	if !g.long && g.tokens >= r.Policy.LongTokens {
 		g.long = true
 		b.ownLong++
@@ -139,9 +140,13 @@
 	case OutcomeOverloaded:
 		b.pausedUntil = now.Add(r.Policy.OverloadPause)
 	case OutcomeUnreachable:
-		b.pausedUntil = now.Add(r.Policy.FailurePause)
+		b.fail(now, r.Policy.FailurePause)
+	case OutcomeBad:
+		if b.isSilent(now, r.Policy.MoveSilence) {
+			b.fail(now, r.Policy.FailurePause)
+		}
 	case OutcomeDied:
-		b.pausedUntil = now.Add(r.Policy.FailurePause)
+		b.fail(now, r.Policy.FailurePause)
 		return b.blames(now, g.ticket, trials)
 	}
 	return false
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -25,6 +25,7 @@
 	MoveGain        time.Duration // that it must finish sooner at least
 	MoveSilence     time.Duration // silence of a stream before that is asked
 	MaxMoves        int           // of one request
+	SiteLimit       int           // calls at once to one host of a plain service
 }
 
 // DefaultPolicy returns the policy used when the settings state none.
@@ -45,6 +46,7 @@
 		MoveGain:        300 * time.Millisecond,
 		MoveSilence:     150 * time.Millisecond,
 		MaxMoves:        2,
+		SiteLimit:       256,
 	}
 }
 
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -43,6 +43,7 @@
 	Withdrawn int64
 	LateGrant int64 // breaches: granted after the deadline
 	Unsettled int64 // breaches: found waiting after the deadline by more than the tolerance
+	Unbalance int64 // breaches: a request is not accounted for
 }
 
 // Line holds the waiting requests for one target, one lane for each class.
@@ -164,8 +165,11 @@
 	return hopeless
 }
 
-// Audit counts tickets that wait past their deadline by more than the tolerance.
+// Audit counts breaches: tickets that wait past their deadline by more than the tolerance or are not accounted for.
 func (q *Queue) Audit(now time.Time, tolerance time.Duration) {
+	if !q.Balanced() {
+		q.Counts.Unbalance++
+	}
 	for _, line := range q.lines {
 		for _, lane := range line.Lanes {
 			for _, t := range lane {
--- a/routing/sites.go
+++ b/routing/sites.go
@@ -36,7 +36,7 @@
 	r.reindex(now)
 	best, found := model.ServiceEndpoint{}, false
 	for _, e := range r.index.endpoints[service] {
-		if e.Leaving || slices.Contains(avoid, e.Address) {
+		if e.Leaving || slices.Contains(avoid, e.Address) || r.sites.running[e.Address] >= r.Policy.SiteLimit {
 			continue
 		}
 		if !found || r.siteBefore(now, e, best) {
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -14,20 +14,20 @@
 	maxProven      = 4096
 )
 
-// State is what may be done with a request now.
-type State int
+// SuspectState is what may be done with a request now.
+type SuspectState int
 
 // States.
 const (
-	StateClear   State = iota
-	StateRefused       // a second backend server was lost to it
-	StateHeld          // a copy runs alone, here or at another entry host
-	StateClaimed       // it may run alone once the claim has spread
+	StateClear   SuspectState = iota
+	StateRefused              // a second backend server was lost to it
+	StateHeld                 // a copy runs alone, here or at another entry host
+	StateClaimed              // it may run alone once the claim has spread
 )
 
 // Verdict is the answer of Suspects.Check.
 type Verdict struct {
-	State State
+	State SuspectState
 	Until time.Time // end of the refusal or of the claim's spreading
 	Prime bool      // it had begun shortly before the first death
 }
