--- a/caller/claim.go
+++ b/caller/claim.go
@@ -56,16 +56,19 @@
 // Claims makes sure that a call with an idempotency key is sent by one entry host only.
 type Claims struct {
 	Store    ClaimStore
+	Leases   LeaseStore    // nil when claims are kept for good
 	WaitFor  time.Duration // longest wait for a call in progress elsewhere
 	Deadline time.Duration // of the store's calls for one claim
 
 	once       sync.Once
 	unreleased chan release
+	lease      claimLease
 }
 
 // claim is a claim that this entry host holds.
 type claim struct {
 	key      string
+	lease    string
 	revision int64
 	wire     claimWire
 }
@@ -96,9 +99,10 @@
 	if err != nil {
 		return nil, &claimUnavailableError{Err: err}
 	}
+	held.lease = c.leaseFor(ctx, now)
 	revision := int64(0)
 	for try := 1; ; try++ {
-		held.revision, err = c.Store.CompareAndSwap(ctx, key, value, revision)
+		held.revision, err = c.write(ctx, held, value, revision)
 		if err == nil {
 			return held, nil
 		}
@@ -190,7 +194,7 @@
 		return err
 	}
 	for try := 1; ; try++ {
-		_, err = c.Store.CompareAndSwap(ctx, held.key, value, held.revision)
+		_, err = c.write(ctx, held, value, held.revision)
 		var conflict *store.ConflictError
 		// Only this entry host writes over its claim, so that a conflict is its own write with a lost answer.
 		if err == nil || errors.As(err, &conflict) {
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -68,6 +68,44 @@
 	return f.revision, nil
 }
 
+// fakeLeases counts what is written under a lease; the lease can be lost.
+type fakeLeases struct {
+	*fakeStore
+	granted, leased int
+	lost            bool
+}
+
+func (f *fakeLeases) Grant(context.Context, time.Duration) (store.Lease, error) {
+	f.granted++
+	return store.Lease{ID: fmt.Sprint("lease-", f.granted)}, nil
+}
+
+func (f *fakeLeases) CompareAndSwapLeased(ctx context.Context, key string, value []byte, revision int64, lease string) (int64, error) {
+	if f.lost {
+		return 0, &store.NotFoundError{Key: lease}
+	}
+	f.leased++
+	return f.CompareAndSwap(ctx, key, value, revision)
+}
+
+func TestClaimLeases(t *testing.T) {
+	f := &fakeLeases{fakeStore: newFakeStore(1)}
+	claims := &Claims{Store: f, Leases: f, Deadline: time.Second}
+	now := time.Now()
+	for i, at := range []time.Time{now, now.Add(leaseUse / 2), now.Add(leaseUse)} {
+		if _, err := claims.take(t.Context(), fmt.Sprint("claim/a/", i), "hash", at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if f.granted != 2 || f.leased != 3 {
+		t.Errorf("got %d leases for %d claims, want 2 for 3", f.granted, f.leased)
+	}
+	f.lost = true
+	if _, err := claims.take(t.Context(), "claim/a/lost", "hash", now.Add(leaseUse)); err != nil {
+		t.Errorf("got %v without the lease, want a claim", err)
+	}
+}
+
 // desk is a service that counts each booking.
 type desk struct {
 	cut bool // close the connection after the booking
