--- a/engine/stream.go
+++ b/engine/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"iter"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,9 @@
 	cancelTimeout = time.Second
 	doneData      = "[DONE]"
 
+	staleTime    = 20 * time.Millisecond // in which a closed idle connection shows
+	probeTimeout = 200 * time.Millisecond
+
 	codeModelNotLoaded   = "model_not_loaded"
 	codeAdapterNotLoaded = "adapter_not_loaded"
 	codeOverloaded       = "overloaded"
@@ -30,10 +34,7 @@
 	finishCancelled = "cancelled"
 )
 
-var (
-	errStalled   = errors.New("engine: no chunk in time")
-	errCancelled = errors.New("engine: request cancelled")
-)
+var errCancelled = errors.New("engine: request cancelled")
 
 // Document is a caller's JSON object, whose unknown fields are passed on.
 type Document map[string]json.RawMessage
@@ -49,6 +50,9 @@
 	Adapter  string
 	Priority int       // lower runs earlier
 	Progress *Progress // what earlier streams of the same request delivered
+
+	Patience time.Duration // silence after which GiveUp is asked
+	GiveUp   func() bool   // whether to leave the answer to a faster replica; may be nil
 }
 
 // Progress counts the delivered tokens of one request over all its streams.
@@ -79,8 +83,7 @@
 	response *http.Response
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
-	stall    *time.Timer
-	timeout  time.Duration
+	watchdog *watchdog
 	body     cutReader
 }
 
@@ -138,15 +141,15 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("X-Request-Id", call.ID)
-	stall := time.AfterFunc(s.StallTimeout, func() { cancel(errStalled) })
+	watchdog := newWatchdog(&call, s.StallTimeout, cancel)
 	response, err := s.Client.Do(request)
 	if err != nil {
-		stall.Stop()
+		watchdog.stop()
 		err = call.openError(ctx, err)
 		cancel(nil)
 		return nil, err
 	}
-	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, stall: stall, timeout: s.StallTimeout}
+	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, watchdog: watchdog}
 	stream.body.reader = response.Body
 	if response.StatusCode != http.StatusOK {
 		defer stream.Close()
@@ -175,7 +178,7 @@
 	return func(yield func(Chunk, error) bool) {
 		config := &sse.ReadConfig{MaxEventSize: maxEventBytes}
 		for event, err := range sse.Read(&s.body, config) {
-			s.stall.Reset(s.timeout)
+			s.watchdog.hear()
 			if err != nil {
 				yield(Chunk{}, s.broken(err))
 				return
@@ -199,7 +202,7 @@
 
 // Close gives the stream up or releases it after its end.
 func (s *Stream) Close() {
-	s.stall.Stop()
+	s.watchdog.stop()
 	s.cancel(nil)
 	s.response.Body.Close()
 }
@@ -240,14 +243,32 @@
 	if errors.As(err, &unsent) {
 		return err
 	}
-	var cut *httponce.BrokenError
-	died := errors.As(err, &cut) && !cut.Reused && ctx.Err() == nil
+	died := false
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
+	} else {
+		died = c.hasDied(err)
 	}
 	return &BrokenError{Backend: c.Backend, Tokens: len(c.Progress.Hashes), Died: died, Err: err}
 }
 
+// hasDied tells a dead engine from one that closed an idle connection just as the request was sent.
+func (c *Call) hasDied(err error) bool {
+	var cut *httponce.BrokenError
+	if !errors.As(err, &cut) {
+		return false
+	}
+	if !cut.Reused || cut.Took > staleTime {
+		return true
+	}
+	connection, err := net.DialTimeout("tcp", c.Address, probeTimeout)
+	if err != nil {
+		return true
+	}
+	connection.Close()
+	return false
+}
+
 func (c *Call) encode() ([]byte, error) {
 	body := make(Document, len(c.Body)+5)
 	for k, v := range c.Body {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -10,6 +10,7 @@
 const (
 	historySlots    = 32
 	historyInterval = 100 * time.Millisecond
+	maxFailures     = 3
 )
 
 // backend is what this router knows of a backend server by itself.
@@ -18,8 +19,10 @@
 	ownLong     int
 	shortRun    int // short grants since the last long one while long work waited
 	others      int // requests of other routers, from the last report
+	total       int // all requests, from the last report
 	reportedAt  time.Time
 	pausedUntil time.Time
+	failures    int                  // in a row, without a token between them
 	missing     map[Target]time.Time // the engine said not loaded, against a report of that time
 	observed    observed
 	trials      int // suspects that run there
@@ -80,22 +83,28 @@
 	b.sampled = max(b.sampled, slot)
 }
 
-// ownAt returns the own load at a time that has passed.
-func (b *backend) ownAt(at time.Time) int {
+// ownBefore returns the highest own load in the time before, as far as it is remembered.
+func (b *backend) ownBefore(at time.Time) int {
 	slot := at.UnixNano() / int64(historyInterval)
-	if slot > b.sampled {
-		return b.own
+	if slot >= b.sampled {
+		return max(b.own, slices.Max(b.history[:]))
 	}
-	return b.history[max(slot, b.sampled-historySlots+1)%historySlots]
+	most := 0
+	for s := b.sampled - historySlots + 1; s <= slot; s++ {
+		most = max(most, b.history[(s%historySlots+historySlots)%historySlots])
+	}
+	return most
 }
 
-// report subtracts the own share from a late report.
+// report subtracts the own share from a late report. How late it is is not known exactly, so that
+// the highest own load that may be in it is taken off; engines refuse what is too much.
 func (b *backend) report(replica *model.Replica) {
 	if !replica.UpdatedAt.After(b.reportedAt) {
 		return
 	}
 	b.reportedAt = replica.UpdatedAt
-	b.others = max(0, replica.Running+replica.Waiting-b.ownAt(replica.UpdatedAt))
+	b.total = replica.Running + replica.Waiting
+	b.others = max(0, replica.Running+replica.Waiting-b.ownBefore(replica.UpdatedAt))
 }
 
 // isMissing reports whether the engine denied the target after the replica's report.
@@ -108,3 +117,14 @@
 func holds(replica *model.Replica, target Target) bool {
 	return target.Adapter == "" || slices.Contains(replica.Adapters, target.Adapter)
 }
+
+// fail pauses the backend server, longer after each failure in a row.
+func (b *backend) fail(now time.Time, pause time.Duration) {
+	b.failures = min(b.failures+1, maxFailures)
+	b.pausedUntil = now.Add(pause * time.Duration(b.failures))
+}
+
+// isSilent reports whether no stream of this router has brought a token for a while.
+func (b *backend) isSilent(now time.Time, silence time.Duration) bool {
+	return now.Sub(b.observed.last) >= silence
+}
