ledger: slots of a backend server that left the host list are freed

Cause: the record of a reclaimed backend server kept its reservations and slots for ever, so that a model lost replicas with each reclaimed host. Ruled out: clearing at once; the list lags, so it must be unlisted and silent for two minutes, and the term is raised with it so that nobody can write its reservations again.

--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -19,7 +19,7 @@
 	ownedInterval   = 30 * time.Second // and the owner that often
 	takeoverDelay   = 3 * time.Second  // an owner that is not listed for that long is succeeded
 	handoverDelay   = 5 * time.Second  // the assigned owner must have been live for that long
-	goneDelay       = 20 * time.Second
+	goneDelay       = 2 * time.Minute  // a backend server that is neither listed nor answers for that long holds nothing
 	sweepInterval   = 10 * time.Second
 	forgetAfter     = 30 * time.Second
 	intentTimeout   = 5 * time.Second
@@ -31,8 +31,9 @@
 	cell       cell
 	record     model.BackendRecord
 	assignment Assignment
-	assigned   bool // the assignment is current
-	goneAt     time.Time
+	assigned   bool      // the assignment is current
+	goneAt     time.Time // since when it has not been in the host list, zero when it is
+	orphan     bool      // it holds a slot and is not in the host list
 	usedAt     time.Time
 	missingAt  time.Time // since when the owner has not been listed, zero when it is
 
@@ -110,6 +111,7 @@
 	}
 	old := b.record
 	b.record = record
+	b.orphan = b.orphan && (record.Owner != "" || len(record.Reservations) > 0)
 	b.epoch++
 	if old.Owner != record.Owner || old.Term != record.Term {
 		h.loseBackend(b)
@@ -233,7 +235,7 @@
 	if b.observe.token != 0 && now.Sub(b.observe.askedAt) >= observeTimeout {
 		b.observe = observeCall{}
 	}
-	if b.observe.token != 0 || now.Before(b.observeAt) || !b.goneAt.IsZero() {
+	if b.observe.token != 0 || now.Before(b.observeAt) {
 		return
 	}
 	if b.latest.Term < b.record.Term && h.hasOlderOrder(b) {
--- a/ledger/event.go
+++ b/ledger/event.go
@@ -16,6 +16,7 @@
 }
 
 // BackendsChanged gives every backend server of the own zone and the entry host that should own it.
+// One that is missing, or Gone, has left the host list. It is not sent while the host list is unknown.
 type BackendsChanged struct {
 	Backends []Assignment
 }
@@ -24,7 +25,7 @@
 type Assignment struct {
 	Backend string
 	Owner   string // name of an entry host of the zone
-	Gone    bool   // the backend server left the host list; its record is to be cleared
+	Gone    bool   // the backend server left the host list
 }
 
 // SourcesChanged gives what the newest known configuration decides.
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -32,6 +32,7 @@
 	records  []RecordGeneration
 	peers    map[model.Incarnation]livePeer
 	dead     map[model.Incarnation]time.Time
+	listed   map[string]bool // backend servers of the zone in the host list, nil when unknown
 	stopping bool
 	sweepAt  time.Time
 }
@@ -142,6 +143,7 @@
 }
 
 func (h *Host) backendsChanged(now time.Time, e BackendsChanged) {
+	h.listed = map[string]bool{}
 	for _, b := range h.backends {
 		b.assigned = false
 	}
@@ -150,13 +152,13 @@
 			continue
 		}
 		b := h.backend(now, a.Backend)
-		b.assigned = true
-		if !a.Gone {
-			b.goneAt = time.Time{}
-		} else if b.goneAt.IsZero() {
-			b.goneAt = now
-		}
-		b.assignment = a
+		b.assigned, b.assignment = true, a
+	}
+	for _, a := range e.Backends {
+		h.listed[a.Backend] = !a.Gone
+	}
+	for _, b := range h.backends {
+		b.noteListed(now, h.listed[b.name])
 	}
 }
 
@@ -246,7 +248,7 @@
 	}
 	for name, b := range h.backends {
 		idle := b.cell.token == 0 && b.cell.wroteAt < b.cell.revision && now.Sub(b.usedAt) > forgetAfter
-		if !b.assigned && !h.owns(b) && idle {
+		if !b.assigned && !b.orphan && !h.owns(b) && idle {
 			delete(h.backends, name)
 			h.byName = nil
 		}
--- a/ledger/modelstate.go
+++ b/ledger/modelstate.go
@@ -195,6 +195,7 @@
 		if verify && (!ok || !h.owns(b)) {
 			b, ok = h.backend(now, s.Backend), true
 			b.cell.readWanted = true
+			h.noteOrphan(now, b, s)
 		}
 		if !ok || !b.cell.known {
 			continue
@@ -212,6 +213,15 @@
 	return changed
 }
 
+// noteOrphan notes that a slot of this zone is held by a backend server that is not in the host list.
+func (h *Host) noteOrphan(now time.Time, b *backend, s model.Slot) {
+	if h.listed == nil || s.Zone != h.Zone || h.listed[b.name] {
+		return
+	}
+	b.noteListed(now, false)
+	b.orphan = true
+}
+
 // canFree reports whether a slot's reservation is gone and can never be written again.
 func (h *Host) canFree(b *backend, key model.ModelKey, s model.Slot) bool {
 	if holdsSlot(b.record, key, s.ID) {
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -8,7 +8,7 @@
 
 // watchOwner takes over a backend server when its owner is gone, if this host should own it.
 func (h *Host) watchOwner(now time.Time, b *backend) {
-	mine := b.assigned && b.assignment.Owner == h.Name && !h.stopping && h.peers != nil
+	mine := !h.stopping && h.peers != nil && h.isMine(now, b)
 	if mine && now.Sub(b.cell.readAt) >= pollInterval {
 		b.cell.readWanted = true
 	}
@@ -27,6 +27,14 @@
 	}
 }
 
+// isMine reports whether this host should own a backend server.
+func (h *Host) isMine(now time.Time, b *backend) bool {
+	if b.orphan && h.isGone(now, b) {
+		return true
+	}
+	return b.assigned && b.assignment.Owner == h.Name && b.goneAt.IsZero()
+}
+
 // mayTakeOver reports whether the recorded owner can be succeeded. That is always safe, and too soon only a waste.
 func (h *Host) mayTakeOver(now time.Time, b *backend) bool {
 	r := b.record
@@ -105,15 +113,39 @@
 	return true
 }
 
-// planGone clears the record of a backend server that left the host list.
+// noteListed notes whether the host list shows a backend server.
+func (b *backend) noteListed(now time.Time, listed bool) {
+	if listed {
+		b.goneAt, b.orphan = time.Time{}, false
+	} else if b.goneAt.IsZero() {
+		b.goneAt = now
+	}
+}
+
+// isGone reports whether a backend server has neither been listed nor answered for long.
+func (h *Host) isGone(now time.Time, b *backend) bool {
+	if b.goneAt.IsZero() {
+		return false
+	}
+	since := b.goneAt
+	if b.latestAt.After(since) {
+		since = b.latestAt
+	}
+	return now.Sub(since) >= goneDelay+h.LongestOrderTime
+}
+
+// planGone clears the record of a backend server that is gone and gives it up.
+// The higher term lets anybody free its slots.
 func (h *Host) planGone(now time.Time, b *backend, next *model.BackendRecord) bool {
-	if b.goneAt.IsZero() || now.Sub(b.goneAt) < goneDelay+h.LongestOrderTime || len(next.Reservations) == 0 {
+	if !h.isGone(now, b) {
 		return false
 	}
 	for _, r := range next.Reservations {
 		h.orders.close(r.OrderID)
 	}
 	next.Reservations = nil
+	next.Term++
+	next.Owner, next.OwnerName, next.OwnerAddress = "", "", ""
 	return true
 }
 
