--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -48,9 +48,10 @@
 	wants     map[model.ModelKey]want
 	intents   map[model.ModelKey]*intent
 	drains    map[model.ModelKey]*drain
-	arrived   map[string]bool      // orders whose effect the engine has shown
-	confirmed map[string]time.Time // orders whose issuer will not send them
-	absentAt  map[string]time.Time // when the first observation without the model was asked for
+	running   map[model.ModelKey]int // requests that the routers have running
+	arrived   map[string]bool        // orders whose effect the engine has shown
+	confirmed map[string]time.Time   // orders whose issuer will not send them
+	absentAt  map[string]time.Time   // when the first observation without the model was asked for
 	askedAt   map[string]time.Time
 	reissues  map[string]string // new order for an old one
 }
@@ -83,6 +84,7 @@
 	b.wants = map[model.ModelKey]want{}
 	b.intents = map[model.ModelKey]*intent{}
 	b.drains = map[model.ModelKey]*drain{}
+	b.running = map[model.ModelKey]int{}
 	b.arrived = map[string]bool{}
 	b.confirmed = map[string]time.Time{}
 	b.absentAt = map[string]time.Time{}
@@ -123,6 +125,7 @@
 			delete(b.intents, key)
 		}
 	}
+	maps.DeleteFunc(b.running, func(key model.ModelKey, _ int) bool { return findKey(record, key) < 0 })
 	h.checkBackend(old, record)
 }
 
--- a/ledger/event.go
+++ b/ledger/event.go
@@ -132,6 +132,14 @@
 	Backend string
 }
 
+// ReplicaUsed gives how many requests the routers have running on a replica of an owned backend server.
+// It is told again at least every drainTime, for engines that don't list it in their observation.
+type ReplicaUsed struct {
+	Backend string
+	Key     model.ModelKey
+	Running int
+}
+
 // StandingWanted gives the model versions that a backend server should hold standing reservations for.
 type StandingWanted struct {
 	Backend string
@@ -154,4 +162,5 @@
 func (LoadWanted) event()      {}
 func (UnloadWanted) event()    {}
 func (StandingWanted) event()  {}
+func (ReplicaUsed) event()     {}
 func (ReleaseAll) event()      {}
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -105,6 +105,8 @@
 		Models:  rapid.IntRange(1, 3).Draw(t, "models"),
 		Zones:   rapid.IntRange(1, 2).Draw(t, "zones"),
 		Trusts:  rapid.Bool().Draw(t, "trusts"),
+
+		RoutersReport: rapid.Bool().Draw(t, "routers report"),
 	}
 	if !s.Trusts {
 		s.Forgets = rapid.Bool().Draw(t, "forgets")
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -96,6 +96,8 @@
 		h.loadWanted(now, e)
 	case UnloadWanted:
 		h.unloadWanted(now, e)
+	case ReplicaUsed:
+		h.replicaUsed(e)
 	case StandingWanted:
 		h.standing[e.Backend] = slices.Clone(e.Keys)
 	case ReleaseAll:
--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -30,6 +30,7 @@
 	Fencing                []bool // per engine: checks fencing numbers
 	Forgets                bool   // engines forget their fencing number in a restart
 	Trusts                 bool   // hosts trust fencing numbers
+	RoutersReport          bool   // running requests are told by the routers, and not listed by the engines
 	Replicas               []int
 }
 
@@ -276,6 +277,9 @@
 		if w.rng.IntN(5) == 0 {
 			w.tellMembers(p)
 		}
+		if w.RoutersReport && w.rng.IntN(5) < 2 {
+			w.tellUse(p)
+		}
 		w.deliver(p, Tick{})
 		w.report(p)
 	}
@@ -727,12 +731,30 @@
 	o := model.Observation{Backend: e.name, Incarnation: model.Incarnation(fmt.Sprintf("%s#%d", e.name, e.life)), MemoryBytes: simEngineBytes, Term: e.term}
 	for _, key := range e.w.keys {
 		if m := e.models[key]; m != nil {
-			o.Models = append(o.Models, model.LoadedModel{Key: key, Bytes: m.bytes, Ready: m.ready, Running: m.running})
+			o.Models = append(o.Models, model.LoadedModel{Key: key, Bytes: m.bytes, Ready: m.ready, Running: e.listedRunning(m)})
 		}
 	}
 	return o
 }
 
+func (e *simEngine) listedRunning(m *simModel) int {
+	if e.w.RoutersReport {
+		return 0
+	}
+	return m.running
+}
+
+// tellUse lets the routers tell a host of the requests that they have running.
+func (w *world) tellUse(p *proc) {
+	for _, e := range w.engines {
+		for _, key := range w.keys {
+			if m := e.models[key]; m != nil {
+				w.deliver(p, ReplicaUsed{Backend: e.name, Key: key, Running: m.running})
+			}
+		}
+	}
+}
+
 // accept carries an order out, and judges it by the engine's own memory.
 func (e *simEngine) accept(o model.Order, reply func(OrderOutcome)) {
 	if e.gone {
--- a/ledger/want.go
+++ b/ledger/want.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// replicaUsed notes how many requests the routers have running on a replica.
+func (h *Host) replicaUsed(e ReplicaUsed) {
+	if b, ok := h.backends[e.Backend]; ok && h.owns(b) {
+		b.running[e.Key] = e.Running
+	}
+}
+
 // planIntents turns wants into intents and gives up those that can't be met.
 func (h *Host) planIntents(now time.Time, b *backend) {
 	if h.stopping || !b.goneAt.IsZero() {
@@ -229,7 +236,7 @@
 		return true
 	}
 	m, found := findLoaded(b.latest, key)
-	return found && m.Running == 0 && b.latestAt.Sub(d.since) >= drainTime
+	return found && m.Running == 0 && b.running[key] == 0 && b.latestAt.Sub(d.since) >= drainTime
 }
 
 // planStanding gives up standing reservations that nobody wants any more.
