ledger: a store that comes back with older data, and late orders to a returned backend server

Cause: (1) after a restore every read was older than what was known, so that owners waited for ever; they now ask the store by a write, take over again above both terms and bind lost slots anew. (3) a live owner that does not know that it owns, or leaves a slot, is succeeded after a minute.

--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -19,6 +19,7 @@
 	ownedInterval   = 30 * time.Second // and the owner that often
 	takeoverDelay   = 3 * time.Second  // an owner that is not listed for that long is succeeded
 	handoverDelay   = 5 * time.Second  // the assigned owner must have been live for that long
+	patience        = time.Minute      // a live owner that has not handed over for that long is succeeded
 	goneDelay       = 2 * time.Minute  // a backend server that is neither listed nor answers for that long holds nothing
 	sweepInterval   = 10 * time.Second
 	forgetAfter     = 30 * time.Second
@@ -27,15 +28,22 @@
 
 // backend is what a Host knows of one backend server. The maps are emptied when its owner or term changes.
 type backend struct {
-	name       string
-	cell       cell
-	record     model.BackendRecord
-	assignment Assignment
-	assigned   bool      // the assignment is current
-	goneAt     time.Time // since when it has not been in the host list, zero when it is
-	orphan     bool      // it holds a slot and is not in the host list
-	usedAt     time.Time
-	missingAt  time.Time // since when the owner has not been listed, zero when it is
+	name        string
+	cell        cell
+	record      model.BackendRecord
+	assignment  Assignment
+	assigned    bool                 // the assignment is current
+	goneAt      time.Time            // since when it has not been in the host list, zero when it is
+	confirmedAt time.Time            // when the store last confirmed this host as the owner, by a write
+	salvagedAt  time.Time            // when the owner last took it over again from a restored store
+	salvaging   bool                 // the take-over from a restored store is recorded, not confirmed
+	salvage     *model.BackendRecord // what this host owned before the store came back with older data
+	evict       bool                 // its owner has left a slot without a reservation for long; a higher term lets it be freed
+	orphan      bool                 // it holds a slot and is not in the host list
+	usedAt      time.Time
+	waitFor     model.Incarnation // the live owner that is to hand over
+	waitAt      time.Time         // since when
+	missingAt   time.Time         // since when the owner has not been listed, zero when it is
 
 	epoch     int64 // raised with each change of the record
 	observe   observeCall
@@ -94,7 +102,7 @@
 
 // owns reports whether the known record names this host as the owner.
 func (h *Host) owns(b *backend) bool {
-	return b.cell.known && b.record.Owner == h.Incarnation
+	return b.cell.known && b.record.Owner == h.Incarnation && b.salvage == nil
 }
 
 // fresh reports whether the latest observation was made under the known record.
@@ -111,11 +119,20 @@
 			return
 		}
 	}
+	if record.Term < b.record.Term {
+		b.cell.restored = true // terms only rise, unless the store came back with older data
+		h.noteRestored(b)
+	}
 	old := b.record
 	b.record = record
-	b.orphan = b.orphan && (record.Owner != "" || len(record.Reservations) > 0)
+	if b.salvage != nil && record.Owner == h.Incarnation && record.Term > b.salvage.Term {
+		b.salvage, b.salvaging = nil, true
+	}
+	b.evict = false
+	b.orphan = b.orphan && (old.Owner != h.Incarnation || record.Owner != "")
 	b.epoch++
 	if old.Owner != record.Owner || old.Term != record.Term {
+		b.waitAt = time.Time{}
 		h.loseBackend(b)
 		b.observeAt = now
 	}
@@ -152,9 +169,6 @@
 	if reservedBytes(record) > record.MemoryBytes && len(record.Reservations) > len(old.Reservations) {
 		h.violate("memory", "%s: %d bytes reserved of %d", record.Backend, reservedBytes(record), record.MemoryBytes)
 	}
-	if record.Term < old.Term {
-		h.violate("term rises", "%s: term %d after %d", record.Backend, record.Term, old.Term)
-	}
 	for i, r := range record.Reservations {
 		if findKey(record, r.Key) != i {
 			h.violate("one reservation a model", "%s: %s", record.Backend, r.Key)
@@ -168,10 +182,13 @@
 // reconcileBackend brings one backend server a step nearer to what is wanted.
 func (h *Host) reconcileBackend(now time.Time, b *backend) {
 	b.cell.expire(now)
-	if !h.owns(b) {
-		h.watchOwner(now, b)
-	} else {
+	switch {
+	case b.salvage != nil:
+		h.salvageBackend(now, b)
+	case h.owns(b):
 		h.workBackend(now, b)
+	default:
+		h.watchOwner(now, b)
 	}
 	h.actions = append(h.actions, b.cell.read(now, h.token)...)
 }
@@ -197,9 +214,12 @@
 
 // planRecord changes the record as far as is due, and reports whether it did.
 func (h *Host) planRecord(now time.Time, b *backend, next *model.BackendRecord) bool {
-	if h.planRelease(now, b, next) || h.planGone(now, b, next) {
+	if h.planRelease(now, b, next) {
 		return true
 	}
+	if h.isGone(now, b) {
+		return h.planGone(now, b, next)
+	}
 	if !b.answered {
 		return false
 	}
@@ -216,6 +236,10 @@
 // planIdentity records what the engine says of itself.
 func (h *Host) planIdentity(b *backend, next *model.BackendRecord) bool {
 	checks := b.latest.Term >= b.record.Term
+	if b.latest.Term > next.Term {
+		next.Term = b.latest.Term + 1 // a restored store may have lost terms that the engine has seen
+		return true
+	}
 	if next.EngineIdentity == b.latest.Incarnation && next.MemoryBytes == b.latest.MemoryBytes && next.ChecksFencing == checks {
 		return false
 	}
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -155,6 +155,9 @@
 		}
 		b := h.backend(now, a.Backend)
 		b.assigned, b.assignment = true, a
+		if a.Owner != h.Name {
+			b.waitAt = time.Time{}
+		}
 	}
 	for _, a := range e.Backends {
 		h.listed[a.Backend] = !a.Gone
@@ -185,7 +188,9 @@
 			continue
 		}
 		if content, news := b.cell.answer(now, e); news {
+			h.noteRestored(b)
 			h.adoptBackend(now, b, content)
+			h.noteConfirmed(now, b, e)
 		}
 		return
 	}
@@ -194,6 +199,9 @@
 			continue
 		}
 		if content, news := m.cell.answer(now, e); news {
+			if m.cell.restored {
+				m.cell.restored, m.restoredAt = false, now
+			}
 			h.adoptModel(m, content)
 		}
 		return
@@ -203,12 +211,12 @@
 // recordSeen takes in a record that a watch has shown, when this host deals with it.
 func (h *Host) recordSeen(now time.Time, e RecordSeen) {
 	for _, b := range h.backends {
-		if b.cell.key == e.Key && b.cell.seen(now, e.Revision) {
+		if b.cell.key == e.Key && b.cell.seen(now, e.Revision, e.Value) {
 			h.adoptBackend(now, b, e.Value)
 		}
 	}
 	for _, m := range h.models {
-		if m.cell.key == e.Key && m.cell.seen(now, e.Revision) {
+		if m.cell.key == e.Key && m.cell.seen(now, e.Revision, e.Value) {
 			h.adoptModel(m, e.Value)
 		}
 	}
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"citronspread/model"
@@ -22,6 +23,13 @@
 		h.writeBackend(now, b, next)
 		return
 	}
+	if b.evict {
+		next := cloneBackend(b.record)
+		next.Term++
+		next.Owner, next.OwnerName, next.OwnerAddress = "", "", ""
+		h.writeBackend(now, b, next)
+		return
+	}
 	if b.cell.touchWanted {
 		h.writeBackend(now, b, cloneBackend(b.record))
 	}
@@ -49,7 +57,7 @@
 	}
 	if _, live := h.peers[r.Owner]; live {
 		b.missingAt = time.Time{}
-		return false
+		return h.waitedLong(now, b)
 	}
 	if b.missingAt.IsZero() {
 		b.missingAt = now
@@ -57,6 +65,14 @@
 	return now.Sub(b.missingAt) >= takeoverDelay
 }
 
+// waitedLong reports whether a live owner has not handed over for long. It may not know that it is the owner.
+func (h *Host) waitedLong(now time.Time, b *backend) bool {
+	if b.waitFor != b.record.Owner || b.waitAt.IsZero() {
+		b.waitFor, b.waitAt = b.record.Owner, now
+	}
+	return now.Sub(b.waitAt) >= patience
+}
+
 // planRelease hands a backend server over when another host should own it, or when this one stops.
 func (h *Host) planRelease(now time.Time, b *backend, next *model.BackendRecord) bool {
 	if !h.stopping && !h.successorLive(now, b) || !h.calm(now, b) {
@@ -134,16 +150,18 @@
 	return now.Sub(since) >= goneDelay+h.LongestOrderTime
 }
 
-// planGone clears the record of a backend server that is gone and gives it up.
-// The higher term lets anybody free its slots.
+// planGone clears the record of a backend server that is gone, and then gives it up.
+// Another of that name may come, and a late order may reach it: what can still be sent keeps its slot.
+// The higher term lets anybody free the slots.
 func (h *Host) planGone(now time.Time, b *backend, next *model.BackendRecord) bool {
-	if !h.isGone(now, b) {
-		return false
-	}
-	for _, r := range next.Reservations {
+	next.Reservations = slices.DeleteFunc(next.Reservations, func(r model.Reservation) bool {
 		h.orders.close(r.OrderID)
+		over, _ := h.over(b, r, now)
+		return over || r.State == model.ReservationLoaded
+	})
+	if len(next.Reservations) > 0 {
+		return len(next.Reservations) < len(b.record.Reservations)
 	}
-	next.Reservations = nil
 	next.Term++
 	next.Owner, next.OwnerName, next.OwnerAddress = "", "", ""
 	return true
--- a/ledger/resolve.go
+++ b/ledger/resolve.go
@@ -97,7 +97,7 @@
 // ended reports whether the sending of a reservation's order had surely ended before the latest observation.
 // An end that is known from a delay only needs two observations, for the order may wait in the engine.
 func (h *Host) ended(b *backend, r model.Reservation) bool {
-	over, certain := h.over(b, r)
+	over, certain := h.over(b, r, b.latestAt)
 	if !over || certain {
 		return over
 	}
@@ -109,8 +109,8 @@
 	return b.latestAt.Sub(first) >= observeSettle
 }
 
-// over reports whether a sending had ended before the latest observation, and whether that is known from an answer.
-func (h *Host) over(b *backend, r model.Reservation) (over, certain bool) {
+// over reports whether a sending had ended at a time, and whether that is known from an answer.
+func (h *Host) over(b *backend, r model.Reservation, at time.Time) (over, certain bool) {
 	if r.Issuer == "" || b.arrived[r.OrderID] {
 		return true, true
 	}
@@ -118,16 +118,16 @@
 		if r.Term != b.record.Term {
 			h.orders.close(r.OrderID)
 		}
-		return h.orders.over(r.OrderID, b.latestAt)
+		return h.orders.over(r.OrderID, at)
 	}
 	if h.TrustsFencing && r.Term < b.record.Term && b.latest.Term >= b.record.Term {
 		return true, true
 	}
-	if at, ok := b.confirmed[r.OrderID]; ok && !b.latestAt.Before(at) {
+	if since, ok := b.confirmed[r.OrderID]; ok && !at.Before(since) {
 		return true, true
 	}
-	at, dead := h.dead[r.Issuer]
-	return dead && !b.latestAt.Before(at.Add(h.LongestOrderTime)), false
+	since, dead := h.dead[r.Issuer]
+	return dead && !at.Before(since.Add(h.LongestOrderTime)), false
 }
 
 // planFound reserves memory for models that the engine lists without a reservation, so that they get unloaded.
@@ -147,14 +147,14 @@
 
 // askIssuers asks the issuers of unresolved orders whether they may still send them.
 func (h *Host) askIssuers(now time.Time, b *backend) {
-	if !b.answered {
+	if !b.answered && b.goneAt.IsZero() {
 		return
 	}
 	for _, r := range b.record.Reservations {
 		if r.State == model.ReservationLoaded || r.Issuer == h.Incarnation || now.Sub(b.askedAt[r.OrderID]) < askInterval {
 			continue
 		}
-		if over, _ := h.over(b, r); over {
+		if over, _ := h.over(b, r, b.latestAt); over {
 			continue
 		}
 		if _, dead := h.dead[r.Issuer]; dead {
