--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -12,10 +12,12 @@
 type benchStore struct {
 	values    map[string][]byte
 	revisions map[string]int64
+	reads     int
+	writes    int
 }
 
 // steadyHost returns a host that owns backend servers, each with ten loaded models of all that are declared.
-func steadyHost(b *testing.B, backends, models int) (*Host, time.Time) {
+func steadyHost(b *testing.B, backends, models int) (*Host, *benchStore, map[string]model.Observation, time.Time) {
 	b.Helper()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	h := &Host{Name: "h", Zone: "z", Address: "127.0.0.1:1", Incarnation: "h#1", LongestOrderTime: 4 * time.Second}
@@ -53,7 +55,7 @@
 	if got, want := len(h.Replicas()), backends*10; got != want {
 		b.Fatalf("got %d replicas, want %d", got, want)
 	}
-	return h, now
+	return h, s, engines, now
 }
 
 // run feeds an event and all that it leads to.
@@ -74,11 +76,13 @@
 func (s *benchStore) answer(engines map[string]model.Observation, a Action) Event {
 	switch a := a.(type) {
 	case ReadRecord:
+		s.reads++
 		if s.revisions[a.Key] == 0 {
 			return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreNotFound}
 		}
 		return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreRead, Value: s.values[a.Key], Revision: s.revisions[a.Key]}
 	case WriteRecord:
+		s.writes++
 		s.values[a.Key], s.revisions[a.Key] = a.Value, s.revisions[a.Key]+1
 		return StoreAnswered{Token: a.Token, Key: a.Key, Outcome: StoreApplied, Revision: s.revisions[a.Key]}
 	case SendOrder:
@@ -95,7 +99,7 @@
 func BenchmarkTick(b *testing.B) {
 	for _, backends := range []int{2, 4, 8, 16} {
 		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
-			h, now := steadyHost(b, backends, 120)
+			h, _, _, now := steadyHost(b, backends, 120)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
@@ -104,3 +108,24 @@
 		})
 	}
 }
+
+// BenchmarkMinute measures a minute with twenty ticks a second and nothing to do.
+func BenchmarkMinute(b *testing.B) {
+	const ticks = 60 * 20
+	for _, backends := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			h, s, engines, now := steadyHost(b, backends, 120)
+			s.reads, s.writes = 0, 0
+			b.ResetTimer()
+			for range b.N {
+				for range ticks {
+					now = now.Add(50 * time.Millisecond)
+					s.run(h, now, engines, Tick{})
+				}
+			}
+			b.ReportMetric(100*b.Elapsed().Seconds()/float64(b.N)/60, "%core")
+			b.ReportMetric(float64(s.reads)/float64(b.N)/60, "reads/s")
+			b.ReportMetric(float64(s.writes)/float64(b.N)/60, "writes/s")
+		})
+	}
+}
