ledger: a drain waits for routers' counts made after it

Cause: a router may use a report for a moment more and count later; an unload came 0.7 s after a request that had not been counted yet (, no other fault needed).

--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -56,7 +56,7 @@
 	wants     map[model.ModelKey]want
 	intents   map[model.ModelKey]*intent
 	drains    map[model.ModelKey]*drain
-	running   map[model.ModelKey]int // requests that the routers have running
+	running   map[model.ModelKey]use // requests that the routers have running
 	arrived   map[string]bool        // orders whose effect the engine has shown
 	confirmed map[string]time.Time   // orders whose issuer will not send them
 	absentAt  map[string]time.Time   // when the first observation without the model was asked for
@@ -92,7 +92,7 @@
 	b.wants = map[model.ModelKey]want{}
 	b.intents = map[model.ModelKey]*intent{}
 	b.drains = map[model.ModelKey]*drain{}
-	b.running = map[model.ModelKey]int{}
+	b.running = map[model.ModelKey]use{}
 	b.arrived = map[string]bool{}
 	b.confirmed = map[string]time.Time{}
 	b.absentAt = map[string]time.Time{}
@@ -142,7 +142,7 @@
 			delete(b.intents, key)
 		}
 	}
-	maps.DeleteFunc(b.running, func(key model.ModelKey, _ int) bool { return findKey(record, key) < 0 })
+	maps.DeleteFunc(b.running, func(key model.ModelKey, _ use) bool { return findKey(record, key) < 0 })
 	h.checkBackend(old, record)
 }
 
--- a/ledger/event.go
+++ b/ledger/event.go
@@ -133,7 +133,7 @@
 }
 
 // ReplicaUsed gives how many requests the routers have running on a replica of an owned backend server.
-// It is told again at least every drainTime, for engines that don't list it in their observation.
+// It is for engines that don't list it in their observation. Once told, it is told again every second, also when it is 0.
 type ReplicaUsed struct {
 	Backend string
 	Key     model.ModelKey
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -97,7 +97,7 @@
 	case UnloadWanted:
 		h.unloadWanted(now, e)
 	case ReplicaUsed:
-		h.replicaUsed(e)
+		h.replicaUsed(now, e)
 	case StandingWanted:
 		h.standing[e.Backend] = slices.Clone(e.Keys)
 	case ReleaseAll:
--- a/ledger/query.go
+++ b/ledger/query.go
@@ -50,7 +50,7 @@
 			}
 			draining := b.drains[r.Key] != nil || r.State == model.ReservationUnloading
 			replicas = append(replicas, LoadedReplica{
-				Key: r.Key, Backend: b.name, Term: b.record.Term, Adapters: m.Adapters, Draining: draining, Running: max(m.Running, b.running[r.Key]),
+				Key: r.Key, Backend: b.name, Term: b.record.Term, Adapters: m.Adapters, Draining: draining, Running: max(m.Running, b.running[r.Key].count),
 			})
 		}
 	}
--- a/ledger/want.go
+++ b/ledger/want.go
@@ -11,6 +11,7 @@
 // Limits of a drain.
 const (
 	drainTime  = 2 * time.Second  // routers learn of a draining replica within this time
+	reportTime = time.Second      // routers' counts are at most that old when they are told
 	drainLimit = 10 * time.Minute // an unload cuts requests that run longer
 )
 
@@ -29,6 +30,12 @@
 	since    time.Time
 }
 
+// use is how many requests the routers have running on a replica.
+type use struct {
+	count  int
+	toldAt time.Time
+}
+
 // drain is a replica that gets no new work until it is unloaded.
 type drain struct {
 	since   time.Time
@@ -72,9 +79,9 @@
 }
 
 // replicaUsed notes how many requests the routers have running on a replica.
-func (h *Host) replicaUsed(e ReplicaUsed) {
+func (h *Host) replicaUsed(now time.Time, e ReplicaUsed) {
 	if b, ok := h.backends[e.Backend]; ok && h.owns(b) {
-		b.running[e.Key] = e.Running
+		b.running[e.Key] = use{count: e.Running, toldAt: now}
 	}
 }
 
@@ -235,8 +242,11 @@
 	if now.Sub(d.since) >= drainLimit {
 		return true
 	}
+	if u, told := b.running[key]; told && (u.count > 0 || u.toldAt.Sub(d.since) < drainTime+reportTime) {
+		return false
+	}
 	m, found := findLoaded(b.latest, key)
-	return found && m.Running == 0 && b.running[key] == 0 && b.latestAt.Sub(d.since) >= drainTime
+	return found && m.Running == 0 && b.latestAt.Sub(d.since) >= drainTime
 }
 
 // planStanding gives up standing reservations that nobody wants any more.
