--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -38,7 +38,7 @@
 	salvagedAt  time.Time            // when the owner last took it over again from a restored store
 	salvaging   bool                 // the take-over from a restored store is recorded, not confirmed
 	salvage     *model.BackendRecord // what this host owned before the store came back with older data
-	evict       bool                 // its owner has left a slot without a reservation for long; a higher term lets it be freed
+	evictTerm   int64                // the term to raise to, because a slot has been without a reservation for long; 0 for none
 	orphan      bool                 // it holds a slot and is not in the host list
 	usedAt      time.Time
 	waitFor     model.Incarnation // the live owner that is to hand over
@@ -128,7 +128,7 @@
 	if b.salvage != nil && record.Owner == h.Incarnation && record.Term > b.salvage.Term {
 		b.salvage, b.salvaging = nil, true
 	}
-	b.evict = false
+	b.evictTerm = 0
 	b.orphan = b.orphan && (old.Owner != h.Incarnation || record.Owner != "")
 	b.epoch++
 	if old.Owner != record.Owner || old.Term != record.Term {
@@ -214,6 +214,10 @@
 
 // planRecord changes the record as far as is due, and reports whether it did.
 func (h *Host) planRecord(now time.Time, b *backend, next *model.BackendRecord) bool {
+	if b.evictTerm > next.Term {
+		next.Term = b.evictTerm
+		return true
+	}
 	if h.planRelease(now, b, next) {
 		return true
 	}
--- a/ledger/modelstate.go
+++ b/ledger/modelstate.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		b, ok := h.backends[s.Backend]
-		if verify && (!ok || !h.owns(b)) {
+		if verify && (!ok || !h.owns(b) || b.record.Term < s.Term) {
 			b, ok = h.backend(now, s.Backend), true
 			b.cell.readWanted = true
 			h.noteOrphan(now, b, s)
@@ -221,10 +221,10 @@
 	return changed
 }
 
-// noteUnheld notes a slot without a reservation under the owner's own term. An owner frees such a slot within
+// noteUnheld notes a slot without a reservation under the owner's own term or a later one. An owner frees such a slot within
 // seconds, unless a restored store has brought it back; then the owner is succeeded after a while.
 func (h *Host) noteUnheld(now time.Time, m *modelState, b *backend, s model.Slot) {
-	if !b.cell.known || b.record.Term != s.Term || holdsSlot(b.record, m.key, s.ID) {
+	if !b.cell.known || b.record.Term > s.Term || holdsSlot(b.record, m.key, s.ID) {
 		delete(m.unheldAt, s.OrderID)
 		return
 	}
@@ -232,7 +232,7 @@
 	if !ok {
 		m.unheldAt[s.OrderID] = now
 	} else if now.Sub(since) >= patience {
-		b.evict = true
+		b.evictTerm = max(b.record.Term, s.Term) + 1
 	}
 }
 
--- a/ledger/owner.go
+++ b/ledger/owner.go
@@ -23,9 +23,9 @@
 		h.writeBackend(now, b, next)
 		return
 	}
-	if b.evict {
+	if b.evictTerm > b.record.Term {
 		next := cloneBackend(b.record)
-		next.Term++
+		next.Term = b.evictTerm
 		next.Owner, next.OwnerName, next.OwnerAddress = "", "", ""
 		h.writeBackend(now, b, next)
 		return
