--- a/faults/caller.go
+++ b/faults/caller.go
@@ -15,7 +15,9 @@
 	patience        = 25 * time.Second // until a caller gives up
 	shortestThought = 50 * time.Millisecond
 	longestThought  = 600 * time.Millisecond
-	maxAnswerTokens = 60
+	shortAnswer     = 40  // tokens
+	longAnswer      = 700 // tokens
+	longOneIn       = 6
 )
 
 // caller sends one request after another.
@@ -58,6 +60,14 @@
 	}
 }
 
+// answerTokens draws the length of an answer.
+func (c *caller) answerTokens() int {
+	if c.random.IntN(longOneIn) == 0 {
+		return 1 + c.random.IntN(longAnswer)
+	}
+	return 1 + c.random.IntN(shortAnswer)
+}
+
 // pickHost picks an entry host that the balancer holds for ready, nil when there is none.
 func (c *caller) pickHost() *entryHost {
 	hosts := c.run.hosts
--- a/faults/completion.go
+++ b/faults/completion.go
@@ -41,9 +41,9 @@
 
 func (c *caller) complete(ctx context.Context, h *entryHost, id string, kind exchangeKind) exchange {
 	body := chatRequest{
-		Model:     c.run.config.anyModel(c.random).String(),
+		Model:     c.run.config.anyModel(c.random, time.Now()).String(),
 		Messages:  []message{{Role: "user", Content: id}},
-		MaxTokens: 1 + c.random.IntN(maxAnswerTokens),
+		MaxTokens: c.answerTokens(),
 		Stream:    kind == kindStream,
 	}
 	return c.run.chat(ctx, h, body)
--- a/faults/configuration.go
+++ b/faults/configuration.go
@@ -21,12 +21,16 @@
 	markPrefix    = "mark-" // of an adapter that tells which change a declaration comes from
 	modelMemoryMB = 5000
 	maxDecided    = 3
-	readBackPause = 300 * time.Millisecond
+	recordCount   = 12
+
+	popularSeconds = 3
+	popularShare   = 80 // percent of the requests
+	readBackPause  = 300 * time.Millisecond
 )
 
 // decision is an accepted change of a record.
 type decision struct {
-	mark     string
+	number   int // rises with each change that was tried
 	replicas int
 	at       time.Time
 }
@@ -51,7 +55,7 @@
 
 func newConfiguration(p *platform, random *rand.Rand) *configuration {
 	c := &configuration{store: p.storeClient(), random: random}
-	for i := range 5 {
+	for i := range recordCount {
 		c.records = append(c.records, &configRecord{
 			name: fmt.Sprintf("record-%d", i), schemaVersion: 1 + i%2,
 			key: model.ModelKey{Model: fmt.Sprintf("scribe-%d", i), Version: "v1"},
@@ -60,9 +64,13 @@
 	return c
 }
 
-// anyModel draws a declared model version, the first ones more often.
-func (c *configuration) anyModel(random *rand.Rand) model.ModelKey {
-	return c.records[min(random.IntN(len(c.records)), random.IntN(len(c.records)))].key
+// anyModel draws a declared model version. One of them is popular for some seconds.
+func (c *configuration) anyModel(random *rand.Rand, now time.Time) model.ModelKey {
+	if random.IntN(100) < popularShare {
+		popular := int(now.Unix()/popularSeconds) % len(c.records)
+		return c.records[popular].key
+	}
+	return c.records[random.IntN(len(c.records))].key
 }
 
 func (c *configuration) putAll(ctx context.Context) error {
@@ -89,7 +97,7 @@
 	var writing sync.WaitGroup
 	for i := range operators {
 		r.changes++
-		d := decision{mark: fmt.Sprintf("%s%d", markPrefix, r.changes), replicas: 1 + (replicas+i-1)%maxDecided, at: time.Now()}
+		d := decision{number: r.changes, replicas: 1 + (replicas+i-1)%maxDecided, at: time.Now()}
 		writing.Go(func() { accepted[i] = c.write(ctx, r, current, generation+1, d) })
 	}
 	writing.Wait()
@@ -153,11 +161,11 @@
 
 func (r *configRecord) body(d decision) []byte {
 	if r.schemaVersion == 1 {
-		return fmt.Appendf(nil, "SchemaVersion: 1\nName: %s\nService: %s\nModel: %s\nVersion: %s\nMemoryMB: %d\nReplicas: %d\nPriority: Normal\nAdapters: [%s]\n",
-			r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, d.replicas, d.mark)
+		return fmt.Appendf(nil, "SchemaVersion: 1\nName: %s\nService: %s\nModel: %s\nVersion: %s\nMemoryMB: %d\nReplicas: %d\nPriority: Normal\nAdapters: [%s%d]\n",
+			r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, d.replicas, markPrefix, d.number)
 	}
-	return fmt.Appendf(nil, "SchemaVersion: 2\nName: %s\nService: %s\nModels:\n  - Model: %s\n    Version: %s\n    Memory: %dMB\n    Priority: 50\n    Adapters: [%s]\n    Replicas: {Decided: %d, Warm: 0}\n",
-		r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, d.mark, d.replicas)
+	return fmt.Appendf(nil, "SchemaVersion: 2\nName: %s\nService: %s\nModels:\n  - Model: %s\n    Version: %s\n    Memory: %dMB\n    Priority: 50\n    Adapters: [%s%d]\n    Replicas: {Decided: %d, Warm: 0}\n",
+		r.name, modelService, r.key.Model, r.key.Version, modelMemoryMB, markPrefix, d.number, d.replicas)
 }
 
 // history returns the accepted changes so far.
@@ -170,10 +178,8 @@
 // changeConfiguration changes one record after the other.
 func (r *Run) changeConfiguration(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
-		sleep(ctx, configEvery)
-		calling, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		sleep(ctx, r.ConfigEvery)
 		record := r.config.records[i%len(r.config.records)]
-		r.config.change(calling, record, 1+r.config.random.IntN(maxDecided))
-		cancel()
+		r.config.change(ctx, record, 1+r.config.random.IntN(maxDecided))
 	}
 }
--- a/faults/entryhost.go
+++ b/faults/entryhost.go
@@ -95,6 +95,9 @@
 LogLevel: Info
 BalancerLag: %s
 StandingReservations: 1
+KeepAlive:
+  Shortest: 1s
+  Longest: 5s
 Deadlines:
   Request: %s
   Shutdown: 30s
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -16,7 +16,6 @@
 const (
 	startTimeout = 10 * time.Second
 	callerCount  = 24
-	configEvery  = 4 * time.Second
 )
 
 // Processes controls the processes of entry hosts.
@@ -32,11 +31,14 @@
 
 // Run is one seeded run.
 type Run struct {
-	Seed      uint64
-	Duration  time.Duration
-	WarmUp    time.Duration // without faults
-	CoolDown  time.Duration // without faults
-	Directory string        // for settings files
+	Seed     uint64
+	Duration time.Duration
+	WarmUp   time.Duration // without faults
+	CoolDown time.Duration // without faults
+
+	ConfigEvery time.Duration // between changes of the configuration
+
+	Directory string // for settings files
 	Processes Processes
 	Log       func(format string, values ...any)
 
@@ -71,6 +73,7 @@
 	r.playSchedule(ctx)
 	r.Log("faults: all faults ended, cooling down")
 	sleep(ctx, r.CoolDown)
+	r.checkRecovery(ctx)
 	stopCalling()
 	callers.Wait()
 	r.judge()
--- a/faults/platform.go
+++ b/faults/platform.go
@@ -13,16 +13,15 @@
 
 // Sizes of the imitated platform.
 const (
-	enginesPerZone   = 2
-	engineMemory     = 16_000_000_000 // bytes
-	engineTokens     = 200            // a second, of a stream that runs alone
-	loadsPerSecond   = 5
-	parallelLoads    = 4
-	hostListLag      = 500 * time.Millisecond
-	engineRestart    = 1500 * time.Millisecond
-	storeCallTimeout = 2 * time.Second
-	modelService     = "link-scribe"
-	bookingService   = "order-desk"
+	enginesPerZone = 2
+	engineMemory   = 16_000_000_000 // bytes
+	engineTokens   = 200            // a second, of a stream that runs alone
+	loadsPerSecond = 5
+	parallelLoads  = 4
+	hostListLag    = 500 * time.Millisecond
+	engineRestart  = 1500 * time.Millisecond
+	modelService   = "link-scribe"
+	bookingService = "order-desk"
 )
 
 var platformRates = standin.TierRates{Memory: 40e9, Disk: 20e9, Remote: 8e9}
--- a/faults/promise.go
+++ b/faults/promise.go
@@ -21,6 +21,7 @@
 	PlannedStopCutsNothing
 	ConfigurationInForce
 	SuspectsContained
+	ServedAfterFaults
 	promiseCount
 )
 
@@ -35,6 +36,7 @@
 	"planned stop cuts no request",
 	"configuration in force and never reverted",
 	"a crashing request loses at most two backend servers a zone",
+	"each model is served after the faults",
 }
 
 // Bounds of the details kept for each promise.
--- /dev/null
+++ b/faults/recovery.go
@@ -0,0 +1,42 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	recoveryTime  = 20 * time.Second
+	recoveryPause = time.Second
+)
+
+// checkRecovery checks that each model is served once the faults are over.
+func (r *Run) checkRecovery(ctx context.Context) {
+	deadline := time.Now().Add(recoveryTime)
+	var running sync.WaitGroup
+	for i, record := range r.config.records {
+		running.Go(func() {
+			x := r.recover(ctx, i, record, deadline)
+			r.tally.Check(ServedAfterFaults, x.outcome == outcomeWhole, "%s at %s: %s: %s", record.key, x.host, x.outcome, x.detail)
+		})
+	}
+	running.Wait()
+}
+
+func (r *Run) recover(ctx context.Context, i int, record *configRecord, deadline time.Time) exchange {
+	var x exchange
+	for attempt := 0; x.outcome != outcomeWhole && time.Now().Before(deadline); attempt++ {
+		h := r.hosts[(i+attempt)%len(r.hosts)]
+		x = r.chat(ctx, h, chatRequest{
+			Model:     record.key.String(),
+			Messages:  []message{{Role: "user", Content: fmt.Sprintf("recovery-%d-%d", i, attempt)}},
+			MaxTokens: shortAnswer,
+		})
+		if x.outcome != outcomeWhole {
+			sleep(ctx, recoveryPause)
+		}
+	}
+	return x
+}
--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -55,8 +55,8 @@
 
 // Gaps between faults. A fault may begin while others last.
 const (
-	shortestGap = 300 * time.Millisecond
-	longestGap  = 2500 * time.Millisecond
+	shortestGap = 100 * time.Millisecond
+	longestGap  = 1500 * time.Millisecond
 	maxAmount   = 5
 )
 
--- a/faults/watch.go
+++ b/faults/watch.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"citronspread/model"
@@ -26,8 +27,8 @@
 
 // hostView is what a host held of each record at the last look.
 type hostView struct {
-	held    map[string]int // index of the change, by record
-	settled map[string]int // index of the newest change that was checked
+	held    map[string]int // number of the change, by record
+	settled map[string]int // accepted changes that were checked, by record
 	since   time.Time      // when the process was started, or last seen not to answer
 }
 
@@ -56,35 +57,37 @@
 
 func (r *Run) checkRecord(h *entryHost, view *hostView, record *configRecord, asked time.Time, s model.Snapshot) {
 	history := record.history()
-	held := heldIndex(history, record.key, s)
+	held := heldChange(record.key, s)
 	if known, ok := view.held[record.name]; ok {
-		r.tally.Check(ConfigurationInForce, held >= known, "%s: %s went back from change %d to %d of %d",
-			h.name, record.name, known+1, held+1, len(history))
+		r.tally.Check(ConfigurationInForce, held >= known, "%s: %s went back from change %d to %d",
+			h.name, record.name, known, held)
 	}
 	view.held[record.name] = held
 	for i := view.settled[record.name]; i < len(history); i++ {
-		if held < i && asked.Before(r.dueTime(h, view, history[i].at, asked)) {
+		wanted := history[i]
+		if held < wanted.number && asked.Before(r.dueTime(h, view, wanted.at, asked)) {
 			return
 		}
-		r.tally.Check(ConfigurationInForce, held >= i, "%s: %s holds change %d, change %d of %d was accepted %.1fs ago",
-			h.name, record.name, held+1, i+1, len(history), asked.Sub(history[i].at).Seconds())
+		r.tally.Check(ConfigurationInForce, held >= wanted.number, "%s: %s holds change %d, change %d was accepted %.1fs ago",
+			h.name, record.name, held, wanted.number, asked.Sub(wanted.at).Seconds())
 		view.settled[record.name] = i + 1
 	}
 }
 
-// heldIndex returns the newest accepted change that a snapshot shows, -1 for none.
-func heldIndex(history []decision, key model.ModelKey, s model.Snapshot) int {
+// heldChange returns the newest change of a record that a snapshot shows, 0 for none.
+func heldChange(key model.ModelKey, s model.Snapshot) int {
+	held := 0
 	for _, m := range s.Models {
 		if m.Declaration.Key != key {
 			continue
 		}
-		for i := len(history) - 1; i >= 0; i-- {
-			if slices.Contains(m.Declaration.Adapters, history[i].mark) {
-				return i
+		for _, adapter := range m.Declaration.Adapters {
+			if n, err := strconv.Atoi(strings.TrimPrefix(adapter, markPrefix)); err == nil {
+				held = max(held, n)
 			}
 		}
 	}
-	return -1
+	return held
 }
 
 // dueTime returns when a change must be in force on a host, after the faults that kept it from the host.
