--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -26,6 +26,7 @@
 // setup is what a walk starts with.
 type setup struct {
 	Hosts, Engines, Models int
+	Zones                  int
 	Fencing                []bool // per engine: checks fencing numbers
 	Forgets                bool   // engines forget their fencing number in a restart
 	Trusts                 bool   // hosts trust fencing numbers
@@ -58,6 +59,8 @@
 	dead    map[model.Incarnation]time.Time
 	terms   map[string]int64
 	shown   map[place]time.Time
+	outside bool                 // judge only from outside, not by the hosts' own assertions
+	aims    map[string]*simModel // per unload order: the model that it was meant for
 	wrap    func(*proc, Event, []Action) []Action
 	breach  *breach
 	counts  counts
@@ -66,7 +69,7 @@
 }
 
 // counts tells what a walk has brought about.
-type counts struct{ Loads, Unloads, Takeovers, Refused, Restarts, Steps int }
+type counts struct{ Loads, StandingLoads, Unloads, Takeovers, Refused, Restarts, Steps int }
 
 type place struct {
 	backend string
@@ -75,19 +78,95 @@
 
 // proc is one life of an entry host's process.
 type proc struct {
-	index     int
-	host      *Host
-	alive     bool
-	frozen    bool
-	inbox     []Event  // arrived while frozen
-	outbox    []Action // emitted, not carried out because of a freeze
-	killedAt  time.Time
-	storeCut  bool
-	hides     int // index of a proc that this one does not see, -1 for none
-	config    []model.Source
-	second    []model.Source
-	standing  bool
-	sentWrong bool
+	index    int
+	host     *Host
+	alive    bool
+	frozen   bool
+	inbox    []Event  // arrived while frozen
+	outbox   []Action // emitted, not carried out because of a freeze
+	killedAt time.Time
+	storeCut bool
+	hides    int // index of a proc that this one does not see, -1 for none
+	config   []model.Source
+	second   []model.Source
+	standing bool
+	breakAt  breakPoint
+	breakHow breakWay
+}
+
+// breakPoint is an action at which a process freezes or dies.
+type breakPoint int
+
+const (
+	breakNever breakPoint = iota
+	breakModelWrite
+	breakBackendWrite
+	breakLoad
+	breakUnload
+	breakObserve
+	breakAsk
+	breakPoints
+)
+
+// breakWay is how a process breaks off.
+type breakWay int
+
+const (
+	freezeBefore breakWay = iota
+	freezeAfter
+	killBefore
+	killAfter
+	breakWays
+)
+
+// breaksAt reports whether an action is the one that a process breaks off at.
+func (p *proc) breaksAt(a Action) bool {
+	switch a := a.(type) {
+	case WriteRecord:
+		backend := strings.HasPrefix(a.Key, "backend/")
+		return p.breakAt == breakBackendWrite && backend || p.breakAt == breakModelWrite && !backend
+	case SendOrder:
+		load := a.Order.Kind == model.OrderLoad
+		return p.breakAt == breakLoad && load || p.breakAt == breakUnload && !load
+	case ObserveEngine:
+		return p.breakAt == breakObserve
+	case AskUnsent:
+		return p.breakAt == breakAsk
+	}
+	return false
+}
+
+// stopAt freezes or kills a process when it comes to the action that was drawn.
+func (w *world) stopAt(p *proc, actions []Action) {
+	if !w.faults || !slices.ContainsFunc(actions, p.breaksAt) {
+		return
+	}
+	p.breakAt = breakNever
+	life, d := p.host, time.Duration(0)
+	if p.breakHow == freezeAfter || p.breakHow == killAfter {
+		d = 5 * time.Millisecond
+	}
+	stop := func() {
+		switch {
+		case p.host != life || !p.alive || !w.faults:
+		case p.breakHow == killBefore || p.breakHow == killAfter:
+			w.kill(p)
+			if w.chance(50) {
+				w.after(100*time.Millisecond, func() {
+					if !p.alive {
+						w.boot(p)
+					}
+				})
+			}
+		default:
+			p.frozen = true
+		}
+	}
+	if d == 0 {
+		stop()
+		return
+	}
+	w.after(d, stop)
 }
 
 type call struct {
@@ -116,9 +195,11 @@
 
 func newWorld(s setup) *world {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	w := &world{setup: s, now: start, start: start, rng: rand.New(rand.NewPCG(1, 1)), faults: true,
-		dead: map[model.Incarnation]time.Time{}, terms: map[string]int64{}, shown: map[place]time.Time{}}
-	w.store = &simStore{w: w, entries: map[string][]simEntry{}, used: map[model.ModelKey]int{}, allowed: map[model.ModelKey]int{}}
+	w := &world{
+		setup: s, now: start, start: start, rng: rand.New(rand.NewPCG(1, 1)), faults: true,
+		dead: map[model.Incarnation]time.Time{}, terms: map[string]int64{}, aims: map[string]*simModel{}, shown: map[place]time.Time{},
+	}
+	w.store = &simStore{w: w, entries: map[string][]simEntry{}, decided: map[sourceName]int64{}, used: map[model.ModelKey]int{}, allowed: map[model.ModelKey]int{}}
 	for i := range s.Models {
 		w.keys = append(w.keys, model.ModelKey{Model: fmt.Sprintf("m%d", i), Version: "1"})
 		w.config = append(w.config, model.Source{Record: "a", Generation: 1, Replicas: s.Replicas[i]})
@@ -135,6 +216,11 @@
 	return w
 }
 
+// zone returns the zone of a host or an engine.
+func (w *world) zone(index int) string {
+	return fmt.Sprintf("z%d", index%w.Zones)
+}
+
 func (w *world) logf(format string, args ...any) {
 	if w.tracing {
 		w.trace = append(w.trace, fmt.Sprintf("%8.3f ", w.now.Sub(w.start).Seconds())+fmt.Sprintf(format, args...))
@@ -155,9 +241,11 @@
 		w.dead[p.host.Incarnation] = w.now // its address answers as another incarnation
 	}
 	name := fmt.Sprintf("h%d", p.index)
-	p.host = &Host{Name: name, Zone: "z", Address: "127.0.0.1:" + name, LongestOrderTime: simOrderTime, TrustsFencing: w.Trusts,
-		Incarnation: model.Incarnation(fmt.Sprintf("%s#%d", name, w.counts.Restarts))}
-	p.alive, p.frozen, p.inbox, p.outbox = true, false, nil, nil
+	p.host = &Host{
+		Name: name, Zone: w.zone(p.index), Address: "127.0.0.1:" + name, LongestOrderTime: simOrderTime, TrustsFencing: w.Trusts,
+		Incarnation: model.Incarnation(fmt.Sprintf("%s#%d", name, w.counts.Restarts)),
+	}
+	p.alive, p.frozen, p.inbox, p.outbox, p.breakAt = true, false, nil, nil, breakNever
 	p.config, p.second = slices.Clone(w.config), slices.Clone(w.second)
 	w.tellMembers(p)
 	w.tellSources(p)
@@ -229,11 +317,20 @@
 	if w.wrap != nil {
 		actions = w.wrap(p, e, actions)
 	}
+	w.stopAt(p, actions)
 	for _, a := range actions {
+		w.aim(a)
 		w.emit(p, a)
 	}
 }
 
+// aim notes which loaded model an unload is meant for.
+func (w *world) aim(a Action) {
+	if s, ok := a.(SendOrder); ok && s.Order.Kind == model.OrderUnload {
+		w.aims[s.Order.ID] = w.engine(s.Backend).models[s.Order.Key]
+	}
+}
+
 // emit carries an action out a moment later; a frozen process does so when it wakes, a dead one never.
 func (w *world) emit(p *proc, a Action) {
 	life := p.host
@@ -306,6 +403,9 @@
 		w.ask(p, a, answer)
 	case AnswerUnsent, LoadRefused:
 	case Violation:
+		if w.outside {
+			return
+		}
 		w.fail("assertion in the program", "%s: %s: %s", life.Incarnation, a.Invariant, a.Detail)
 	}
 }
@@ -340,7 +440,11 @@
 		done(lost, OrderLost)
 		w.after(lost+time.Duration(w.rng.Int64N(int64(simOrderTime))), func() { arrive(func(OrderOutcome) {}) })
 	default:
-		w.after(w.delay(), func() {
+		d := w.delay()
+		if w.chance(20) { // waits in the sender's kernel
+			d = time.Duration(w.rng.Int64N(int64(simOrderTime)))
+		}
+		w.after(d, func() {
 			arrive(func(o OrderOutcome) {
 				if w.chance(10) {
 					o = OrderLost
@@ -392,10 +496,10 @@
 func (w *world) tellMembers(p *proc) {
 	var e PeersChanged
 	for _, q := range w.procs {
-		if q.host == nil || !q.alive || q != p && (q.frozen || q.index == p.hides) {
+		if q.host == nil || !q.alive || q != p && (q.frozen || q.index == p.hides || w.zone(q.index) != w.zone(p.index)) {
 			continue
 		}
-		e.Peers = append(e.Peers, model.Peer{Name: q.host.Name, Zone: "z", Address: q.host.Address, Incarnation: q.host.Incarnation})
+		e.Peers = append(e.Peers, model.Peer{Name: q.host.Name, Zone: q.host.Zone, Address: q.host.Address, Incarnation: q.host.Incarnation})
 	}
 	for i, at := range w.dead {
 		if !w.now.Before(at) {
@@ -405,7 +509,10 @@
 	slices.Sort(e.Dead)
 	w.deliver(p, e)
 	var b BackendsChanged
-	for _, g := range w.engines {
+	for i, g := range w.engines {
+		if w.zone(i) != w.zone(p.index) {
+			continue
+		}
 		b.Backends = append(b.Backends, Assignment{Backend: g.name, Owner: pick(g.name, e.Peers)})
 	}
 	w.deliver(p, b)
@@ -424,13 +531,19 @@
 	return name
 }
 
+// leads reports whether a host leads a model in its zone.
+func (w *world) leads(p *proc, i int) bool {
+	hosts := (w.Hosts - p.index%w.Zones + w.Zones - 1) / w.Zones
+	return i%hosts == p.index/w.Zones
+}
+
 // tellSources tells a process the configuration that it knows.
 func (w *world) tellSources(p *proc) {
 	var e SourcesChanged
 	var generations [2]int64
 	for i, key := range w.keys {
 		s := []model.Source{p.config[i], p.second[i]}
-		e.Models = append(e.Models, ModelSources{Key: key, Sources: s, Bytes: simModelBytes, Lead: (i+p.index)%2 == 0})
+		e.Models = append(e.Models, ModelSources{Key: key, Sources: s, Bytes: simModelBytes, Lead: w.leads(p, i)})
 		generations[0] = max(generations[0], s[0].Generation)
 		generations[1] = max(generations[1], s[1].Generation)
 	}
@@ -452,9 +565,15 @@
 	down     bool
 	blind    bool // baseline: writes of backend records do not compare
 	used     map[model.ModelKey]int
+	decided  map[sourceName]int64   // highest generation written
 	allowed  map[model.ModelKey]int // replicas that may be loaded now
 }
 
+type sourceName struct {
+	key    model.ModelKey
+	record string
+}
+
 type simEntry struct {
 	value    []byte
 	revision int64
@@ -525,6 +644,16 @@
 	}
 }
 
+// isStanding reports whether an order belongs to a standing reservation in the store.
+func (s *simStore) isStanding(backend, order string) bool {
+	var r model.BackendRecord
+	if json.Unmarshal(s.current("backend/"+backend).value, &r) != nil {
+		return false
+	}
+	i := findOrder(r, order)
+	return i >= 0 && r.Reservations[i].State == model.ReservationStanding
+}
+
 // checkModel asserts the promise on the slots, and works out how many replicas may be loaded:
 // the decided number, and after it was lowered the slots that were used before and have not been freed since.
 func (s *simStore) checkModel(value []byte) {
@@ -533,6 +662,13 @@
 		s.w.fail("record readable", "%v", err)
 		return
 	}
+	for _, v := range r.Sources {
+		if at := (sourceName{r.Key, v.Record}); v.Generation < s.decided[at] {
+			s.w.fail("a decided number never reverts", "%s: generation %d of %s after %d", r.Key, v.Generation, v.Record, s.decided[at])
+		} else {
+			s.decided[at] = v.Generation
+		}
+	}
 	used, decided := r.Used(), r.Decided()
 	if used > max(decided, s.used[r.Key]) {
 		s.w.fail("slots", "%s: %d used, %d before, %d decided", r.Key, used, s.used[r.Key], decided)
@@ -544,12 +680,7 @@
 
 // checkReplicas asserts promise 1, by the engines' own count.
 func (w *world) checkReplicas(key model.ModelKey) {
-	n := 0
-	for _, e := range w.engines {
-		if e.models[key] != nil {
-			n++
-		}
-	}
+	n := w.replicas(key)
 	if n > w.store.allowed[key] {
 		w.fail("no more replicas than decided", "%s: %d loaded, %d allowed", key, n, w.store.allowed[key])
 	}
@@ -558,6 +689,17 @@
 	}
 }
 
+// replicas returns how many engines hold a model.
+func (w *world) replicas(key model.ModelKey) int {
+	n := 0
+	for _, e := range w.engines {
+		if e.models[key] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // simEngine is a model engine.
 type simEngine struct {
 	w       *world
@@ -607,6 +749,9 @@
 		return
 	}
 	e.w.counts.Loads++
+	if e.w.store.isStanding(e.name, o.ID) {
+		e.w.counts.StandingLoads++
+	}
 	m := &simModel{bytes: o.Bytes}
 	e.models[o.Key] = m
 	var sum int64
@@ -639,6 +784,9 @@
 		return
 	}
 	e.w.counts.Unloads++
+	if m != e.w.aims[o.ID] {
+		e.w.fail("an unload takes away no model that was loaded since", "%s %s by %s", e.name, o.Key, o.ID)
+	}
 	if m.running > 0 {
 		e.w.fail("an unload cuts no request", "%s %s by %s", e.name, o.Key, o.ID)
 	}
