--- a/pathcheck/bench_test.go
+++ b/pathcheck/bench_test.go
@@ -23,12 +23,12 @@
 	benchTokens     = 100 // of each streamed answer
 	benchTime       = 6 * time.Second
 	benchPause      = 5 * time.Millisecond // between two requests for the latency
-	benchSamples    = 400
+	benchSamples    = 400                  // of each probe
+	benchProbes     = 4
 	openStreams     = 1000
 	openTokens      = 2000
 	openSettle      = 4 * time.Second
 	ticksPerSecond  = 100 // of the times in /proc
-	nanosPerMinute  = int64(time.Minute)
 	latencyDigits   = 3
 	benchEngineRate = "100" // tokens a second of one stream
 )
@@ -111,26 +111,50 @@
 		open.Go(func() { holdStream(targets[1].address, benchBody(openTokens), new(atomic.Int64), stop) })
 	}
 	time.Sleep(openSettle)
-	histograms := make([]*hdrhistogram.Histogram, len(targets))
-	for i := range targets {
-		histograms[i] = hdrhistogram.New(1, nanosPerMinute/1_000, latencyDigits)
+	var histograms []*latencies
+	for range targets {
+		histograms = append(histograms, &latencies{histogram: hdrhistogram.New(1, time.Minute.Microseconds(), latencyDigits)})
 	}
+	var probes sync.WaitGroup
+	for range benchProbes {
+		probes.Go(func() { probe(t, targets, histograms) })
+	}
+	probes.Wait()
+	for _, quantile := range []float64{50, 99} {
+		direct, through := histograms[0].at(quantile), histograms[1].at(quantile)
+		fmt.Printf("bench: one token beside %d streams, p%.0f: %.2f ms at the engine, %.2f ms through the entry host, %.2f ms added\n",
+			benchStreams/2, quantile, float64(direct)/1_000, float64(through)/1_000, float64(through-direct)/1_000)
+	}
+}
+
+// latencies is a histogram in microseconds that several probes fill.
+type latencies struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.histogram.RecordValue(d.Microseconds())
+}
+
+func (l *latencies) at(quantile float64) int64 { return l.histogram.ValueAtQuantile(quantile) }
+
+// probe sends single requests in turn to all targets.
+func probe(t *testing.T, targets []target, histograms []*latencies) {
 	body := benchBody(1)
 	for range benchSamples {
 		for i, to := range targets {
 			began := time.Now()
 			if n, err := readTokens(to.address, body); err != nil || n != 1 {
-				t.Fatalf("%s: got %d tokens, %v", to.name, n, err)
+				t.Errorf("%s: got %d tokens, %v", to.name, n, err)
+				return
 			}
-			histograms[i].RecordValue(time.Since(began).Microseconds())
+			histograms[i].add(time.Since(began))
 			time.Sleep(benchPause)
 		}
 	}
-	for _, quantile := range []float64{50, 99} {
-		direct, through := histograms[0].ValueAtQuantile(quantile), histograms[1].ValueAtQuantile(quantile)
-		fmt.Printf("bench: one token beside %d streams, p%.0f: %.2f ms at the engine, %.2f ms through the entry host, %.2f ms added\n",
-			benchStreams/2, quantile, float64(direct)/1_000, float64(through)/1_000, float64(through-direct)/1_000)
-	}
 }
 
 // benchStreams keeps a number of streams open for a time.
