--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -22,7 +22,7 @@
 	goneDelay       = 20 * time.Second
 	sweepInterval   = 10 * time.Second
 	forgetAfter     = 30 * time.Second
-	intentTimeout   = 10 * time.Second
+	intentTimeout   = 5 * time.Second
 )
 
 // backend is what a Host knows of one backend server. The maps are emptied when its owner or term changes.
@@ -157,6 +157,9 @@
 		if findKey(record, r.Key) != i {
 			h.violate("one reservation a model", "%s: %s", record.Backend, r.Key)
 		}
+		if r.SlotID == noSlot && record.Owner == h.Incarnation && old.EngineIdentity != "" && findKey(old, r.Key) < 0 {
+			h.violate("loaded models are reserved", "%s: %s", record.Backend, r.Key)
+		}
 	}
 }
 
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -33,10 +33,35 @@
 	ticket  *Ticket
 	router  *Router
 	started time.Time
-	last    time.Time
+	last    time.Time     // of the latest token
+	gap     time.Duration // before the latest token
 	tokens  int
 	long    bool
 	ended   bool
+	revoked bool
+	stop    func()
+}
+
+// OnRevoke sets what is called when the attempt must be given up, because another entry host
+// lost a backend server to the same request. It is called at once when that is so already.
+func (g *Grant) OnRevoke(stop func()) {
+	g.router.mu.Lock()
+	defer g.router.mu.Unlock()
+	g.stop = stop
+	if g.revoked {
+		stop()
+	}
+}
+
+// revoke gives the attempt up, unless it is the only one that may run. The caller holds the router's mutex.
+func (g *Grant) revoke() {
+	if g.ticket.trial || g.revoked {
+		return
+	}
+	g.revoked = true
+	if g.stop != nil {
+		g.stop()
+	}
 }
 
 // Token notes a delivered token.
@@ -48,10 +73,12 @@
 	if g.tokens == 0 {
 		b.observed.firstToken(now, now.Sub(g.started))
 	} else {
-		b.observed.token(now, now.Sub(g.last))
+		g.gap = now.Sub(g.last)
+		b.observed.token(now, g.gap)
 	}
 	g.tokens++
 	g.last = now
+	b.failures = 0
 	if !g.long && g.tokens >= r.Policy.LongTokens {
 		g.long = true
 		b.ownLong++
@@ -77,6 +104,8 @@
 func (g *Grant) settleSuspect(now time.Time, outcome Outcome, blamed bool) {
 	f, suspects := g.ticket.Fingerprint, g.router.Suspects
 	switch {
+	case blamed && suspects.Proven(f) && !g.ticket.trial:
+		suspects.Doubt(f)
 	case blamed:
 		recent := g.ticket.prime || now.Sub(g.started) <= primeAge
 		suspects.Died(now, f, g.Replica.Backend, recent)
@@ -96,7 +125,7 @@
 	if g.long {
 		b.ownLong--
 	}
-	r.unpin(g.ticket.Fingerprint, g.Replica.Backend)
+	r.unpin(g)
 	if g.ticket.trial {
 		b.trials--
 		if g.ticket.prime {
@@ -111,9 +140,13 @@
 	case OutcomeOverloaded:
 		b.pausedUntil = now.Add(r.Policy.OverloadPause)
 	case OutcomeUnreachable:
-		b.pausedUntil = now.Add(r.Policy.FailurePause)
+		b.fail(now, r.Policy.FailurePause)
+	case OutcomeBad:
+		if b.isSilent(now, r.Policy.MoveSilence) {
+			b.fail(now, r.Policy.FailurePause)
+		}
 	case OutcomeDied:
-		b.pausedUntil = now.Add(r.Policy.FailurePause)
+		b.fail(now, r.Policy.FailurePause)
 		return b.blames(now, g.ticket, trials)
 	}
 	return false
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -14,20 +14,20 @@
 	maxProven      = 4096
 )
 
-// State is what may be done with a request now.
-type State int
+// SuspectState is what may be done with a request now.
+type SuspectState int
 
 // States.
 const (
-	StateClear   State = iota
-	StateRefused       // a second backend server was lost to it
-	StateHeld          // a copy runs alone, here or at another entry host
-	StateClaimed       // it may run alone once the claim has spread
+	StateClear   SuspectState = iota
+	StateRefused              // a second backend server was lost to it
+	StateHeld                 // a copy runs alone, here or at another entry host
+	StateClaimed              // it may run alone once the claim has spread
 )
 
 // Verdict is the answer of Suspects.Check.
 type Verdict struct {
-	State State
+	State SuspectState
 	Until time.Time // end of the refusal or of the claim's spreading
 	Prime bool      // it had begun shortly before the first death
 }
@@ -168,6 +168,20 @@
 	return found
 }
 
+// Doubt takes the proof back, because a backend server died while a proven request ran.
+func (s *Suspects) Doubt(f model.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.proven, f)
+}
+
+// IsSuspect reports whether a backend server was lost while the request ran.
+func (s *Suspects) IsSuspect(f model.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[f].Deaths > 0
+}
+
 // Merge takes in what other entry hosts know.
 func (s *Suspects) Merge(now time.Time, others []model.Suspect) {
 	s.mu.Lock()
