--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -16,6 +17,9 @@
 // runEntryHost runs an entry host until ctx ends.
 var runEntryHost = entryhost.Run
 
+// collectionPercent is how much the heap may grow between two garbage collections.
+const collectionPercent = 40
+
 type serveCommand struct {
 	settings string
 }
@@ -36,5 +40,6 @@
 		return err
 	}
 	defer logger.Sync()
+	debug.SetGCPercent(collectionPercent)
 	return runEntryHost(ctx, s, logger)
 }
