entryhost: the control thread looks up declarations, hosts and statuses by index

Cause: every tick walked all records for each lookup and decoded and sorted all statuses, which at 120 models and 760 replicas grows with the product. Also wrong: the age of a load report was lost, and a host that had just started loaded what others already kept warm. Change: indexes rebuilt when their input changes; a load's age travels with the heartbeat; numbers kept warm wait 5 s after a start.

--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -45,6 +46,7 @@
 // configuration holds the records in force. Only rising ranks are applied, so a record never reverts.
 type configuration struct {
 	records []heldRecord // sorted by name
+	models  []declared   // what they declare, sorted by key
 	invalid []invalidRecord
 	applied int64
 }
@@ -99,6 +101,7 @@
 		s.records[i] = held
 	}
 	s.invalid = slices.DeleteFunc(s.invalid, func(n invalidRecord) bool { return n.Name == r.Name && n.Generation <= r.Generation })
+	s.models = declaredModels(s.records)
 	s.applied++
 	c.log.Info("record in force", zap.String("record", r.Name), zap.Int64("generation", r.Generation),
 		zap.Duration("age", now.Sub(r.WrittenAt)), zap.Bool("retired", r.Retired))
@@ -122,21 +125,23 @@
 	declaration model.ModelDeclaration
 }
 
-// models returns the declared model versions, one entry each, sorted by key.
+// declaredModels returns the declared model versions, one entry each, sorted by key.
 // Where several records name one, the largest numbers count.
-func (s *configuration) models() []declared {
+func declaredModels(records []heldRecord) []declared {
 	var models []declared
-	for _, held := range s.records {
+	for _, held := range records {
 		for _, m := range held.Declaration.Models {
 			models = mergeDeclared(models, declared{service: held.Declaration.Service, declaration: m})
 		}
 	}
-	slices.SortFunc(models, func(a, b declared) int {
-		return strings.Compare(a.declaration.Key.String(), b.declaration.Key.String())
-	})
+	slices.SortFunc(models, func(a, b declared) int { return compareKeys(a.declaration.Key, b.declaration.Key) })
 	return models
 }
 
+func compareKeys(a, b model.ModelKey) int {
+	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.Version, b.Version))
+}
+
 func mergeDeclared(models []declared, added declared) []declared {
 	for i, m := range models {
 		if m.declaration.Key != added.declaration.Key {
@@ -162,12 +167,13 @@
 
 // find returns the declaration of a model version.
 func (s *configuration) find(key model.ModelKey) (declared, bool) {
-	for _, m := range s.models() {
-		if m.declaration.Key == key {
-			return m, true
-		}
+	i, found := slices.BinarySearchFunc(s.models, key, func(m declared, key model.ModelKey) int {
+		return compareKeys(m.declaration.Key, key)
+	})
+	if !found {
+		return declared{}, false
 	}
-	return declared{}, false
+	return s.models[i], true
 }
 
 // applySources tells the ledger what the records in force decide.
@@ -178,7 +184,7 @@
 func (c *control) modelSources(now time.Time) []ledger.ModelSources {
 	staying := c.members.Staying(now)
 	var sources []ledger.ModelSources
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		key := m.declaration.Key
 		lead, _ := membership.Lead(staying, key.String())
 		sources = append(sources, ledger.ModelSources{
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -19,7 +19,8 @@
 	beatPeriod     = time.Second
 	statusPeriod   = 50 * time.Millisecond
 	usagePeriod    = time.Second
-	snapshotPeriod = 250 * time.Millisecond
+	snapshotPeriod = 500 * time.Millisecond // of new loads alone
+	snapshotPause  = 10 * time.Millisecond  // between two snapshots
 	pushPeriod     = 20 * time.Millisecond
 	permitPeriod   = 200 * time.Millisecond
 	standingPeriod = 5 * time.Second
@@ -57,7 +58,6 @@
 	version         int64 // of the snapshot
 	isSnapshotStale bool
 	due             schedule
-	leaving         bool
 }
 
 // schedule holds when each periodic work was last done.
@@ -104,7 +104,7 @@
 		c.updateStanding(now)
 	}
 	if isDue(now, &c.due.usage, usagePeriod) {
-		c.edge.reportUsage(c.usageTargets())
+		c.edge.reportUsage(c.usageTargets(now))
 	}
 }
 
@@ -113,7 +113,8 @@
 	if isDue(now, &c.due.push, pushPeriod) {
 		c.pushFresh(now)
 	}
-	if c.isSnapshotStale || now.Sub(c.due.snapshot) >= snapshotPeriod {
+	age := now.Sub(c.due.snapshot)
+	if age >= snapshotPeriod || c.isSnapshotStale && age >= snapshotPause {
 		c.due.snapshot = now
 		c.isSnapshotStale = false
 		c.publishSnapshot(now)
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -37,7 +37,7 @@
 	c.table.Expire(now)
 	c.members.Forget(now)
 	c.dropAbsent(now)
-	c.members.Beat(c.owner.loads())
+	c.members.Beat(c.owner.loads(now))
 	c.publishSelf(now)
 	for _, target := range c.exchangeTargets(now) {
 		c.startExchange(target)
@@ -184,6 +184,8 @@
 	isConfigurationNew := false
 	for _, item := range accepted {
 		switch item.ID.Kind {
+		case gossip.KindBackend:
+			c.backends.isStale = true
 		case gossip.KindHost:
 			c.introduce(now, item)
 		case gossip.KindConfig:
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -147,7 +147,7 @@
 		lead:          placement.NewLead(),
 		permits:       placement.NewPermits(h.Policy.LoadsPerSecond, h.Policy.ParallelLoads),
 		configuration: &configuration{},
-		backends:      statusCache{entries: make(map[string]cachedStatus)},
+		backends:      newStatusCache(),
 		owner:         newOwnerState(),
 		asks:          newPendingAsks(h.incarnation),
 	}
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -25,6 +25,21 @@
 	revision int64
 	readAt   time.Time
 	absent   map[string]time.Time // hosts that were asked for and are not listed, and since when
+	byName   map[string]model.Host
+	zones    []string // the availability zones of the backend servers, sorted
+}
+
+func newHostView(hosts []model.Host, revision int64, readAt time.Time) hostView {
+	v := hostView{hosts: hosts, revision: revision, readAt: readAt, byName: make(map[string]model.Host, len(hosts))}
+	for _, h := range hosts {
+		v.byName[h.Name] = h
+		if h.Kind == model.KindBackend {
+			v.zones = append(v.zones, h.Zone)
+		}
+	}
+	slices.Sort(v.zones)
+	v.zones = slices.Compact(v.zones)
+	return v
 }
 
 // isAbsent reports whether an entry host has not been listed for long. A host owns nothing before it is listed.
@@ -53,11 +68,8 @@
 }
 
 func (v *hostView) find(name string) (model.Host, bool) {
-	i := slices.IndexFunc(v.hosts, func(h model.Host) bool { return h.Name == name })
-	if i < 0 {
-		return model.Host{}, false
-	}
-	return v.hosts[i], true
+	h, found := v.byName[name]
+	return h, found
 }
 
 // leaving returns the names of the backend servers that get no new work.
@@ -111,8 +123,9 @@
 }
 
 func (e hostsRead) apply(c *control, now time.Time) {
-	before := c.hosts
-	c.hosts = hostView{hosts: e.hosts, revision: e.revision, readAt: now, absent: before.absent}
+	absent := c.hosts.absent
+	c.hosts = newHostView(e.hosts, e.revision, now)
+	c.hosts.absent = absent
 	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
 	c.edge.setEngines(e.hosts)
 	c.table.Remove(gossip.KindBackend, func(name string) bool {
@@ -120,6 +133,7 @@
 		return !found
 	})
 	c.isSnapshotStale = true
+	c.backends.isStale = true
 	c.assign(now)
 }
 
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"citronspread/gossip"
 	"citronspread/ledger"
 	"citronspread/membership"
 	"citronspread/model"
@@ -90,7 +89,7 @@
 		return false
 	}
 	var holders []model.Peer
-	for _, s := range c.statuses(now) {
+	for _, s := range c.statuses(now).sorted {
 		for _, r := range s.Replicas {
 			if r.Key == key && r.State == model.ReservationLoaded && !r.Draining {
 				holders = append(holders, model.Peer{Name: s.Backend})
@@ -107,12 +106,10 @@
 }
 
 // usageTargets returns the owner of each backend server.
-func (c *control) usageTargets() []usageTarget {
+func (c *control) usageTargets(now time.Time) []usageTarget {
 	var targets []usageTarget
-	for _, item := range c.table.Items(gossip.KindBackend) {
-		if cached, ok := c.backends.entries[item.ID.Key]; ok {
-			targets = append(targets, usageTarget{backend: item.ID.Key, address: cached.status.OwnerAddress})
-		}
+	for _, s := range c.statuses(now).sorted {
+		targets = append(targets, usageTarget{backend: s.Backend, address: s.OwnerAddress})
 	}
 	return targets
 }
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -19,6 +19,7 @@
 	permitKey     = "weight-store" // rendezvous key of the zone's permit holder
 	demandTime    = 5 * time.Second
 	warmWakeTime  = 2 * time.Second
+	warmDelay     = 5 * time.Second // a host that has just started does not know yet what others loaded
 	forwardPeriod = 500 * time.Millisecond
 )
 
@@ -52,7 +53,8 @@
 	if len(wakes) == 0 {
 		return
 	}
-	statuses := c.statuses(now)
+	statuses := c.statuses(now).sorted
+	loads := c.members.LoadsByBackend(now)
 	for _, wake := range wakes {
 		declared, known := c.configuration.find(wake.Key)
 		if !known {
@@ -61,7 +63,7 @@
 		view := placement.View{
 			Zone:        c.self.Zone,
 			Backends:    statuses,
-			Loads:       c.backendLoads(),
+			Loads:       loads,
 			Leaving:     c.hosts.leaving(),
 			Declaration: declared.declaration,
 			Service:     declared.service,
@@ -78,14 +80,17 @@
 
 // wantWarm demands the model versions that records keep loaded, in the first zone by rendezvous.
 func (c *control) wantWarm(now time.Time) {
+	if now.Sub(c.metrics.startedAt) < warmDelay {
+		return
+	}
 	staying := c.members.Staying(now)
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		if m.declaration.Warm == 0 {
 			continue
 		}
 		key := m.declaration.Key
 		lead, _ := membership.Lead(staying, key.String())
-		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.countReplicas(now, key) >= m.declaration.Warm {
+		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.statuses(now).count(key) >= m.declaration.Warm {
 			continue
 		}
 		c.lead.Want(now, model.Wake{Key: key, Waiting: 1, Priority: m.declaration.Priority, Deadline: now.Add(warmWakeTime)})
@@ -103,26 +108,10 @@
 
 // zones returns the availability zones that the host list names.
 func (c *control) zones() []string {
-	zones := []string{c.self.Zone}
-	for _, h := range c.hosts.hosts {
-		if h.Kind == model.KindBackend {
-			zones = append(zones, h.Zone)
-		}
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
-
-func (c *control) countReplicas(now time.Time, key model.ModelKey) int {
-	count := 0
-	for _, s := range c.statuses(now) {
-		for _, r := range s.Replicas {
-			if r.Key == key && r.State != model.ReservationUnloading && !r.Draining {
-				count++
-			}
-		}
+	if len(c.hosts.zones) == 0 {
+		return []string{c.self.Zone}
 	}
-	return count
+	return c.hosts.zones
 }
 
 // forwardElsewhere passes a demand that this zone can't meet to the other zones.
@@ -187,7 +176,7 @@
 // wakeAdapter asks the owner of a replica that lacks an adapter to load it, unless another replica has it.
 func (c *control) wakeAdapter(now time.Time, wake model.Wake) {
 	var lacking []model.BackendStatus
-	for _, s := range c.statuses(now) {
+	for _, s := range c.statuses(now).sorted {
 		for _, r := range s.Replicas {
 			if r.Key != wake.Key || r.State != model.ReservationLoaded || r.Draining {
 				continue
@@ -221,7 +210,7 @@
 	if !ok || holder.Name != c.self.Name {
 		return
 	}
-	for _, s := range c.statuses(now) {
+	for _, s := range c.statuses(now).sorted {
 		for _, r := range s.Replicas {
 			if r.State == model.ReservationLoaded {
 				c.permits.Done(r.Key, s.Backend)
@@ -289,7 +278,7 @@
 		}
 	}
 	var keys []model.ModelKey
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		if m.service != host.Service || m.declaration.Replicas < len(c.zones()) {
 			continue
 		}
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -105,15 +105,26 @@
 }
 
 // loads returns the load reports that go with the heartbeat.
-func (s *ownerState) loads() []membership.Load {
+func (s *ownerState) loads(now time.Time) []membership.Load {
 	var loads []membership.Load
 	for name, b := range s.backends {
-		loads = append(loads, membership.Load{Backend: name, Running: quantise(b.report.Running), Waiting: quantise(b.report.Waiting)})
+		loads = append(loads, membership.Load{
+			Backend: name,
+			Running: quantise(b.report.Running),
+			Waiting: quantise(b.report.Waiting),
+			Age:     quantiseAge(now.Sub(b.report.TakenAt)),
+		})
 	}
 	slices.SortFunc(loads, func(a, b membership.Load) int { return cmp.Compare(a.Backend, b.Backend) })
 	return loads
 }
 
+// quantiseAge rounds the age of a report. A clock that differs from the engine's gives no negative age.
+func quantiseAge(age time.Duration) time.Duration {
+	const step, longest = 100 * time.Millisecond, 10 * time.Second
+	return min(max(age.Round(step), 0), longest)
+}
+
 // quantise rounds large counts so that small changes look alike.
 func quantise(n int) int {
 	const fine = 8
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,9 @@
 	"citronspread/store"
 )
 
+// staleAfter allows for the lag of an engine's report and of the heartbeat that carries it.
+const staleAfter = 8 * time.Second
+
 // Run runs an entry host with the given settings until ctx ends.
 func Run(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
 	return FromSettings(s, logger).Run(ctx)
@@ -60,6 +64,7 @@
 	limits.MaxTimeout = s.Deadlines.LongestRequest
 	policy := routing.DefaultPolicy()
 	policy.QueueLimit = s.Limits.QueueLength
+	policy.StaleAfter = staleAfter
 	return Traffic{
 		Limits:      limits,
 		Policy:      policy,
--- /dev/null
+++ b/entryhost/statuses.go
@@ -0,0 +1,71 @@
+package entryhost
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"citronspread/gossip"
+	"citronspread/model"
+)
+
+func unmarshal(data []byte, value any) error { return cbor.Unmarshal(data, value) }
+
+// statusCache keeps the decoded statuses of backend servers.
+type statusCache struct {
+	entries map[string]cachedStatus
+	sorted  []model.BackendStatus // by name
+	counts  map[model.ModelKey]int
+	isStale bool
+}
+
+type cachedStatus struct {
+	rank   gossip.Rank
+	status model.BackendStatus
+}
+
+func newStatusCache() statusCache {
+	return statusCache{entries: make(map[string]cachedStatus)}
+}
+
+// count returns how many replicas of a model version are loaded or being loaded.
+func (s *statusCache) count(key model.ModelKey) int { return s.counts[key] }
+
+// statuses returns the statuses of all listed backend servers.
+func (c *control) statuses(time.Time) *statusCache {
+	if c.backends.isStale {
+		c.backends.refresh(c.table.Items(gossip.KindBackend), c.log)
+	}
+	return &c.backends
+}
+
+// refresh decodes the items that changed.
+func (s *statusCache) refresh(items []gossip.Item, log *zap.Logger) {
+	entries := make(map[string]cachedStatus, len(items))
+	s.sorted = s.sorted[:0:0]
+	s.counts = make(map[model.ModelKey]int)
+	for _, item := range items {
+		cached, ok := s.entries[item.ID.Key]
+		if !ok || cached.rank != item.Rank {
+			cached = cachedStatus{rank: item.Rank}
+			if err := unmarshal(item.Value, &cached.status); err != nil {
+				log.Warn("status not decoded", zap.String("backend", item.ID.Key), zap.Error(err))
+				continue
+			}
+		}
+		entries[item.ID.Key] = cached
+		s.sorted = append(s.sorted, cached.status)
+		s.add(cached.status)
+	}
+	s.entries = entries
+	s.isStale = false
+}
+
+func (s *statusCache) add(status model.BackendStatus) {
+	for _, r := range status.Replicas {
+		if r.State != model.ReservationUnloading && !r.Draining {
+			s.counts[r.Key]++
+		}
+	}
+}
--- a/membership/members.go
+++ b/membership/members.go
@@ -35,6 +35,7 @@
 	Backend string
 	Running int
 	Waiting int
+	Age     time.Duration // from the engine's report to the heartbeat
 }
 
 // Beat is the latest heartbeat of an incarnation.
@@ -184,15 +185,33 @@
 	return beats
 }
 
-// Loads returns the latest loads of the zone's backend servers.
-func (m *Members) Loads() []Load {
-	var loads []Load
-	for _, b := range m.Beats() {
-		loads = append(loads, b.Loads...)
+// DatedLoad is the load of a backend server and when its engine reported it, as far as is known here.
+type DatedLoad struct {
+	Running int
+	Waiting int
+	TakenAt time.Time
+}
+
+// LoadsByBackend returns the latest loads of the zone's backend servers.
+func (m *Members) LoadsByBackend(now time.Time) map[string]DatedLoad {
+	loads := make(map[string]DatedLoad)
+	addLoads(loads, m.loads, now)
+	for _, p := range m.peers {
+		addLoads(loads, p.beat.Loads, p.peer.LastHeard)
 	}
 	return loads
 }
 
+// addLoads keeps the newer of two reports on one backend server.
+func addLoads(loads map[string]DatedLoad, reported []Load, heard time.Time) {
+	for _, l := range reported {
+		takenAt := heard.Add(-l.Age)
+		if held, ok := loads[l.Backend]; !ok || takenAt.After(held.TakenAt) {
+			loads[l.Backend] = DatedLoad{Running: l.Running, Waiting: l.Waiting, TakenAt: takenAt}
+		}
+	}
+}
+
 // Live returns the entry hosts of the zone that live, self among them, sorted by name.
 func (m *Members) Live(now time.Time) []model.Peer {
 	live := []model.Peer{m.Self}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -70,8 +70,8 @@
 	if got, want := len(a.Live(start.Add(DeadAfter))), 2; got != want {
 		t.Errorf("live: got %d, want %d", got, want)
 	}
-	if got, want := fmt.Sprint(a.Loads()), "[{x 3 0}]"; got != want {
-		t.Errorf("loads: got %s, want %s", got, want)
+	if got, want := a.LoadsByBackend(later)["x"], (DatedLoad{Running: 3, TakenAt: later}); got != want {
+		t.Errorf("load: got %v, want %v", got, want)
 	}
 }
 
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -54,7 +54,7 @@
 		if !fits && !hasIdleReplica(b) {
 			continue
 		}
-		load := findLoad(view.Loads, b.Backend)
+		load := view.Loads[b.Backend]
 		candidates = append(candidates, candidate{
 			status: b,
 			tier:   TierOf(b.Checkpoints, wake.Key),
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"citronspread/membership"
 	"citronspread/model"
 )
 
@@ -109,20 +110,13 @@
 // View is what a lead knows when it decides.
 type View struct {
 	Zone        string
-	Backends    []model.BackendStatus // of all zones
-	Loads       []BackendLoad         // of the own zone
-	Leaving     []string              // backend servers that get no new work
+	Backends    []model.BackendStatus           // of all zones
+	Loads       map[string]membership.DatedLoad // of the own zone
+	Leaving     []string                        // backend servers that get no new work
 	Declaration model.ModelDeclaration
 	Service     string
 }
 
-// BackendLoad is the latest load of one backend server.
-type BackendLoad struct {
-	Backend string
-	Running int
-	Waiting int
-}
-
 // Choose decides whether and where a model version is loaded.
 func (l *Lead) Choose(now time.Time, wake model.Wake, view View) (LoadChoice, Outcome) {
 	count := countReplicas(view, wake.Key)
@@ -204,7 +198,7 @@
 		case model.ReservationLoaded:
 			count.ready++
 			count.capacity += b.Capacity
-			load := findLoad(view.Loads, b.Backend)
+			load := view.Loads[b.Backend]
 			count.running += load.Running
 			count.waiting += load.Waiting
 		}
@@ -212,15 +206,6 @@
 	return count
 }
 
-func findLoad(loads []BackendLoad, backend string) BackendLoad {
-	for _, l := range loads {
-		if l.Backend == backend {
-			return l
-		}
-	}
-	return BackendLoad{Backend: backend}
-}
-
 // isCrowded reports whether the ready replicas can't carry the demand.
 func isCrowded(wake model.Wake, count replicaCount, view View) bool {
 	if wake.Waiting == 0 || count.capacity == 0 {
