--- a/faults/faults.go
+++ b/faults/faults.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,9 @@
 
 	ConfigEvery time.Duration // between changes of the configuration
 
-	Directory string // for settings files
+	Except    []string // kinds of faults that are left out
+	Directory string   // for settings files
+	Dumps     string   // directory for dumps of the state when the recovery fails; none when empty
 	Processes Processes
 	Log       func(format string, values ...any)
 
@@ -69,6 +72,7 @@
 	sleep(ctx, r.WarmUp)
 	if r.schedule == nil {
 		r.schedule = newSchedule(r.random(scheduleStream), r.faultTime(), r.hosts, r.platform)
+		r.schedule = slices.DeleteFunc(r.schedule, func(f fault) bool { return slices.Contains(r.Except, string(f.kind)) })
 	}
 	r.playSchedule(ctx)
 	r.Log("faults: all faults ended, cooling down")
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -14,6 +15,7 @@
 	binary  = flag.String("faults-binary", "", "path of the built program; without it TestFaults is not run")
 	seed    = flag.Uint64("faults-seed", 1, "seed of the schedule")
 	seconds = flag.Int("faults-seconds", 40, "length of the run")
+	except  = flag.String("faults-except", "", "kinds of faults to leave out, divided by commas")
 	keep    = flag.String("faults-logs", "", "directory for the entry hosts' logs")
 )
 
@@ -34,6 +36,8 @@
 		ConfigEvery: time.Second,
 
 		Directory: filepath.Join(t.TempDir(), "settings"),
+		Dumps:     *keep,
+		Except:    strings.Split(*except, ","),
 		Processes: running,
 		Log:       func(format string, values ...any) { fmt.Fprintf(os.Stderr, format+"\n", values...) },
 	}
--- a/faults/recovery.go
+++ b/faults/recovery.go
@@ -23,6 +23,9 @@
 		})
 	}
 	running.Wait()
+	if r.Dumps != "" {
+		r.check(r.writeDumps(ctx))
+	}
 }
 
 func (r *Run) recover(ctx context.Context, i int, record *configRecord, deadline time.Time) exchange {
