--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -75,7 +75,7 @@
 		{faultEngineSlow, 3, engines, time.Second, 5 * time.Second},
 		{faultEngineAnswers, 3, engines, time.Second, 3 * time.Second},
 		{faultLoadsFail, 2, engines, 2 * time.Second, 6 * time.Second},
-		{faultEngineLeaves, 2, engines, 9 * time.Second, 12 * time.Second},
+		{faultEngineLeaves, 5, engines, 9 * time.Second, 12 * time.Second},
 		{faultWeightsSlow, 1, 1, 2 * time.Second, 6 * time.Second},
 		{faultService, 2, services, time.Second, 3 * time.Second},
 		{faultCrashText, 1, 1, 6 * time.Second, 8 * time.Second},
