--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -89,4 +89,6 @@
 	return snapshot
 }
 
-func benchKey(i int) model.ModelKey { return model.ModelKey{Model: fmt.Sprint("model-", i), Version: "v1"} }
+func benchKey(i int) model.ModelKey {
+	return model.ModelKey{Model: fmt.Sprint("model-", i), Version: "v1"}
+}
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -70,16 +70,13 @@
 	shared, engines, lanes, both := DefaultPolicy(), DefaultPolicy(), DefaultPolicy(), DefaultPolicy()
 	shared.LongTokens, engines.LongCapShare = 1<<30, 1
 	engines.LongFloorShare = 1
-	variants := []struct {
-		name string
-		plan plan
-	}{
+	variants := []variant{
 		{"shared", plan{policy: shared, noDeadline: true}},
 		{"engine-priorities", plan{policy: engines, noDeadline: true, engineQueue: true, enginePrio: true}},
 		{"lanes", plan{policy: lanes}},
 		{"lanes+priorities", plan{policy: both, enginePrio: true}},
 	}
-	for _, longRate := range []float64{0, 0.3, 0.6} {
+	for _, longRate := range []float64{0, 0.3, 0.6, 0.9} {
 		for _, v := range variants {
 			b.Run(fmt.Sprintf("long=%v/%s", longRate, v.name), func(b *testing.B) {
 				p := v.plan
@@ -89,26 +86,48 @@
 				f := total(p)
 				reportShort(b, f)
 				b.ReportMetric(100*float64(f.longFinished)/float64(max(1, f.longSent)), "%long")
+				b.ReportMetric(float64(f.long.ValueAtQuantile(99))/1000, "long-p99-s")
 			})
 		}
 	}
 }
 
-// BenchmarkPolicyAdmission offers a multiple of what the replicas can serve.
-func BenchmarkPolicyAdmission(b *testing.B) {
+// variant is one way that is compared.
+type variant struct {
+	name string
+	plan plan
+}
+
+func admissionVariants() []variant {
 	bounded := DefaultPolicy()
 	unbounded := DefaultPolicy()
 	unbounded.QueueLimit = 1 << 20
-	variants := []struct {
-		name string
-		plan plan
-	}{
+	return []variant{
 		{"none", plan{policy: unbounded, noDeadline: true}},
 		{"at-deadline", plan{policy: bounded, noPrediction: true}},
 		{"predicted", plan{policy: bounded}},
 	}
+}
+
+// BenchmarkPolicyCrest swings the arrivals by a factor of ten within one step.
+func BenchmarkPolicyCrest(b *testing.B) {
+	for _, v := range admissionVariants() {
+		b.Run(v.name, func(b *testing.B) {
+			p := v.plan
+			p.routers, p.replicas, p.capacity, p.length, p.picker = 2, 4, 8, 90*time.Second, LatencyPicker{}
+			p.shortRate, p.shortTokens, p.shortTimeout, p.swing = 10, 30, 3*time.Second, 10
+			f := total(p)
+			reportShort(b, f)
+			b.ReportMetric(float64(f.shortInTime)/(policySeeds*p.length.Seconds()), "goodput/s")
+			b.ReportMetric(float64(f.refused), "refused")
+		})
+	}
+}
+
+// BenchmarkPolicyAdmission offers a multiple of what the replicas can serve.
+func BenchmarkPolicyAdmission(b *testing.B) {
 	for _, times := range []float64{0.8, 1, 2, 5} {
-		for _, v := range variants {
+		for _, v := range admissionVariants() {
 			b.Run(fmt.Sprintf("offered=%v/%s", times, v.name), func(b *testing.B) {
 				p := v.plan
 				p.routers, p.replicas, p.capacity, p.length, p.picker = 2, 4, 8, time.Minute, LatencyPicker{}
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -205,7 +205,7 @@
 		run.stopped = true
 		run.grant.Done(w.now, OutcomeDied)
 		f := run.ticket.Fingerprint
-		again := time.Duration(w.random.IntN(3000)) * time.Millisecond
+		again := time.Duration(w.random.IntN(2)*w.random.IntN(3000)) * time.Millisecond
 		if f == guilty {
 			w.resend = append(w.resend, w.now.Add(again))
 			continue
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -18,6 +18,7 @@
 	reportLag    = 2 * time.Second
 	tokenTime    = 20 * time.Millisecond // of a stream that runs alone
 	batchSlowing = 0.05                  // share that each further stream adds to the time of a token
+	swingPart    = 10 * time.Second
 	firstDelay   = 50 * time.Millisecond // prefill
 )
 
@@ -39,11 +40,12 @@
 	slowFactor   float64 // of a third of the replicas for moments
 	slowFor      time.Duration
 	slowEvery    time.Duration
-	noDeadline   bool // the router does not learn the deadlines
-	noPrediction bool // requests are refused only when their deadline has passed
-	engineQueue  bool // the router sends everything at once and the engines queue it
-	enginePrio   bool // the engines honour priorities
-	moves        bool // a faster replica may take an answer over
+	swing        float64 // factor on the arrivals of short work in every third ten seconds
+	noDeadline   bool    // the router does not learn the deadlines
+	noPrediction bool    // requests are refused only when their deadline has passed
+	engineQueue  bool    // the router sends everything at once and the engines queue it
+	enginePrio   bool    // the engines honour priorities
+	moves        bool    // a faster replica may take an answer over
 }
 
 // figures are the results of a plan.
@@ -124,7 +126,7 @@
 	for w.now.Before(testTime.Add(2 * w.length)) {
 		w.now = w.now.Add(worldStep)
 		if w.now.Before(testTime.Add(w.length)) {
-			w.arrive(false, w.shortRate)
+			w.arrive(false, w.shortRate*w.swingNow())
 			w.arrive(true, w.longRate)
 		}
 		w.slow()
@@ -151,6 +153,13 @@
 	return w.figures
 }
 
+func (w *policyWorld) swingNow() float64 {
+	if w.swing > 0 && int(w.now.Sub(testTime)/swingPart)%3 == 1 {
+		return w.swing
+	}
+	return 1
+}
+
 func (w *policyWorld) arrive(long bool, rate float64) {
 	for range w.poisson(rate * worldStep.Seconds()) {
 		s := &worldStream{due: w.now, long: long, prefill: firstDelay, tokens: w.draw(w.shortTokens)}
