--- a/caller/completion.go
+++ b/caller/completion.go
@@ -40,6 +40,7 @@
 	failed   []string // backend servers that failed it
 	moves    int      // how often it was given up for a faster replica
 	ran      bool     // an attempt may have run
+	attempts int      // that may have run
 }
 
 // completeChat serves POST /v1/chat/completions.
@@ -102,13 +103,13 @@
 // run makes attempts until one gives the whole answer or no further one is allowed.
 func (s *Server) run(ctx context.Context, c *completion, answer answer) error {
 	s.Router.Budget.Request(time.Now())
-	for attempt := 1; ; attempt++ {
+	for {
 		grant, err := s.Router.Acquire(ctx, c.request())
 		if err != nil {
 			return err
 		}
 		err = s.attempt(ctx, c, grant, answer)
-		if err == nil || attempt >= s.Limits.MaxAttempts || !s.mayRepeat(ctx, c, grant.Replica.Backend, answer, err) {
+		if err == nil || c.attempts >= s.Limits.MaxAttempts || !s.mayRepeat(ctx, c, grant.Replica.Backend, answer, err) {
 			return err
 		}
 		s.Log.Info("attempt repeated", zap.String("Request", c.id), zap.String("Backend", grant.Replica.Backend),
@@ -129,6 +130,7 @@
 	}
 	if !surelyNotRun(err) {
 		c.ran = true
+		c.attempts++
 	}
 	grant.Done(time.Now(), outcomeOf(ctx, err))
 	return err
--- a/caller/server.go
+++ b/caller/server.go
@@ -27,7 +27,7 @@
 	DefaultPriority int
 	MaxPriority     int
 	MaxTokens       int
-	MaxAttempts     int           // sends of one request, including refused ones
+	MaxAttempts     int           // runs of one request, resumed ones included
 	KeepAlive       time.Duration // silence after which a stream gets a comment
 }
 
@@ -42,24 +42,11 @@
 		DefaultPriority: 50,
 		MaxPriority:     100,
 		MaxTokens:       32768,
-		MaxAttempts:     16,
+		MaxAttempts:     5,
 		KeepAlive:       10 * time.Second,
 	}
 }
 
-// Totals counts since the start.
-type Totals struct {
-	Requests  atomic.Int64
-	Refused   atomic.Int64 // surely not run
-	MaybeRun  atomic.Int64 // failed, may have run
-	Completed atomic.Int64
-	Resumed   atomic.Int64
-	Retried   atomic.Int64
-	Moved     atomic.Int64 // given up for a faster replica
-	CutShort  atomic.Int64 // streams that ended with an error event
-	Replayed  atomic.Int64 // answers repeated from a claim
-}
-
 // Server serves callers. The exported fields are set before use.
 type Server struct {
 	Router            *routing.Router
--- /dev/null
+++ b/caller/totals.go
@@ -0,0 +1,49 @@
+package caller
+
+import "sync/atomic"
+
+// Totals counts since the start.
+type Totals struct {
+	Requests  atomic.Int64
+	Refused   atomic.Int64 // surely not run
+	MaybeRun  atomic.Int64 // failed, may have run
+	Completed atomic.Int64
+	Resumed   atomic.Int64
+	Retried   atomic.Int64
+	Moved     atomic.Int64 // given up for a faster replica
+	CutShort  atomic.Int64 // streams that ended with an error event
+	Replayed  atomic.Int64 // answers repeated from a claim
+}
+
+// State is what a server has counted, for the dump and the metrics.
+type State struct {
+	Open      int64
+	Draining  bool
+	Requests  int64
+	Refused   int64
+	MaybeRun  int64
+	Completed int64
+	Resumed   int64
+	Retried   int64
+	Moved     int64
+	CutShort  int64
+	Replayed  int64
+}
+
+// State returns what the server has counted.
+func (s *Server) State() State {
+	t := &s.Totals
+	return State{
+		Open:      s.open.Load(),
+		Draining:  s.draining.Load(),
+		Requests:  t.Requests.Load(),
+		Refused:   t.Refused.Load(),
+		MaybeRun:  t.MaybeRun.Load(),
+		Completed: t.Completed.Load(),
+		Resumed:   t.Resumed.Load(),
+		Retried:   t.Retried.Load(),
+		Moved:     t.Moved.Load(),
+		CutShort:  t.CutShort.Load(),
+		Replayed:  t.Replayed.Load(),
+	}
+}
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -30,7 +30,7 @@
 		if replica.Draining || !holds(replica, target) {
 			continue
 		}
-		if r.fleet.get(replica.Backend).isMissing(target, replica) {
+		if r.fleet.get(replica.Backend).isMissing(now, target, replica) {
 			continue
 		}
 		t := r.tierOf(now, replica)
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -11,6 +11,8 @@
 	historySlots    = 32
 	historyInterval = 100 * time.Millisecond
 	maxFailures     = 3
+	maxOverloads    = 5
+	missingPause    = 250 * time.Millisecond
 )
 
 // backend is what this router knows of a backend server by itself.
@@ -23,6 +25,7 @@
 	reportedAt  time.Time
 	pausedUntil time.Time
 	failures    int                  // in a row, without a token between them
+	overloads   int                  // likewise
 	missing     map[Target]time.Time // the engine said not loaded, against a report of that time
 	observed    observed
 	trials      int // suspects that run there
@@ -107,10 +110,10 @@
 	b.others = max(0, replica.Running+replica.Waiting-b.ownBefore(replica.UpdatedAt))
 }
 
-// isMissing reports whether the engine denied the target after the replica's report.
-func (b *backend) isMissing(target Target, replica *model.Replica) bool {
+// isMissing reports whether the engine denied the target just now or after the replica's report.
+func (b *backend) isMissing(now time.Time, target Target, replica *model.Replica) bool {
 	at, denied := b.missing[target]
-	return denied && !replica.UpdatedAt.After(at)
+	return denied && (now.Sub(at) < missingPause || !replica.UpdatedAt.After(at))
 }
 
 // holds reports whether the replica can run the target at all.
@@ -124,6 +127,12 @@
 	b.pausedUntil = now.Add(pause * time.Duration(b.failures))
 }
 
+// refuse pauses the backend server after it said overloaded, twice as long after each in a row.
+func (b *backend) refuse(now time.Time, pause time.Duration) {
+	b.pausedUntil = now.Add(pause << b.overloads)
+	b.overloads = min(b.overloads+1, maxOverloads)
+}
+
 // isSilent reports whether no stream of this router has brought a token for a while.
 func (b *backend) isSilent(now time.Time, silence time.Duration) bool {
 	return now.Sub(b.observed.last) >= silence
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -78,7 +78,7 @@
 	}
 	g.tokens++
 	g.last = now
-	b.failures = 0
+	b.failures, b.overloads = 0, 0
 	if !g.long && g.tokens >= r.Policy.LongTokens {
 		g.long = true
 		b.ownLong++
@@ -138,7 +138,7 @@
 	case OutcomeNotLoaded:
 		b.missing[g.ticket.Target] = now
 	case OutcomeOverloaded:
-		b.pausedUntil = now.Add(r.Policy.OverloadPause)
+		b.refuse(now, r.Policy.OverloadPause)
 	case OutcomeUnreachable:
 		b.fail(now, r.Policy.FailurePause)
 	case OutcomeBad:
