routing: a suspect that passes the point of the death no longer keeps others waiting

Cause: after the loss of a backend server its innocent requests, the common case, ran one at a time to their end. Now each holds the others back for the tokens it had at the death and 16 more.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -240,6 +240,7 @@
 		Avoid:       c.failed,
 	}
 	if delivered := len(c.progress.Hashes); delivered > 0 {
+		request.Delivered = delivered
 		request.Remaining = max(1, request.MaxTokens-delivered)
 	}
 	return request
--- a/model/replica.go
+++ b/model/replica.go
@@ -53,6 +53,7 @@
 	Deaths      int // the number of backend servers in Lost
 	Lost        []Death
 	Recent      bool // it had begun shortly before the first death
+	Tokens      int  // the longest answer that it had brought at a death
 	RefuseUntil time.Time
 	ClearedAt   time.Time // a whole answer was given; deaths before it do not count
 
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -9,6 +9,9 @@
 // primeAge is the age up to which a request counts as the probable cause of a death.
 const primeAge = 10 * time.Second
 
+// passTokens is how far a suspect must come beyond its tokens at the death to be no longer the probable cause.
+const passTokens = 16
+
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -39,6 +42,7 @@
 	long    bool
 	ended   bool
 	revoked bool
+	passed  bool // a suspect that has come beyond the point of the death
 	stop    func()
 }
 
@@ -79,6 +83,10 @@
 	g.tokens++
 	g.last = now
 	b.failures, b.overloads = 0, 0
+	if g.ticket.trial && !g.passed && g.tokens >= g.ticket.passAt {
+		g.passed = true
+		b.endTrial(g.ticket)
+	}
 	if !g.long && g.tokens >= r.Policy.LongTokens {
 		g.long = true
 		b.ownLong++
@@ -108,7 +116,7 @@
 		suspects.Doubt(f)
 	case blamed:
 		recent := g.ticket.prime || now.Sub(g.started) <= primeAge
-		suspects.Died(now, f, g.Replica.Backend, recent)
+		suspects.Died(now, f, g.Replica.Backend, recent, g.ticket.Delivered+g.tokens)
 	case outcome == OutcomeWhole:
 		suspects.Answered(now, f)
 	case g.ticket.trial:
@@ -126,11 +134,8 @@
 		b.ownLong--
 	}
 	r.unpin(g)
-	if g.ticket.trial {
-		b.trials--
-		if g.ticket.prime {
-			b.trialsPrime--
-		}
+	if g.ticket.trial && !g.passed {
+		b.endTrial(g.ticket)
 	}
 	switch outcome {
 	case OutcomeWhole:
@@ -147,15 +152,15 @@
 		}
 	case OutcomeDied:
 		b.fail(now, r.Policy.FailurePause)
-		return b.blames(now, g.ticket, trials)
+		return b.blames(now, g, trials)
 	}
 	return false
 }
 
-// blames reports whether the ticket may be the cause of a death.
+// blames reports whether the request may be the cause of a death.
 // A suspect that was running there explains it, and nobody else is blamed.
-func (b *backend) blames(now time.Time, t *Ticket, trials int) bool {
-	if t.trial {
+func (b *backend) blames(now time.Time, g *Grant, trials int) bool {
+	if g.ticket.trial && !g.passed {
 		b.blamedAt = now
 		return true
 	}
@@ -163,6 +168,14 @@
 	return !explained
 }
 
+// endTrial notes that a suspect no longer keeps others away.
+func (b *backend) endTrial(t *Ticket) {
+	b.trials--
+	if t.prime {
+		b.trialsPrime--
+	}
+}
+
 // enginePriority orders requests inside an engine: priority first, short before long.
 func enginePriority(t *Ticket) int {
 	return (100-t.Priority)*int(classes) + int(t.Class)
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -106,6 +106,7 @@
 	Priority    int // 0 (lowest) to 100
 	Deadline    time.Time
 	MaxTokens   int      // 0 when the caller stated none
+	Delivered   int      // tokens of earlier attempts that the caller keeps
 	Remaining   int      // tokens that a resumption still expects, 0 for a new request
 	Moves       int      // how often a faster replica took the answer over
 	Avoid       []string // backend servers that failed this request
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -8,10 +8,9 @@
 // Ticket is one waiting request.
 type Ticket struct {
 	Request
-	Class    Class
-	Since    time.Time
-	trial    bool // a suspect that runs alone to see whether it is to blame
-	prime    bool // a suspect that had begun shortly before the death
+	Class Class
+	Since time.Time
+	clearance
 	sequence uint64
 	result   chan result
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -68,15 +68,15 @@
 // Acquire waits until a replica is granted or the request is refused with a *RefusedError.
 func (r *Router) Acquire(ctx context.Context, request Request) (*Grant, error) {
 	r.once.Do(r.init)
-	trial, prime, err := r.clear(ctx, &request)
+	cleared, err := r.clear(ctx, &request)
 	if err != nil {
 		return nil, err
 	}
-	t := &Ticket{Request: request, trial: trial, prime: prime, result: make(chan result, 1)}
+	t := &Ticket{Request: request, clearance: cleared, result: make(chan result, 1)}
 	wake := r.admit(r.Now(), t)
 	r.wake(wake)
 	grant, err := r.await(ctx, t)
-	if err != nil && trial {
+	if err != nil && cleared.trial {
 		r.Suspects.Release(request.Fingerprint)
 	}
 	return grant, err
@@ -151,20 +151,27 @@
 	}
 }
 
+// clearance says how a request may run with regard to what is suspected of it.
+type clearance struct {
+	trial  bool // a suspect that runs alone to see whether it is to blame
+	prime  bool // a suspect that had begun shortly before the death
+	passAt int  // tokens from which it is no longer the probable cause
+}
+
 // clear lets a request pass that is no suspect, and makes others wait for their trial.
-func (r *Router) clear(ctx context.Context, request *Request) (trial, prime bool, err error) {
+func (r *Router) clear(ctx context.Context, request *Request) (clearance, error) {
 	for {
 		now := r.Now()
 		if !now.Before(request.Deadline) {
-			return false, false, &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
+			return clearance{}, &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
 		}
 		verdict := r.Suspects.Check(now, request.Fingerprint)
 		wait := heldPoll
 		switch verdict.State {
 		case StateClear:
-			return false, false, nil
+			return clearance{}, nil
 		case StateRefused:
-			return false, false, &RefusedError{Reason: ReasonSuspect, RetryAfter: verdict.Until.Sub(now)}
+			return clearance{}, &RefusedError{Reason: ReasonSuspect, RetryAfter: verdict.Until.Sub(now)}
 		case StateClaimed:
 			wait = verdict.Until.Sub(now)
 		}
@@ -172,10 +179,11 @@
 			if verdict.State == StateClaimed {
 				r.Suspects.Release(request.Fingerprint)
 			}
-			return false, false, refusedBy(ctx)
+			return clearance{}, refusedBy(ctx)
 		}
 		if verdict.State == StateClaimed && r.Suspects.Confirm(r.Now(), request.Fingerprint) {
-			return true, verdict.Prime, nil
+			passAt := max(0, verdict.Tokens-request.Delivered) + passTokens
+			return clearance{trial: true, prime: verdict.Prime, passAt: passAt}, nil
 		}
 	}
 }
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -27,9 +27,10 @@
 
 // Verdict is the answer of Suspects.Check.
 type Verdict struct {
-	State SuspectState
-	Until time.Time // end of the refusal or of the claim's spreading
-	Prime bool      // it had begun shortly before the first death
+	State  SuspectState
+	Until  time.Time // end of the refusal or of the claim's spreading
+	Prime  bool      // it had begun shortly before the first death
+	Tokens int       // the longest answer that it had brought at a death
 }
 
 // SuspectTotals counts since the start.
@@ -83,7 +84,7 @@
 	s.totals.Trials++
 	s.mu.Unlock()
 	s.publish(e)
-	return Verdict{State: StateClaimed, Until: now.Add(s.TrialDelay), Prime: e.Recent}
+	return Verdict{State: StateClaimed, Until: now.Add(s.TrialDelay), Prime: e.Recent, Tokens: e.Tokens}
 }
 
 // Confirm reports whether the claim still stands after it has spread. A lost claim is given up.
@@ -115,8 +116,8 @@
 	s.publish(e)
 }
 
-// Died notes that the request was running on a backend server that died.
-func (s *Suspects) Died(now time.Time, f model.Fingerprint, backend string, recent bool) {
+// Died notes that the request was running on a backend server that died, and how many tokens it had brought.
+func (s *Suspects) Died(now time.Time, f model.Fingerprint, backend string, recent bool, tokens int) {
 	s.mu.Lock()
 	e, known := s.entries[f]
 	if !known {
@@ -130,6 +131,7 @@
 	}
 	e.Lost = mergeDeaths(e.Lost, []model.Death{{Backend: backend, At: now}})
 	e.Deaths = len(e.Lost)
+	e.Tokens = max(e.Tokens, tokens)
 	s.totals.Deaths++
 	if e.Deaths >= deathsToRefuse {
 		e.RefuseUntil = now.Add(s.RefuseFor)
@@ -310,6 +312,7 @@
 	merged := model.Suspect{
 		Fingerprint: a.Fingerprint,
 		Recent:      a.Recent || b.Recent,
+		Tokens:      max(a.Tokens, b.Tokens),
 		RefuseUntil: later(a.RefuseUntil, b.RefuseUntil),
 		ClearedAt:   later(a.ClearedAt, b.ClearedAt),
 	}
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -266,6 +266,38 @@
 	})
 }
 
+// TestTrialsFollowEachOther lets a backend server die with many innocent requests on it.
+func TestTrialsFollowEachOther(t *testing.T) {
+	const requests = 12
+	r := newRouter(DefaultPolicy(), replica("a", 32), replica("b", 32))
+	now := testTime
+	var running []*Grant
+	for i := range requests {
+		tk := ticket(now, 400, time.Minute)
+		tk.clearance = clearance{trial: true, prime: true, passAt: passTokens}
+		r.admit(now, tk)
+		running = append(running, collectGrants(tk)...)
+		if want := min(2, i+1); len(running) != want {
+			t.Fatalf("got %d trials at once on two backend servers, want %d", len(running), want)
+		}
+		if i < 2 {
+			continue
+		}
+		for range passTokens {
+			running[0].Token(now)
+		}
+		r.Step(now.Add(time.Millisecond))
+		running = append(running[1:], collectGrants(tk)...)
+	}
+}
+
+func collectGrants(t *Ticket) []*Grant {
+	if _, g := t.outcome(); g != nil {
+		return []*Grant{g}
+	}
+	return nil
+}
+
 func TestMergeSuspect(t *testing.T) {
 	death := func(name string, after time.Duration) model.Death {
 		return model.Death{Backend: name, At: testTime.Add(after)}
