--- a/caller/completion_test.go
+++ b/caller/completion_test.go
@@ -175,6 +175,17 @@
 			engine: &fakeEngine{interval: 50 * time.Millisecond}, status: http.StatusGatewayTimeout, run: runMaybe,
 		},
 	}
+	t.Cleanup(func() {
+		naive := 0 // refusals that would be false if each failure were called not run
+		for _, tt := range tests {
+			if tt.engine.totalRuns() > 0 {
+				naive++
+			}
+		}
+		if naive == 0 {
+			t.Error("got no failure of a request that ran, want the check to bite")
+		}
+	})
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -182,6 +182,27 @@
 	}
 }
 
+// TestSettledByDeadline lets requests wait for a model that is never loaded, with reviews and without.
+func TestSettledByDeadline(t *testing.T) {
+	for _, naive := range []bool{true, false} {
+		r := newRouter(DefaultPolicy())
+		r.Policy.ColdStart = 0
+		for i := range 50 {
+			r.admit(testTime, ticket(testTime, 10, time.Duration(i+1)*100*time.Millisecond))
+		}
+		for now := testTime; now.Before(testTime.Add(10 * time.Second)); now = now.Add(tickInterval) {
+			if naive {
+				r.queue.Audit(now, unsettledExcess)
+				continue
+			}
+			r.Step(now)
+		}
+		if got := r.queue.Counts.Unsettled > 0; got != naive {
+			t.Errorf("got forgotten requests %v, want %v", got, naive)
+		}
+	}
+}
+
 func TestWakes(t *testing.T) {
 	r := newRouter(DefaultPolicy())
 	tk := ticket(testTime, 10, time.Minute)
