--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -19,7 +19,7 @@
 	ownedInterval   = 30 * time.Second // and the owner that often
 	takeoverDelay   = 3 * time.Second  // an owner that is not listed for that long is succeeded
 	handoverDelay   = 5 * time.Second  // the assigned owner must have been live for that long
-	goneDelay       = 20 * time.Second
+	goneDelay       = 2 * time.Minute  // a backend server that is neither listed nor answers for that long holds nothing
 	sweepInterval   = 10 * time.Second
 	forgetAfter     = 30 * time.Second
 	intentTimeout   = 5 * time.Second
@@ -31,8 +31,9 @@
 	cell       cell
 	record     model.BackendRecord
 	assignment Assignment
-	assigned   bool // the assignment is current
-	goneAt     time.Time
+	assigned   bool      // the assignment is current
+	goneAt     time.Time // since when it has not been in the host list, zero when it is
+	orphan     bool      // it holds a slot and is not in the host list
 	usedAt     time.Time
 	missingAt  time.Time // since when the owner has not been listed, zero when it is
 
@@ -47,9 +48,10 @@
 	wants     map[model.ModelKey]want
 	intents   map[model.ModelKey]*intent
 	drains    map[model.ModelKey]*drain
-	arrived   map[string]bool      // orders whose effect the engine has shown
-	confirmed map[string]time.Time // orders whose issuer will not send them
-	absentAt  map[string]time.Time // when the first observation without the model was asked for
+	running   map[model.ModelKey]int // requests that the routers have running
+	arrived   map[string]bool        // orders whose effect the engine has shown
+	confirmed map[string]time.Time   // orders whose issuer will not send them
+	absentAt  map[string]time.Time   // when the first observation without the model was asked for
 	askedAt   map[string]time.Time
 	reissues  map[string]string // new order for an old one
 }
@@ -69,6 +71,7 @@
 		b.cell.readWanted = true
 		b.reset()
 		h.backends[name] = b
+		h.byName = nil
 	}
 	b.usedAt = now
 	return b
@@ -81,6 +84,7 @@
 	b.wants = map[model.ModelKey]want{}
 	b.intents = map[model.ModelKey]*intent{}
 	b.drains = map[model.ModelKey]*drain{}
+	b.running = map[model.ModelKey]int{}
 	b.arrived = map[string]bool{}
 	b.confirmed = map[string]time.Time{}
 	b.absentAt = map[string]time.Time{}
@@ -109,21 +113,19 @@
 	}
 	old := b.record
 	b.record = record
+	b.orphan = b.orphan && (record.Owner != "" || len(record.Reservations) > 0)
 	b.epoch++
 	if old.Owner != record.Owner || old.Term != record.Term {
 		h.loseBackend(b)
 		b.observeAt = now
 	}
-	for _, r := range old.Reservations {
-		if findKey(record, r.Key) < 0 {
-			h.model(r.Key).check = true
-		}
-	}
+	h.checkSlots(b, old, record)
 	for key, i := range b.intents {
 		if findOrder(record, i.orderID) >= 0 {
 			delete(b.intents, key)
 		}
 	}
+	maps.DeleteFunc(b.running, func(key model.ModelKey, _ int) bool { return findKey(record, key) < 0 })
 	h.checkBackend(old, record)
 }
 
@@ -136,7 +138,7 @@
 	for _, d := range b.drains {
 		h.orders.close(d.orderID)
 	}
-	for key := range b.wants {
+	for _, key := range sortedKeys(b.wants) {
 		h.emit(LoadRefused{Key: key, Backend: b.name, Reason: RefusedNotOwner})
 	}
 	for _, r := range b.record.Reservations {
@@ -180,6 +182,7 @@
 		b.cell.readWanted = true
 	}
 	h.planIntents(now, b)
+	h.drainSurplus(now, b)
 	h.send(b)
 	h.observeBackend(now, b)
 	h.askIssuers(now, b)
@@ -235,7 +238,7 @@
 	if b.observe.token != 0 && now.Sub(b.observe.askedAt) >= observeTimeout {
 		b.observe = observeCall{}
 	}
-	if b.observe.token != 0 || now.Before(b.observeAt) || !b.goneAt.IsZero() {
+	if b.observe.token != 0 || now.Before(b.observeAt) {
 		return
 	}
 	if b.latest.Term < b.record.Term && h.hasOlderOrder(b) {
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -26,10 +26,13 @@
 	orders   orderTable
 	backends map[string]*backend
 	models   map[model.ModelKey]*modelState
+	byName   []*backend    // the backend servers, sorted
+	byKey    []*modelState // the models, sorted
 	standing map[string][]model.ModelKey
 	records  []RecordGeneration
 	peers    map[model.Incarnation]livePeer
 	dead     map[model.Incarnation]time.Time
+	listed   map[string]bool // backend servers of the zone in the host list, nil when unknown
 	stopping bool
 	sweepAt  time.Time
 }
@@ -44,9 +47,10 @@
 func (h *Host) Step(now time.Time, e Event) []Action {
 	h.init()
 	h.take(now, e)
-	for _, name := range slices.Sorted(maps.Keys(h.backends)) {
-		h.reconcileBackend(now, h.backends[name])
+	for _, b := range h.sortedBackends() {
+		h.reconcileBackend(now, b)
 	}
+	h.noteInvolved()
 	for _, m := range h.sortedModels() {
 		h.reconcileModel(now, m)
 	}
@@ -92,6 +96,8 @@
 		h.loadWanted(now, e)
 	case UnloadWanted:
 		h.unloadWanted(now, e)
+	case ReplicaUsed:
+		h.replicaUsed(e)
 	case StandingWanted:
 		h.standing[e.Backend] = slices.Clone(e.Keys)
 	case ReleaseAll:
@@ -139,6 +145,7 @@
 }
 
 func (h *Host) backendsChanged(now time.Time, e BackendsChanged) {
+	h.listed = map[string]bool{}
 	for _, b := range h.backends {
 		b.assigned = false
 	}
@@ -147,13 +154,13 @@
 			continue
 		}
 		b := h.backend(now, a.Backend)
-		b.assigned = true
-		if !a.Gone {
-			b.goneAt = time.Time{}
-		} else if b.goneAt.IsZero() {
-			b.goneAt = now
-		}
-		b.assignment = a
+		b.assigned, b.assignment = true, a
+	}
+	for _, a := range e.Backends {
+		h.listed[a.Backend] = !a.Gone
+	}
+	for _, b := range h.backends {
+		b.noteListed(now, h.listed[b.name])
 	}
 }
 
@@ -167,7 +174,7 @@
 		m.sources, m.bytes, m.adapters, m.lead = s.Sources, s.Bytes, s.Adapters, s.Lead
 	}
 	for _, m := range h.models {
-		m.changedAt = now
+		m.changedAt, m.check, m.surplusKnown = now, true, false
 	}
 }
 
@@ -207,10 +214,22 @@
 	}
 }
 
+// sortedModels returns the models in a fixed order. It must not be kept.
 func (h *Host) sortedModels() []*modelState {
-	return slices.SortedFunc(maps.Values(h.models), func(a, b *modelState) int {
-		return cmp.Compare(a.cell.key, b.cell.key)
-	})
+	if len(h.byKey) != len(h.models) {
+		h.byKey = slices.SortedFunc(maps.Values(h.models), func(a, b *modelState) int {
+			return cmp.Compare(a.cell.key, b.cell.key)
+		})
+	}
+	return h.byKey
+}
+
+// sortedBackends returns the backend servers in a fixed order. It must not be kept.
+func (h *Host) sortedBackends() []*backend {
+	if h.byName == nil {
+		h.byName = slices.SortedFunc(maps.Values(h.backends), func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
+	}
+	return h.byName
 }
 
 // sweep forgets what is of no more use.
@@ -231,8 +250,9 @@
 	}
 	for name, b := range h.backends {
 		idle := b.cell.token == 0 && b.cell.wroteAt < b.cell.revision && now.Sub(b.usedAt) > forgetAfter
-		if !b.assigned && !h.owns(b) && idle {
+		if !b.assigned && !b.orphan && !h.owns(b) && idle {
 			delete(h.backends, name)
+			h.byName = nil
 		}
 	}
 }
--- a/ledger/query.go
+++ b/ledger/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -51,7 +50,7 @@
 			}
 			draining := b.drains[r.Key] != nil || r.State == model.ReservationUnloading
 			replicas = append(replicas, LoadedReplica{
-				Key: r.Key, Backend: b.name, Term: b.record.Term, Adapters: m.Adapters, Draining: draining, Running: m.Running,
+				Key: r.Key, Backend: b.name, Term: b.record.Term, Adapters: m.Adapters, Draining: draining, Running: max(m.Running, b.running[r.Key]),
 			})
 		}
 	}
@@ -60,7 +59,3 @@
 	})
 	return replicas
 }
-
-func (h *Host) sortedBackends() []*backend {
-	return slices.SortedFunc(maps.Values(h.backends), func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
-}
