--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -168,6 +168,9 @@
 		return
 	}
 	staying := c.members.Staying(now)
+	if len(staying) == 0 {
+		return
+	}
 	var assignments []ledger.Assignment
 	for _, a := range membership.Assign(staying, c.hosts.backendNames(c.self.Zone)) {
 		assignments = append(assignments, ledger.Assignment{Backend: a.Backend, Owner: a.Owner})
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -36,6 +36,7 @@
 		if u.Requests > 0 {
 			c.arrivalsOf(u.Key).Arrive(now)
 		}
+		c.step(now, ledger.ReplicaUsed{Backend: u.Backend, Key: u.Key, Running: b.replicas[u.Key].running(now)})
 	}
 }
 
--- a/entryhost/operatorside.go
+++ b/entryhost/operatorside.go
@@ -16,7 +16,7 @@
 
 func (h *Host) operatorHandler() http.Handler {
 	if expvar.Get(varsPrefix+h.Name) == nil {
-		expvar.Publish(varsPrefix+h.Name, h.metrics.vars())
+		expvar.Publish(varsPrefix+h.Name, h.vars())
 	}
 	handler := &operator.Handler{Name: h.Name, Version: h.Version, State: h, Snapshot: h, Readiness: h}
 	return handler.Router()
--- /dev/null
+++ b/entryhost/vars.go
@@ -0,0 +1,20 @@
+package entryhost
+
+import (
+	"expvar"
+
+	"citronspread/peer"
+)
+
+// vars returns the host's variables for expvar.
+func (h *Host) vars() *expvar.Map {
+	vars := h.metrics.vars()
+	vars.Set("PeerBytesReceived", expvar.Func(func() any { return h.peerTraffic.Received.Load() }))
+	vars.Set("PeerBytesSent", expvar.Func(func() any { return h.peerTraffic.Sent.Load() }))
+	vars.Set("PeerCalls", expvar.Func(func() any { return h.peerTraffic.Calls.Load() }))
+	vars.Set("RetryBudget", expvar.Func(func() any { return h.router.Budget.Totals() }))
+	vars.Set("SuspectTotals", expvar.Func(func() any { return h.router.Suspects.Totals() }))
+	return vars
+}
+
+var _ peer.Handler = (*peerHandler)(nil)
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -13,6 +13,7 @@
 
 var (
 	binary  = flag.String("faults-binary", "", "path of the built program; without it TestFaults is not run")
+	naive   = flag.Bool("faults-naive", false, "run the naive entry hosts that the checks have to catch")
 	seed    = flag.Uint64("faults-seed", 1, "seed of the schedule")
 	seconds = flag.Int("faults-seconds", 40, "length of the run")
 	except  = flag.String("faults-except", "", "kinds of faults to leave out, divided by commas")
--- a/peer/client.go
+++ b/peer/client.go
@@ -100,6 +100,7 @@
 	defer cancel()
 	conn := c.pool.Get(ctx, address, c.dial)
 	defer func() { _ = conn.Close() }()
+	c.Traffic.Calls.Add(1)
 	reply := new(Reply)
 	if err := conn.Invoke(ctx, call, c.encoding, request, reply); err != nil {
 		refused := errors.Is(err, syscall.ECONNREFUSED)
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -9,6 +9,7 @@
 type Traffic struct {
 	Received atomic.Int64
 	Sent     atomic.Int64
+	Calls    atomic.Int64 // made by this host
 }
 
 type countingListener struct {
