slopes: what control costs on an entry host at growing sizes

Change: entry hosts as processes beside stand-ins in the test process, at four sizes of each of five variables, with lines fitted to processor time, memory, peer bytes and store calls.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEED ?= 1
 SECONDS ?= 40
 
-.PHONY: bench build demo faults format lint path-check test
+.PHONY: bench build demo faults faults-naive format lint path-check slopes soak test
 
 build:
 	go build -o citronspread .
@@ -47,3 +47,9 @@
 	@mkdir -p out
 	go test -c -o out/faults.test ./faults
 	./out/faults.test -test.timeout 0 -test.run TestFaults -faults-binary ./citronspread -faults-seed $(SEED) -faults-seconds $(SECONDS)
+
+# slopes measures what control costs on an entry host at growing sizes, for docs/CAPACITY.md.
+slopes: build
+	@mkdir -p out
+	go test -c -o out/slopes.test ./slopes
+	./out/slopes.test -test.v -test.timeout 0 -test.run TestSlopes -slopes-binary ./citronspread -slopes-output out/slopes.md
--- a/entryhost/dump.go
+++ b/entryhost/dump.go
@@ -32,6 +32,7 @@
 	SchemaVersion int
 	Generation    int64
 	Retired       bool
+	WrittenAt     time.Time
 	AppliedAt     time.Time
 }
 
@@ -78,6 +79,7 @@
 			SchemaVersion: held.Record.SchemaVersion,
 			Generation:    held.Record.Generation,
 			Retired:       held.Record.Retired,
+			WrittenAt:     held.Record.WrittenAt,
 			AppliedAt:     held.AppliedAt,
 		})
 	}
--- /dev/null
+++ b/slopes/fit.go
@@ -0,0 +1,90 @@
+package slopes
+
+import (
+	"fmt"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Line is a straight line fitted to a cost.
+type Line struct {
+	Name      string
+	Intercept float64
+	Slope     float64 // for each unit of the variable
+	RSquared  float64
+	Error     float64 // largest distance of a point from the line
+}
+
+// At returns the line's value.
+func (l Line) At(value float64) float64 { return l.Intercept + l.Slope*value }
+
+// measure reads one number out of a cost.
+type measure struct {
+	name string
+	read func(Cost) float64
+}
+
+var measures = []measure{
+	{"core %", func(c Cost) float64 { return c.CorePercent }},
+	{"memory MB", func(c Cost) float64 { return c.MemoryMB }},
+	{"peer KB/s", func(c Cost) float64 { return c.PeerKBs }},
+	{"peer calls/s", func(c Cost) float64 { return c.PeerCalls }},
+	{"store reads/s", func(c Cost) float64 { return c.StoreReads }},
+	{"store writes/s", func(c Cost) float64 { return c.StoreWrites }},
+	{"in force s", func(c Cost) float64 { return c.InForce.Seconds() }},
+}
+
+// Fit returns a line for each cost.
+func Fit(costs []Cost) []Line {
+	lines := make([]Line, 0, len(measures))
+	for _, m := range measures {
+		lines = append(lines, fitOne(m, costs))
+	}
+	return lines
+}
+
+func fitOne(m measure, costs []Cost) Line {
+	values, results := make([]float64, len(costs)), make([]float64, len(costs))
+	for i, c := range costs {
+		values[i], results[i] = c.Value, m.read(c)
+	}
+	line := Line{Name: m.name}
+	line.Intercept, line.Slope = stat.LinearRegression(values, results, nil, false)
+	line.RSquared = stat.RSquared(values, results, nil, line.Intercept, line.Slope)
+	for i, v := range values {
+		line.Error = max(line.Error, results[i]-line.At(v), line.At(v)-results[i])
+	}
+	return line
+}
+
+// Table returns the costs of a series and the lines fitted to them as Markdown.
+func Table(variable Variable, costs []Cost) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s |", variable)
+	for _, m := range measures {
+		fmt.Fprintf(&b, " %s |", m.name)
+	}
+	b.WriteString("\n|" + strings.Repeat(" --- |", len(measures)+1) + "\n")
+	for _, c := range costs {
+		fmt.Fprintf(&b, "| %g |", c.Value)
+		for _, m := range measures {
+			fmt.Fprintf(&b, " %.3g |", m.read(c))
+		}
+		b.WriteString("\n")
+	}
+	lines := Fit(costs)
+	writeRow(&b, "slope", lines, func(l Line) string { return fmt.Sprintf("%.3g", l.Slope) })
+	writeRow(&b, "at 0", lines, func(l Line) string { return fmt.Sprintf("%.3g", l.Intercept) })
+	writeRow(&b, "R²", lines, func(l Line) string { return fmt.Sprintf("%.2f", l.RSquared) })
+	writeRow(&b, "largest error", lines, func(l Line) string { return fmt.Sprintf("%.3g", l.Error) })
+	return b.String()
+}
+
+func writeRow(b *strings.Builder, name string, lines []Line, cell func(Line) string) {
+	fmt.Fprintf(b, "| %s |", name)
+	for _, l := range lines {
+		fmt.Fprintf(b, " %s |", cell(l))
+	}
+	b.WriteString("\n")
+}
--- /dev/null
+++ b/slopes/scenario.go
@@ -0,0 +1,156 @@
+// Package slopes measures what control costs on one entry host as the system grows, and fits a line to it.
+package slopes
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"citronspread/fleet"
+	"citronspread/settings"
+	"citronspread/standin"
+)
+
+// Size is one size of the system in which the cost of control is measured.
+type Size struct {
+	Hosts            int     // entry hosts of the zone
+	BackendsPerHost  int     // backend servers of the zone for each entry host
+	Models           int     // declared model versions
+	AdaptersPerModel int     // declared adapters of each
+	RemoteBackends   int     // backend servers of other zones, each with one replica
+	RemoteChanges    float64 // changes a second among those
+	ConfigChanges    float64 // records written a minute
+	Wakes            float64 // first requests for idle models a minute
+}
+
+// Variable names what grows in a series of sizes.
+type Variable string
+
+// Variables.
+const (
+	HostsInZone    Variable = "hosts in a zone"
+	KnownReplicas  Variable = "replicas elsewhere"
+	DeclaredModels Variable = "models with 9 adapters each"
+	RecordChanges  Variable = "record changes a minute"
+	WakingModels   Variable = "wakes a minute"
+)
+
+// Point is one size of a series with the value of what grows.
+type Point struct {
+	Value float64
+	Size  Size
+}
+
+// Series is a variable with the sizes that it is measured at.
+type Series struct {
+	Variable Variable
+	Points   []Point
+}
+
+// baseSize is what the variables grow from.
+var baseSize = Size{Hosts: 4, BackendsPerHost: 2, Models: 20}
+
+// AllSeries returns the series that make up the capacity page.
+func AllSeries() []Series {
+	return []Series{
+		grow(HostsInZone, []float64{2, 10, 25, 50}, func(s *Size, v float64) { s.Hosts = int(v) }),
+		grow(KnownReplicas, []float64{0, 200, 400, 760}, func(s *Size, v float64) {
+			s.RemoteBackends = int(v)
+			s.RemoteChanges = 1
+		}),
+		grow(DeclaredModels, []float64{30, 60, 120, 240}, func(s *Size, v float64) {
+			s.Models = int(v)
+			s.AdaptersPerModel = 9
+		}),
+		grow(RecordChanges, []float64{0, 10, 30, 90}, func(s *Size, v float64) { s.ConfigChanges = v }),
+		grow(WakingModels, []float64{0, 20, 40, 80}, func(s *Size, v float64) { s.Wakes = v }),
+	}
+}
+
+func grow(variable Variable, values []float64, set func(s *Size, value float64)) Series {
+	series := Series{Variable: variable}
+	for _, v := range values {
+		size := baseSize
+		set(&size, v)
+		series.Points = append(series.Points, Point{Value: v, Size: size})
+	}
+	return series
+}
+
+// Zone and service that the sizes are built in.
+const (
+	zoneName     = "muenchen"
+	remoteZone   = "rosenheim"
+	serviceName  = "assist-llm"
+	basePort     = 26_000
+	modelBytes   = "4GB"
+	engineMemory = 24_000_000_000 // bytes
+)
+
+// Layout returns the fleet of a size, without the backend servers of other zones.
+func (s Size) Layout() fleet.Layout {
+	return fleet.Layout{
+		Deployment:           settings.DeploymentTorwerk,
+		Region:               "bavaria",
+		Zones:                []string{zoneName},
+		HostsPerZone:         s.Hosts,
+		EnginesPerZone:       s.Hosts * s.BackendsPerHost,
+		EngineService:        serviceName,
+		MemoryBytes:          engineMemory,
+		TokensPerSecond:      200,
+		Rates:                standin.TierRates{Memory: 40e9, Disk: 20e9, Remote: 20e9},
+		LoadsPerSecond:       20,
+		ParallelLoads:        20,
+		HostListLag:          100 * time.Millisecond,
+		StoreWrites:          400,
+		StoreReads:           2000,
+		BasePort:             basePort,
+		StandingReservations: 1,
+	}
+}
+
+// modelName returns the name of a declared model.
+func modelName(i int) string { return fmt.Sprintf("model-%03d", i) }
+
+// RecordName returns the name of the record that declares a model.
+func RecordName(i int) string { return "record-" + modelName(i) }
+
+// Record returns the record that declares a model. The priority tells writes apart.
+func (s Size) Record(i, priority int) []byte {
+	adapters := make([]string, 0, s.AdaptersPerModel)
+	for a := range s.AdaptersPerModel {
+		adapters = append(adapters, fmt.Sprintf("adapter-%03d-%d", i, a))
+	}
+	return fmt.Appendf(nil, `SchemaVersion: 2
+Name: %s
+Service: %s
+Models:
+  - Model: %s
+    Version: v1
+    Memory: %s
+    Adapters: [%s]
+    Replicas: {Decided: 2, Warm: 0}
+    Priority: %d
+`, RecordName(i), serviceName, modelName(i), modelBytes, strings.Join(adapters, ", "), priority)
+}
+
+// SettingsFile returns the settings of an entry host as YAML.
+func SettingsFile(s settings.Settings) string {
+	lines := []string{
+		"Name: " + s.Name,
+		"Zone: " + s.Zone,
+		"Region: " + s.Region,
+		"Deployment: " + s.Deployment,
+		"CallerAddress: " + s.CallerAddress,
+		"PeerAddress: " + s.PeerAddress,
+		"OperatorAddress: " + s.OperatorAddress,
+		"StoreAddress: " + s.StoreAddress,
+		"HostListAddress: " + s.HostListAddress,
+		fmt.Sprintf("Seeds: [%q]", strings.Join(s.Seeds, `", "`)),
+		"BalancerLag: 0s",
+		"LogLevel: Info",
+		fmt.Sprintf("WeightStore: {LoadsPerSecond: %g, ParallelLoads: %d}", s.WeightStore.LoadsPerSecond, s.WeightStore.ParallelLoads),
+		"KeepAlive: {Shortest: 5s, Longest: 5s}",
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
