model, record, entryhost: a write made on older data after a restore is in force

Cause: records were ordered by generation first. After the store came back with older data, generations are given out again, so that an operator's accepted write could lose against the host's newer-looking one and be written over. Change: order by WrittenAt, which a write sets later than the one it builds on; the ledger's sources use the same order. Watchers list all records once a minute, for a restore that a watch can't see. Before: TestWriteAfterRestoreIsInForce got 5 replicas, want 2. After: it passes, with a rapid run of races, restores and gossip.

--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -27,6 +27,7 @@
 	watchTimeout     = 20 * time.Second
 	watchRetry       = 500 * time.Millisecond
 	watcherPoll      = time.Second
+	relistPeriod     = time.Minute // a restored store may have passed the watched revision unseen
 )
 
 // heldRecord is the newest valid version of an operators' record.
@@ -54,7 +55,7 @@
 func configItem(r model.Record, encode func(any) []byte) gossip.Item {
 	return gossip.Item{
 		ID:    gossip.ItemID{Kind: gossip.KindConfig, Key: r.Name},
-		Rank:  gossip.Rank{Major: r.Generation, Minor: r.WrittenAt.UnixMicro(), Tie: r.Nonce},
+		Rank:  gossip.Rank{Major: r.Order(), Minor: r.Generation, Tie: r.Nonce},
 		Value: encode(r),
 	}
 }
@@ -68,7 +69,7 @@
 	if err == nil {
 		return true
 	}
-	s.noteInvalid(c, invalidRecord{Name: item.ID.Key, Generation: item.Rank.Major, Problem: err.Error()})
+	s.noteInvalid(c, invalidRecord{Name: item.ID.Key, Generation: item.Rank.Minor, Problem: err.Error()})
 	return false
 }
 
@@ -203,7 +204,7 @@
 	for _, held := range c.configuration.records {
 		for _, m := range held.Declaration.Models {
 			if m.Key == key {
-				sources = append(sources, model.Source{Record: held.Record.Name, Generation: held.Record.Generation, Replicas: m.Replicas})
+				sources = append(sources, model.Source{Record: held.Record.Name, Generation: held.Record.Order(), Replicas: m.Replicas})
 			}
 		}
 	}
@@ -213,7 +214,7 @@
 func (c *control) recordGenerations() []ledger.RecordGeneration {
 	var generations []ledger.RecordGeneration
 	for _, held := range c.configuration.records {
-		generations = append(generations, ledger.RecordGeneration{Record: held.Record.Name, Generation: held.Record.Generation})
+		generations = append(generations, ledger.RecordGeneration{Record: held.Record.Name, Generation: held.Record.Order()})
 	}
 	return generations
 }
@@ -297,38 +298,43 @@
 
 // watchConfiguration reads all records at the start, then watches them while this host is one of the zone's watchers.
 func (e *edge) watchConfiguration(ctx context.Context) error {
-	revision := int64(0)
-	isListed := false
+	e.watchUntilRelist(ctx)
 	for ctx.Err() == nil {
-		if isListed && !e.isWatcher(ctx) {
-			isListed = false
-			pause(ctx, watcherPoll)
-			for ctx.Err() == nil && !e.isWatcher(ctx) {
-				pause(ctx, watcherPoll)
-			}
-			continue
-		}
-		next, err := e.readConfiguration(ctx, revision, isListed)
-		if err != nil {
-			pause(ctx, watchRetry)
-			isListed = false
+		if e.isWatcher(ctx) {
+			e.watchUntilRelist(ctx)
 			continue
 		}
-		revision, isListed = next, true
+		pause(ctx, watcherPoll)
 	}
 	return nil
 }
 
-// readConfiguration lists all records, or waits for changes after a revision.
-func (e *edge) readConfiguration(ctx context.Context, revision int64, isListed bool) (int64, error) {
-	if !isListed {
-		listing, err := e.store.List(ctx, configPrefix)
-		if err != nil {
-			return 0, err
-		}
-		e.post(ctx, recordsSeen{entries: listing.Entries, whole: true})
-		return listing.Revision, nil
+// watchUntilRelist lists all records and watches them while this host is a watcher, until they are to be listed again.
+func (e *edge) watchUntilRelist(ctx context.Context) {
+	revision, err := e.listRecords(ctx)
+	relist, cancel := context.WithTimeout(ctx, relistPeriod)
+	defer cancel()
+	for err == nil && relist.Err() == nil && e.isWatcher(relist) {
+		revision, err = e.watchRecords(relist, revision)
 	}
+	if err != nil {
+		pause(ctx, watchRetry)
+	}
+}
+
+func (e *edge) listRecords(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	listing, err := e.store.List(ctx, configPrefix)
+	if err != nil {
+		return 0, err
+	}
+	e.post(ctx, recordsSeen{entries: listing.Entries, whole: true})
+	return listing.Revision, nil
+}
+
+// watchRecords waits for changes after a revision and returns the new one.
+func (e *edge) watchRecords(ctx context.Context, revision int64) (int64, error) {
 	change, err := e.store.Watch(ctx, configPrefix, revision, watchTimeout)
 	if err != nil {
 		return 0, err
--- /dev/null
+++ b/entryhost/configuration_test.go
@@ -0,0 +1,196 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"citronspread/gossip"
+	"citronspread/model"
+	"citronspread/store"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// fakeStore keeps what is written back.
+type fakeStore struct {
+	Store
+	mu      sync.Mutex
+	written []model.Record
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Entry, error) {
+	return store.Entry{}, &store.NotFoundError{Key: key}
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, _ int64) (int64, error) {
+	if !strings.HasPrefix(key, configPrefix) {
+		return 1, nil
+	}
+	var r model.Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.written = append(f.written, r)
+	return 1, nil
+}
+
+type discardSink struct{}
+
+func (discardSink) Publish(*model.Snapshot) {}
+
+// newTestControl returns the control state of a host without sockets.
+func newTestControl(name string, platform Store) *control {
+	self := model.Peer{Name: name, Zone: "sialkot-a", Address: name + ":1", Incarnation: model.Incarnation(name + "/1")}
+	h := &Host{Name: name, Zone: self.Zone, PeerAddress: self.Address, Log: zap.NewNop()}
+	h.incarnation = self.Incarnation
+	h.metrics = &metrics{startedAt: start}
+	h.edge = &edge{
+		store: platform, sink: discardSink{}, log: h.Log, metrics: h.metrics, self: self,
+		events: make(chan event, eventCapacity), ctx: context.Background(),
+		engines: make(map[string]Engine), engineAt: make(map[string]string),
+	}
+	return h.newControl(self)
+}
+
+func newRecord(generation int64, replicas int, nonce string) model.Record {
+	body := fmt.Sprintf("SchemaVersion: 1\nName: scribe\nService: link-scribe\nModel: scribe-7b\nVersion: v1\n"+
+		"MemoryMB: 8000\nReplicas: %d\nPriority: Normal\nAdapters: []\n", replicas)
+	return model.Record{
+		Name: "scribe", SchemaVersion: 1, Generation: generation, Nonce: nonce, Body: []byte(body),
+		WrittenAt: start.Add(time.Duration(generation) * time.Second),
+	}
+}
+
+func entryOf(t interface{ Fatal(...any) }, r model.Record) store.Entry {
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Entry{Key: configPrefix + r.Name, Value: value, Revision: r.Generation}
+}
+
+func (c *control) replicasDecided() int {
+	declared, _ := c.configuration.find(model.ModelKey{Model: "scribe-7b", Version: "v1"})
+	return declared.declaration.Replicas
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	platform := &fakeStore{}
+	c := newTestControl("a", platform)
+	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(3, 5, "x"))}, whole: true}.apply(c, start)
+	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(2, 1, "y"))}, whole: true}.apply(c, start)
+	if got, want := c.replicasDecided(), 5; got != want {
+		t.Errorf("replicas after the store came back with older data: got %d, want %d", got, want)
+	}
+	c.edge.wait.Wait()
+	if got, want := len(platform.written), 1; got != want {
+		t.Fatalf("records written back: got %d, want %d", got, want)
+	}
+	if got, want := platform.written[0].Generation, int64(3); got != want {
+		t.Errorf("generation written back: got %d, want %d", got, want)
+	}
+	recordsSeen{entries: nil, whole: true}.apply(c, start)
+	c.edge.wait.Wait()
+	if got, want := len(platform.written), 2; got != want {
+		t.Errorf("a record that the store lost: got %d written back, want %d", got, want)
+	}
+}
+
+// TestWriteAfterRestoreIsInForce holds that a write which an operator made on older data counts as the newest.
+func TestWriteAfterRestoreIsInForce(t *testing.T) {
+	c := newTestControl("a", &fakeStore{})
+	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(4, 5, "x"))}, whole: true}.apply(c, start)
+	written := newRecord(3, 2, "y")
+	written.WrittenAt = start.Add(time.Minute)
+	recordsSeen{entries: []store.Entry{entryOf(t, written)}, whole: true}.apply(c, start)
+	if got, want := c.replicasDecided(), 2; got != want {
+		t.Errorf("replicas: got %d, want %d", got, want)
+	}
+}
+
+func TestInvalidRecordLeavesTheLastValidOne(t *testing.T) {
+	c := newTestControl("a", &fakeStore{})
+	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(1, 4, "x"))}}.apply(c, start)
+	broken := newRecord(2, 1, "y")
+	broken.Body = []byte("SchemaVersion: 9\n")
+	recordsSeen{entries: []store.Entry{entryOf(t, broken)}}.apply(c, start)
+	if got, want := c.replicasDecided(), 4; got != want {
+		t.Errorf("replicas: got %d, want %d", got, want)
+	}
+	if got, want := len(c.state(start).Invalid), 1; got != want {
+		t.Errorf("invalid records in the dump: got %d, want %d", got, want)
+	}
+	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(3, 2, "z"))}}.apply(c, start)
+	if got, want := c.replicasDecided(), 2; got != want {
+		t.Errorf("replicas after a valid record: got %d, want %d", got, want)
+	}
+	if got, want := len(c.state(start).Invalid), 0; got != want {
+		t.Errorf("invalid records in the dump: got %d, want %d", got, want)
+	}
+}
+
+// TestConfigurationSpreads has operators race, the store come back with older data and hosts that see it at
+// different times, and holds that no host ever reverts and that all agree on the newest accepted record.
+func TestConfigurationSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []*control{newTestControl("a", &fakeStore{}), newTestControl("b", &fakeStore{}), newTestControl("c", &fakeStore{})}
+		highest := make([]model.Record, len(hosts))
+		var history []model.Record
+		stored := model.Record{}
+		host := rapid.IntRange(0, len(hosts)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				stored = newRecord(stored.Generation+1, rapid.IntRange(0, 9).Draw(t, "replicas"), fmt.Sprint(len(history)))
+				stored.WrittenAt = start.Add(time.Duration(len(history)) * time.Second)
+				history = append(history, stored)
+			},
+			"restore": func(t *rapid.T) {
+				if len(history) > 0 {
+					stored = rapid.SampledFrom(history).Draw(t, "older")
+				}
+			},
+			"watch": func(t *rapid.T) {
+				if stored.Generation > 0 {
+					recordsSeen{entries: []store.Entry{entryOf(t, stored)}}.apply(hosts[host.Draw(t, "host")], start)
+				}
+			},
+			"gossip": func(t *rapid.T) {
+				items := hosts[host.Draw(t, "from")].table.Items(gossip.KindConfig)
+				hosts[host.Draw(t, "to")].merge(start, items)
+			},
+			"": func(t *rapid.T) {
+				for i, c := range hosts {
+					for _, held := range c.configuration.records {
+						if highest[i].Newer(held.Record) {
+							t.Fatalf("host %d went from generation %d back to %d", i, highest[i].Generation, held.Record.Generation)
+						}
+						highest[i] = held.Record
+					}
+					if got, want := c.metrics.violations.Load(), int64(0); got != want {
+						t.Fatalf("violations: got %d, want %d", got, want)
+					}
+				}
+			},
+		})
+		for range 2 {
+			for i, c := range hosts {
+				hosts[(i+1)%len(hosts)].merge(start, c.table.Items(gossip.KindConfig))
+			}
+		}
+		for _, c := range hosts {
+			if got, want := c.table.Digest(), hosts[0].table.Digest(); got != want {
+				t.Fatalf("hosts disagree after they exchanged everything")
+			}
+		}
+	})
+}
--- a/model/backend.go
+++ b/model/backend.go
@@ -77,7 +77,7 @@
 // Source is what one operators' record decides for a model version.
 type Source struct {
 	Record     string
-	Generation int64
+	Generation int64 // Record.Order of the write that decides
 	Replicas   int
 }
 
--- a/record/repository.go
+++ b/record/repository.go
@@ -89,6 +89,9 @@
 	next := previous
 	next.Generation = previous.Generation + 1
 	next.WrittenAt = now.UTC()
+	if earliest := previous.WrittenAt.Add(time.Microsecond); next.WrittenAt.Before(earliest) {
+		next.WrittenAt = earliest
+	}
 	next.Nonce = uuid.NewString()
 	next.Retired = false
 	return next
