--- a/faults/entryhost.go
+++ b/faults/entryhost.go
@@ -20,6 +20,7 @@
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = time.Second
 	balancerLag   = 1500 * time.Millisecond
+	longestOrder  = 6 * time.Second
 )
 
 // entryHost is an entry host under test.
@@ -100,6 +101,7 @@
   Longest: 5s
 Deadlines:
   Request: %s
+  Order: %s
   Shutdown: 30s
 WeightStore:
   LoadsPerSecond: %d
@@ -114,7 +116,7 @@
 		}
 	}
 	text := fmt.Sprintf(settingsForm, h.name, h.zone, h.callerAddress, h.peerAddress, h.operatorAddress,
-		w.platform.store.Address, w.platform.hosts.Address, strings.Join(seeds, ", "), balancerLag, requestTimeout,
+		w.platform.store.Address, w.platform.hosts.Address, strings.Join(seeds, ", "), balancerLag, requestTimeout, longestOrder,
 		loadsPerSecond, parallelLoads)
 	file := filepath.Join(w.directory, h.name+".yaml")
 	return file, errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "faults: settings")
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -53,6 +53,7 @@
 	exchanges    exchanges
 	config       *configuration
 	links        *links
+	trap         *trap
 	settings     settingsWriter
 }
 
@@ -107,6 +108,11 @@
 		return err
 	}
 	p.hosts.View = r.links
+	r.trap = &trap{run: r, ctx: ctx, owners: map[string]string{}}
+	p.store.Written = r.trap
+	for _, e := range p.engines {
+		e.Orders = r.trap
+	}
 	p.start(ctx, r.Log)
 	r.config = newConfiguration(p, r.random(configStream))
 	if err := r.config.putAll(ctx); err != nil {
--- a/faults/play.go
+++ b/faults/play.go
@@ -14,6 +14,7 @@
 const (
 	terminateTimeout = 40 * time.Second
 	slowStoreDelayMS = 250
+	orderDelayStepMS = 600 // times the amount, within longestOrder
 	crashText        = "crash-the-engine"
 )
 
@@ -38,6 +39,8 @@
 		r.playHost(ctx, f)
 	case faultStoreDown, faultStoreSlow, faultStoreLose, faultStoreRestore:
 		r.playStore(ctx, f)
+	case faultTrapKill, faultTrapFreeze:
+		r.trap.arm(f)
 	case faultCutZone:
 		r.cutZone(ctx, f)
 	case faultWeightsSlow:
@@ -176,6 +179,24 @@
 				}
 			})
 		})
+	case faultOrdersLate:
+		r.last(ctx, f, e.Backend, func(on bool) {
+			e.EditFault(func(p *standin.EngineFault) {
+				p.OrderDelayMS = 0
+				if on {
+					p.OrderDelayMS = int64(f.amount) * orderDelayStepMS
+				}
+			})
+		})
+	case faultOrdersLost:
+		r.last(ctx, f, e.Backend, func(on bool) {
+			e.EditFault(func(p *standin.EngineFault) {
+				p.LoseOrderAnswers = 0
+				if on {
+					p.LoseOrderAnswers = f.amount
+				}
+			})
+		})
 	default:
 		r.leave(ctx, f, e)
 	}
--- a/faults/play_host.go
+++ b/faults/play_host.go
@@ -13,25 +13,29 @@
 	defer h.disturbed.Store(false)
 	switch f.kind {
 	case faultKillHost:
-		r.killHost(ctx, f, h)
+		r.killHost(ctx, f, h, func() {})
 	case faultFreezeHost:
-		r.freezeHost(ctx, f, h)
+		r.freezeHost(ctx, f, h, func() {})
 	default:
 		r.terminateHost(ctx, f, h)
 	}
 }
 
-func (r *Run) killHost(ctx context.Context, f fault, h *entryHost) {
-	begun := r.disturbances.begin(f.kind, h.name)
+// killHost kills a host and starts it again. Struck is called once the host is dead.
+func (r *Run) killHost(ctx context.Context, f fault, h *entryHost, struck func()) {
+	begun := r.disturbances.begin(faultKillHost, h.name)
 	r.check(r.Processes.Kill(h.name))
+	struck()
 	sleep(ctx, f.duration)
 	r.disturbances.finish(begun)
 	r.check(r.startHost(h))
 }
 
-func (r *Run) freezeHost(ctx context.Context, f fault, h *entryHost) {
-	begun := r.disturbances.begin(f.kind, h.name)
+// freezeHost stops a host for a time. Struck is called once it is stopped.
+func (r *Run) freezeHost(ctx context.Context, f fault, h *entryHost, struck func()) {
+	begun := r.disturbances.begin(faultFreezeHost, h.name)
 	r.check(r.Processes.Freeze(h.name))
+	struck()
 	sleep(ctx, f.duration)
 	r.check(r.Processes.Thaw(h.name))
 	r.disturbances.finish(begun)
--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -13,6 +13,10 @@
 	faultKillHost      faultKind = "kill entry host"
 	faultFreezeHost    faultKind = "freeze entry host"
 	faultTerminateHost faultKind = "planned stop of entry host"
+	faultTrapKill      faultKind = "kill owner in the middle of a load"
+	faultTrapFreeze    faultKind = "freeze owner in the middle of a load"
+	faultOrdersLate    faultKind = "orders are late"
+	faultOrdersLost    faultKind = "answers to orders are lost"
 	faultStoreDown     faultKind = "store down"
 	faultStoreSlow     faultKind = "store slow"
 	faultStoreLose     faultKind = "store loses answers"
@@ -65,6 +69,10 @@
 		{faultKillHost, 4, hosts, time.Second, 4 * time.Second},
 		{faultFreezeHost, 4, hosts, time.Second, 8 * time.Second},
 		{faultTerminateHost, 3, hosts, time.Second, 2 * time.Second},
+		{faultTrapKill, 4, 3, time.Second, 4 * time.Second},
+		{faultTrapFreeze, 5, 3, 2 * time.Second, 9 * time.Second},
+		{faultOrdersLate, 3, engines, time.Second, 5 * time.Second},
+		{faultOrdersLost, 3, engines, time.Second, 5 * time.Second},
 		{faultStoreDown, 3, 1, time.Second, 8 * time.Second},
 		{faultStoreSlow, 2, 1, time.Second, 6 * time.Second},
 		{faultStoreLose, 3, 1, time.Second, 3 * time.Second},
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -52,6 +52,7 @@
 	Weights         Weights    // no limit when nil
 	Census          CensusSink // none when nil
 	Runs            RunSink    // none when nil
+	Orders          OrderSink  // none when nil
 	BatchCapacity   int
 	MaxWaiting      int
 	TokensPerSecond float64 // of a stream that runs alone
--- a/standin/engine_fault.go
+++ b/standin/engine_fault.go
@@ -21,6 +21,8 @@
 	Duplicate        int   // the next chunks are sent twice
 	LoadFails        int   // the next loads fail
 	LoadSlowFactor   float64
+	OrderDelayMS     int64    // from the arrival of an order until it is carried out
+	LoseOrderAnswers int      // the next orders are carried out without an answer
 	UnreachableZones []string // connections from these zones are closed
 }
 
@@ -131,3 +133,15 @@
 	*n--
 	return true
 }
+
+func (e *Engine) orderDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(e.fault.OrderDelayMS) * time.Millisecond
+}
+
+func (e *Engine) losesAnswer() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return takeOne(&e.fault.LoseOrderAnswers)
+}
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -30,8 +30,12 @@
 		return
 	}
 	l := e.currentLife()
+	if e.Orders != nil {
+		e.Orders.TakeOrder(e.Backend, o)
+	}
+	sleep(l.ctx, e.orderDelay())
 	answer := e.carryOut(l, o)
-	if l.ctx.Err() != nil {
+	if l.ctx.Err() != nil || e.losesAnswer() {
 		cutConnection()
 	}
 	writeJSON(w, http.StatusOK, answer)
--- a/standin/run.go
+++ b/standin/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"citronspread/model"
+	"citronspread/store"
 )
 
 // Run is one run of a request at an engine or of a call at a service.
@@ -15,6 +16,16 @@
 	At      time.Time
 }
 
+// WriteSink takes the writes that took effect, before they are answered.
+type WriteSink interface {
+	TakeWrite(entry store.Entry)
+}
+
+// OrderSink takes the orders that reached an engine, before they are carried out.
+type OrderSink interface {
+	TakeOrder(backend string, order model.Order)
+}
+
 // RunSink takes the runs as they begin.
 type RunSink interface {
 	TakeRun(run Run)
--- a/standin/store.go
+++ b/standin/store.go
@@ -36,6 +36,7 @@
 	Address         string
 	WritesPerSecond float64
 	ReadsPerSecond  float64
+	Written         WriteSink // none when nil
 
 	once      sync.Once
 	writes    *rate.Limiter
--- a/standin/store_kv.go
+++ b/standin/store_kv.go
@@ -77,6 +77,9 @@
 	}
 	s.mu.Unlock()
 
+	if done && s.Written != nil {
+		s.Written.TakeWrite(current)
+	}
 	if lost {
 		cutConnection()
 	}
