--- a/measure/call.go
+++ b/measure/call.go
@@ -30,7 +30,7 @@
 	outcomeWhole   outcome = "Whole"   // the whole answer, in time
 	outcomeLate    outcome = "Late"    // the whole answer after the deadline
 	outcomeRefused outcome = "Refused" // refused and not run
-	outcomeFailed  outcome = "Failed"  // an error that says it may have run
+	outcomeFailed  outcome = "Failed"  // an error that says it may have run, also as the last event of a stream
 	outcomeSilent  outcome = "Silent"  // no byte of an answer when the caller gave up
 	outcomeCut     outcome = "Cut"     // under way when the caller gave up
 	outcomeBroken  outcome = "Broken"  // ended without being whole
@@ -74,6 +74,13 @@
 	Content string `json:"content"`
 }
 
+// errorEvent is the explicit end of a stream that can't be completed.
+type errorEvent struct {
+	code string
+}
+
+func (e *errorEvent) Error() string { return "measure: error event " + e.code }
+
 // answer is what a caller read.
 type answer struct {
 	text    string
@@ -136,10 +143,15 @@
 		return refused, outcomeFailed
 	}
 	got, err := readAnswer(response.Body, class)
-	if err != nil {
+	var told *errorEvent
+	switch {
+	case errors.As(err, &told):
+		got.reason = told.code
+		return got, outcomeFailed
+	case err != nil:
 		got.reason = err.Error()
-	}
-	if err != nil || !got.whole {
+		return got, givenUp(ctx, outcomeCut)
+	case !got.whole:
 		return got, givenUp(ctx, outcomeCut)
 	}
 	return got, outcomeWhole
@@ -233,7 +245,7 @@
 		var chunk completion
 		err := json.Unmarshal([]byte(data), &chunk)
 		if err == nil && chunk.Error != nil {
-			return got, errors.Newf("measure: error event %s", chunk.Error.Code)
+			return got, &errorEvent{code: chunk.Error.Code}
 		}
 		if err != nil || len(chunk.Choices) == 0 {
 			return got, errors.New("measure: not a chunk")
