--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 SEED ?= 1
 SECONDS ?= 40
+REVISION ?= $(shell git describe --always --dirty 2>/dev/null)
 
 .PHONY: bench build demo faults format lint path-check test
 
 build:
-	go build -o citronspread .
+	go build -ldflags "-X citronspread/cli.revision=$(REVISION)" -o citronspread .
 
 format:
 	go tool gofumpt -w .
--- a/cli/version.go
+++ b/cli/version.go
@@ -4,23 +4,29 @@
 
 const shortRevision = 12 // characters
 
-// version returns the module's version and the revision that it was built from.
+// revision is set by the linker where the build doesn't stamp it.
+var revision string
+
+// version returns the revision that the program was built from, or the module's version.
 func version() string {
+	if revision != "" {
+		return revision
+	}
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
 	}
-	revision, modified := "", ""
+	stamped, modified := "", ""
 	for _, s := range info.Settings {
 		switch {
 		case s.Key == "vcs.revision":
-			revision = s.Value[:min(shortRevision, len(s.Value))]
+			stamped = s.Value[:min(shortRevision, len(s.Value))]
 		case s.Key == "vcs.modified" && s.Value == "true":
 			modified = " modified"
 		}
 	}
-	if revision == "" {
+	if stamped == "" {
 		return info.Main.Version
 	}
-	return revision + modified
+	return stamped + modified
 }
