--- a/cli/cli.go
+++ b/cli/cli.go
@@ -69,6 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	err = a.chosen.run(ctx, output{stdout: stdout, stderr: stderr})
 	if err != nil {
 		fmt.Fprintln(stderr, errorText(err))
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
 
 	"citronspread/entryhost"
 	"citronspread/settings"
@@ -14,9 +15,6 @@
 
 Example: citronspread serve --settings entry.yaml`
 
-// runEntryHost runs an entry host until ctx ends.
-var runEntryHost = entryhost.Run
-
 // collectionPercent is how much the heap may grow between two garbage collections.
 const collectionPercent = 40
 
@@ -43,3 +41,10 @@
 	debug.SetGCPercent(collectionPercent)
 	return runEntryHost(ctx, s, logger)
 }
+
+// runEntryHost runs an entry host until ctx ends.
+func runEntryHost(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	host := entryhost.FromSettings(s, logger)
+	host.Version = version()
+	return host.Run(ctx)
+}
--- /dev/null
+++ b/yamlfile/address.go
@@ -0,0 +1,30 @@
+package yamlfile
+
+import "net/netip"
+
+const addressExpected = "an address as IP:port, such as 127.0.0.1:8101"
+
+// Address returns the IP address and port under a required key.
+func (m *Mapping) Address(key string) string {
+	text, ok := m.scalar(key, addressExpected)
+	if ok && !isAddress(text) {
+		m.Fail(key, addressExpected)
+	}
+	return text
+}
+
+// Addresses returns the list of addresses under a required key.
+func (m *Mapping) Addresses(key string) []string {
+	addresses := m.texts(key, "a list of addresses, each as IP:port")
+	for _, address := range addresses {
+		if !isAddress(address) {
+			m.Fail(key, addressExpected)
+		}
+	}
+	return addresses
+}
+
+func isAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
+}
