--- a/cli/measure.go
+++ b/cli/measure.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	runner := &measure.Runner{Plan: plan, Revision: version(), Logger: logger, RunEntryHost: runEntryHost}
+	runner := &measure.Runner{Plan: plan, Revision: version(), Logger: logger}
 	result, err := runner.Run(ctx)
 	if err != nil {
 		return err
--- a/measure/call.go
+++ b/measure/call.go
@@ -45,20 +45,20 @@
 
 // caller sends requests to entry hosts.
 type caller struct {
-	plan      Plan
+	classes   []Class
 	addresses []string
 	client    *http.Client
 }
 
-func newCaller(p Plan, addresses []string) *caller {
+func newCaller(classes []Class, addresses []string) *caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1_000, DisableCompression: true}
-	return &caller{plan: p, addresses: addresses, client: &http.Client{Transport: transport}}
+	return &caller{classes: classes, addresses: addresses, client: &http.Client{Transport: transport}}
 }
 
 // call sends one request and checks its answer.
 func (c *caller) call(ctx context.Context, a Arrival, dueAt time.Time, cold bool) sample {
 	s := sample{Arrival: a, Cold: cold}
-	class := c.plan.Classes[a.Class]
+	class := c.classes[a.Class]
 	ctx, cancel := context.WithDeadline(ctx, dueAt.Add(class.Timeout+timeoutSlack))
 	defer cancel()
 	got, ended := c.exchange(ctx, a, class)
--- a/measure/plan.go
+++ b/measure/plan.go
@@ -65,12 +65,28 @@
 	Index  int    // among the engines or services
 	Every  int    // the fault goes to each Every-th engine from Index on, 0 for one only
 	Body   string // JSON
+
+	RepeatEvery time.Duration // 0 for once
+	Times       int
 }
 
-// Variant changes settings of all entry hosts.
+// Names of the ways to choose a replica.
+const (
+	pickLatency = "Latency" // two choices on observed latency
+	pickLeast   = "Least"   // least outstanding
+	pickRandom  = "Random"
+	pickCredit  = "Credit" // credits issued by the owner
+)
+
+// Variant changes settings and policies of all entry hosts.
 type Variant struct {
 	Name                 string
 	ShortestKeepAlive    time.Duration
 	LongestKeepAlive     time.Duration
 	StandingReservations int
+	Picker               string
+	LongCapShare         float64 // largest share of a batch for long streams, 1 for no cap
+	LongFloorShare       float64 // share of a batch that long work is sure to get
+	MaxMoves             int     // of a stream that a slowed backend server delays
+	EqualPriorities      bool    // all classes are sent with one priority
 }
--- a/measure/read.go
+++ b/measure/read.go
@@ -167,31 +167,14 @@
 	if f.Body != "" && !json.Valid([]byte(f.Body)) {
 		m.Fail("Body", "JSON, as the stand-in's /fault takes it")
 	}
-	m.Close()
-	return f
-}
-
-func defaultVariant(l fleet.Layout) Variant {
-	defaults := settings.Defaults(l.Deployment)
-	return Variant{
-		Name:                 "default",
-		ShortestKeepAlive:    defaults.KeepAlive.Shortest,
-		LongestKeepAlive:     defaults.KeepAlive.Longest,
-		StandingReservations: l.StandingReservations,
+	if m.Has("Repeat") {
+		repeat := m.Mapping("Repeat")
+		f.RepeatEvery = repeat.Duration("Every", someTime)
+		f.Times = int(repeat.Int("Times", positive))
+		repeat.Close()
 	}
-}
-
-func readVariant(m *yamlfile.Mapping, l fleet.Layout) Variant {
-	v := defaultVariant(l)
-	v.Name = m.Name("Name")
-	v.ShortestKeepAlive = m.DurationOr("ShortestKeepAlive", v.ShortestKeepAlive, anyTime)
-	v.LongestKeepAlive = m.DurationOr("LongestKeepAlive", v.LongestKeepAlive, anyTime)
-	v.StandingReservations = int(m.IntOr("StandingReservations", int64(v.StandingReservations), yamlfile.IntRange{High: 16}))
 	m.Close()
-	if v.ShortestKeepAlive > v.LongestKeepAlive {
-		m.Fail("ShortestKeepAlive", "at most LongestKeepAlive")
-	}
-	return v
+	return f
 }
 
 // checkShares refuses classes whose shares don't add up to one.
--- /dev/null
+++ b/measure/variant.go
@@ -0,0 +1,89 @@
+package measure
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"citronspread/entryhost"
+	"citronspread/fleet"
+	"citronspread/routing"
+	"citronspread/settings"
+	"citronspread/yamlfile"
+)
+
+// defaultVariant changes nothing.
+func defaultVariant(l fleet.Layout) Variant {
+	defaults := settings.Defaults(l.Deployment)
+	policy := routing.DefaultPolicy()
+	return Variant{
+		Name:                 "default",
+		ShortestKeepAlive:    defaults.KeepAlive.Shortest,
+		LongestKeepAlive:     defaults.KeepAlive.Longest,
+		StandingReservations: l.StandingReservations,
+		Picker:               pickLatency,
+		LongCapShare:         policy.LongCapShare,
+		LongFloorShare:       policy.LongFloorShare,
+		MaxMoves:             policy.MaxMoves,
+	}
+}
+
+func readVariant(m *yamlfile.Mapping, l fleet.Layout) Variant {
+	v := defaultVariant(l)
+	v.Name = m.Name("Name")
+	v.ShortestKeepAlive = m.DurationOr("ShortestKeepAlive", v.ShortestKeepAlive, anyTime)
+	v.LongestKeepAlive = m.DurationOr("LongestKeepAlive", v.LongestKeepAlive, anyTime)
+	v.StandingReservations = int(m.IntOr("StandingReservations", int64(v.StandingReservations), yamlfile.IntRange{High: 16}))
+	v.Picker = m.OneOfOr("Picker", v.Picker, pickLatency, pickLeast, pickRandom, pickCredit)
+	v.LongCapShare = m.FloatOr("LongCapShare", v.LongCapShare, share)
+	v.LongFloorShare = m.FloatOr("LongFloorShare", v.LongFloorShare, share)
+	v.MaxMoves = int(m.IntOr("MaxMoves", int64(v.MaxMoves), number))
+	v.EqualPriorities = m.OneOfOr("EqualPriorities", "No", "Yes", "No") == "Yes"
+	m.Close()
+	if v.ShortestKeepAlive > v.LongestKeepAlive {
+		m.Fail("ShortestKeepAlive", "at most LongestKeepAlive")
+	}
+	return v
+}
+
+// apply changes the settings of an entry host.
+func (v Variant) apply(s *settings.Settings) {
+	s.KeepAlive.Shortest = v.ShortestKeepAlive
+	s.KeepAlive.Longest = v.LongestKeepAlive
+	s.StandingReservations = v.StandingReservations
+}
+
+// runEntryHost runs an entry host with the variant's policies.
+func (v Variant) runEntryHost(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	host := entryhost.FromSettings(s, logger)
+	host.Traffic.Picker = v.picker()
+	host.Traffic.Policy.LongCapShare = v.LongCapShare
+	host.Traffic.Policy.LongFloorShare = v.LongFloorShare
+	host.Traffic.Policy.MaxMoves = v.MaxMoves
+	return host.Run(ctx)
+}
+
+func (v Variant) picker() routing.Picker {
+	switch v.Picker {
+	case pickLeast:
+		return routing.LeastPicker{}
+	case pickRandom:
+		return routing.RandomPicker{}
+	case pickCredit:
+		return routing.CreditPicker{}
+	}
+	return routing.LatencyPicker{}
+}
+
+// classes returns the plan's classes as the variant sends them.
+func (v Variant) classes(p Plan) []Class {
+	const onePriority = 50
+	all := slices.Clone(p.Classes)
+	for i := range all {
+		if v.EqualPriorities {
+			all[i].Priority = onePriority
+		}
+	}
+	return all
+}
