routing: a request that becomes a suspect while it waits is cleared again

A waiting request whose word of death came meanwhile ran as if unsuspected beside an innocent suspect, which was blamed in its place: 3 backend servers lost.

--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -74,6 +74,8 @@
 		t := cursors[best].ticket()
 		if r.isTooLate(now, t) {
 			r.refuse(now, t, ReasonLate)
+		} else if !t.trial && r.Suspects.IsSuspect(t.Fingerprint) {
+			r.sendBack(t)
 		} else if replica := r.choose(now, t, longWaits); replica != nil {
 			r.grant(now, t, replica, longWaits)
 		} else if !cursors[best].skip(r, t) {
@@ -86,6 +88,13 @@
 	}
 }
 
+// sendBack takes out a ticket whose request became a suspect while it waited.
+func (r *Router) sendBack(t *Ticket) {
+	if r.queue.Withdraw(t) {
+		t.settle(result{suspected: true})
+	}
+}
+
 // isTooLate reports whether serving the ticket would take a place from others in vain.
 func (r *Router) isTooLate(now time.Time, t *Ticket) bool {
 	if !now.Before(t.Deadline) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -60,26 +60,32 @@
 	grants  []*Grant
 }
 
+// result is what became of a ticket.
 type result struct {
-	grant *Grant
-	err   error
+	grant     *Grant
+	err       error
+	suspected bool // it became a suspect while it waited and must be cleared again
 }
 
 // Acquire waits until a replica is granted or the request is refused with a *RefusedError.
 func (r *Router) Acquire(ctx context.Context, request Request) (*Grant, error) {
 	r.once.Do(r.init)
-	cleared, err := r.clear(ctx, &request)
-	if err != nil {
-		return nil, err
-	}
-	t := &Ticket{Request: request, clearance: cleared, result: make(chan result, 1)}
-	wake := r.admit(r.Now(), t)
-	r.wake(wake)
-	grant, err := r.await(ctx, t)
-	if err != nil && cleared.trial {
-		r.Suspects.Release(request.Fingerprint)
+	for {
+		cleared, err := r.clear(ctx, &request)
+		if err != nil {
+			return nil, err
+		}
+		t := &Ticket{Request: request, clearance: cleared, result: make(chan result, 1)}
+		r.wake(r.admit(r.Now(), t))
+		res := r.await(ctx, t)
+		if res.suspected {
+			continue
+		}
+		if res.err != nil && cleared.trial {
+			r.Suspects.Release(request.Fingerprint)
+		}
+		return res.grant, res.err
 	}
-	return grant, err
 }
 
 // Resolve finds the target of a model name as callers write it.
@@ -189,10 +195,10 @@
 }
 
 // await returns the ticket's result, at the latest at its deadline.
-func (r *Router) await(ctx context.Context, t *Ticket) (*Grant, error) {
+func (r *Router) await(ctx context.Context, t *Ticket) result {
 	select {
 	case res := <-t.result:
-		return res.grant, res.err
+		return res
 	default:
 	}
 	timer := time.NewTimer(t.Deadline.Sub(r.Now()))
@@ -200,7 +206,7 @@
 	var err error
 	select {
 	case res := <-t.result:
-		return res.grant, res.err
+		return res
 	case <-timer.C:
 		err = &RefusedError{Reason: ReasonLate, RetryAfter: retryAfterFloor}
 	case <-ctx.Done():
@@ -210,10 +216,9 @@
 	removed := r.queue.Withdraw(t)
 	r.mu.Unlock()
 	if removed {
-		return nil, err
+		return result{err: err}
 	}
-	res := <-t.result
-	return res.grant, res.err
+	return <-t.result
 }
 
 // refusedBy tells whether the deadline passed or the caller went away.
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -55,6 +55,9 @@
 func (t *Ticket) outcome() (string, *Grant) {
 	select {
 	case res := <-t.result:
+		if res.suspected {
+			return "suspected", nil
+		}
 		if refused, ok := res.err.(*RefusedError); ok {
 			return string(refused.Reason), nil
 		}
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -165,6 +165,10 @@
 
 func (w *suspectWorld) collect(run *worldRun) {
 	got, g := run.ticket.outcome()
+	if got == "suspected" {
+		run.queued, run.ticket.clearance = false, clearance{}
+		return
+	}
 	if g == nil {
 		run.stopped = got != "waiting"
 		if run.stopped && run.ticket.trial {
@@ -298,6 +302,19 @@
 	return nil
 }
 
+func TestSuspectedWhileWaiting(t *testing.T) {
+	r := newRouter(DefaultPolicy())
+	r.Policy.ColdStart = 0
+	tk := ticket(testTime, 10, time.Minute)
+	r.admit(testTime, tk)
+	r.mergeSuspects(testTime, []model.Suspect{{Fingerprint: tk.Fingerprint, Deaths: 1, Lost: []model.Death{{Backend: "b", At: testTime}}}})
+	publish(r, replica("a", 8))
+	r.Step(testTime)
+	if got, _ := tk.outcome(); got != "suspected" {
+		t.Errorf("got %s, want the request to be sent back", got)
+	}
+}
+
 func TestMergeSuspect(t *testing.T) {
 	death := func(name string, after time.Duration) model.Death {
 		return model.Death{Backend: name, At: testTime.Add(after)}
