--- a/ledger/event.go
+++ b/ledger/event.go
@@ -16,6 +16,7 @@
 }
 
 // BackendsChanged gives every backend server of the own zone and the entry host that should own it.
+// One that is missing, or Gone, has left the host list. It is not sent while the host list is unknown.
 type BackendsChanged struct {
 	Backends []Assignment
 }
@@ -24,7 +25,7 @@
 type Assignment struct {
 	Backend string
 	Owner   string // name of an entry host of the zone
-	Gone    bool   // the backend server left the host list; its record is to be cleared
+	Gone    bool   // the backend server left the host list
 }
 
 // SourcesChanged gives what the newest known configuration decides.
@@ -131,6 +132,14 @@
 	Backend string
 }
 
+// ReplicaUsed gives how many requests the routers have running on a replica of an owned backend server.
+// It is told again at least every drainTime, for engines that don't list it in their observation.
+type ReplicaUsed struct {
+	Backend string
+	Key     model.ModelKey
+	Running int
+}
+
 // StandingWanted gives the model versions that a backend server should hold standing reservations for.
 type StandingWanted struct {
 	Backend string
@@ -153,4 +162,5 @@
 func (LoadWanted) event()      {}
 func (UnloadWanted) event()    {}
 func (StandingWanted) event()  {}
+func (ReplicaUsed) event()     {}
 func (ReleaseAll) event()      {}
