--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -340,3 +340,25 @@
 		}
 	}
 }
+
+// BenchmarkPolicySuspects counts the backend servers that one request takes with it, over a hundred worlds.
+func BenchmarkPolicySuspects(b *testing.B) {
+	for _, share := range []bool{false, true} {
+		for _, copies := range []int{1, 2, 3} {
+			b.Run(fmt.Sprintf("shared=%v/copies=%d", share, copies), func(b *testing.B) {
+				var worlds [10]int
+				for seed := range uint64(100) {
+					w := newSuspectWorld(seed, 3, 6, share)
+					runWorld(w, copies)
+					worlds[min(w.lost, len(worlds)-1)]++
+				}
+				b.ReportMetric(0, "ns/op")
+				for lost, count := range worlds {
+					if count > 0 {
+						b.ReportMetric(float64(count), fmt.Sprintf("lost%d", lost))
+					}
+				}
+			})
+		}
+	}
+}
