caller: an entry host remembers what it sent, answers repeats while the store is down and restores lost claims

The claim's writer now also writes over an earlier state of its claim in place of taking any conflict for its own write. Test: store emptied after a booking, repeat at both hosts: booked twice without Restored, once with it.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -63,6 +63,7 @@
 	once       sync.Once
 	unreleased chan release
 	lease      claimLease
+	recent     recentClaims
 }
 
 // claim is a claim that this entry host holds.
@@ -90,6 +91,9 @@
 
 // take makes the claim. The error is a *claimTakenError or a *claimUnavailableError.
 func (c *Claims) take(ctx context.Context, key, requestHash string, now time.Time) (*claim, error) {
+	if known, found := c.recent.recall(key); found {
+		return nil, &claimTakenError{Current: known}
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
 	defer cancel()
 	held := &claim{key: key, wire: claimWire{
@@ -168,6 +172,10 @@
 		if pause(ctx, poll) != nil {
 			return current
 		}
+		if known, found := c.recent.recall(key); found && known.Nonce == current.Nonce {
+			current = known
+			continue
+		}
 		entry, err := c.Store.Get(ctx, key)
 		if err != nil {
 			continue
@@ -189,6 +197,11 @@
 	if len(answer.Body) > maxKeptAnswer {
 		held.wire.Body, held.wire.BodyDropped = nil, true
 	}
+	if state == claimReleased {
+		c.recent.forget(held.key)
+	} else {
+		c.recent.remember(held, time.Now())
+	}
 	value, err := json.Marshal(held.wire)
 	if err != nil {
 		return err
@@ -196,8 +209,7 @@
 	for try := 1; ; try++ {
 		_, err = c.write(ctx, held, value, held.revision)
 		var conflict *store.ConflictError
-		// Only this entry host writes over its claim, so that a conflict is its own write with a lost answer.
-		if err == nil || errors.As(err, &conflict) {
+		if err == nil || errors.As(err, &conflict) && !held.isBehind(conflict.Current) {
 			return nil
 		}
 		if pause(ctx, time.Duration(try)*claimPause) != nil {
@@ -206,6 +218,20 @@
 	}
 }
 
+// isBehind reports whether the entry in the way is an earlier state of the claim or lost, and takes its revision.
+// Only this entry host writes over its claim, so that any other conflict is its own write with a lost answer.
+func (h *claim) isBehind(current store.Entry) bool {
+	h.revision = current.Revision
+	if current.Revision == 0 {
+		return true
+	}
+	var wire claimWire
+	if json.Unmarshal(current.Value, &wire) != nil {
+		return false
+	}
+	return wire.Nonce == h.wire.Nonce && wire.State != h.wire.State
+}
+
 func claimKey(name, key string) string {
 	sum := sha256.Sum256([]byte(name + "\x00" + key))
 	return claimPrefix + name + "/" + hex.EncodeToString(sum[:])
--- a/caller/claimed.go
+++ b/caller/claimed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -28,6 +29,7 @@
 		s.writeError(w, noClaim())
 		return
 	}
+	s.Claims.recent.remember(held, time.Now())
 	answer, err := s.send(ctx, c)
 	if err != nil {
 		s.settleFailed(ctx, w, c, held, err)
