--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -10,7 +11,6 @@
 
 const (
 	deathsToRefuse = 2
-	sameDeath      = time.Second // two reports of one backend server within it are one death
 	maxProven      = 4096
 )
 
@@ -242,10 +242,7 @@
 		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b model.Suspect) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
 	})
 	return list
 }
@@ -306,89 +303,3 @@
 		s.Publish(e)
 	}
 }
-
-// MergeSuspect joins two views of one suspect. The order of merging does not matter.
-func MergeSuspect(a, b model.Suspect) model.Suspect {
-	merged := model.Suspect{
-		Fingerprint: a.Fingerprint,
-		Recent:      a.Recent || b.Recent,
-		Tokens:      max(a.Tokens, b.Tokens),
-		RefuseUntil: later(a.RefuseUntil, b.RefuseUntil),
-		ClearedAt:   later(a.ClearedAt, b.ClearedAt),
-	}
-	for _, d := range mergeDeaths(a.Lost, b.Lost) {
-		if d.At.After(merged.ClearedAt) {
-			merged.Lost = append(merged.Lost, d)
-		}
-	}
-	merged.Deaths = len(merged.Lost)
-	winner := holderOf(a, b)
-	merged.Holder, merged.HeldUntil, merged.Epoch = winner.Holder, winner.HeldUntil, winner.Epoch
-	return merged
-}
-
-// holderOf returns the view whose claim counts: the higher epoch, else the smaller name.
-func holderOf(a, b model.Suspect) model.Suspect {
-	switch {
-	case a.Epoch != b.Epoch:
-		if a.Epoch > b.Epoch {
-			return a
-		}
-		return b
-	case a.Holder == b.Holder:
-		if a.HeldUntil.After(b.HeldUntil) {
-			return a
-		}
-		return b
-	case a.Holder == "" || b.Holder != "" && b.Holder < a.Holder:
-		return b
-	default:
-		return a
-	}
-}
-
-// mergeDeaths joins two sorted lists; reports of one backend server that lie close are one death.
-func mergeDeaths(a, b []model.Death) []model.Death {
-	all := slices.Concat(a, b)
-	slices.SortFunc(all, func(x, y model.Death) int {
-		if x.At.Equal(y.At) {
-			return compareNames(x.Backend, y.Backend)
-		}
-		return x.At.Compare(y.At)
-	})
-	var kept []model.Death
-	for _, d := range all {
-		if !slices.ContainsFunc(kept, func(k model.Death) bool {
-			return k.Backend == d.Backend && d.At.Sub(k.At) < sameDeath
-		}) {
-			kept = append(kept, d)
-		}
-	}
-	return kept
-}
-
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func lastNews(e model.Suspect) time.Time {
-	news := e.ClearedAt
-	for _, d := range e.Lost {
-		news = later(news, d.At)
-	}
-	return later(news, e.RefuseUntil)
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
