--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -201,7 +201,7 @@
 func (e *edge) push(targets []model.Peer, items []gossip.Item) {
 	for _, target := range targets {
 		e.spawn(func(ctx context.Context) {
-			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{From: e.self, Items: items})
+			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{Zone: e.self.Zone, Items: items})
 			if err != nil {
 				e.reportRefused(target, err)
 			}
@@ -253,7 +253,7 @@
 	}
 	usages := e.usage.TakeUsage()
 	for _, address := range distinctAddresses(targets) {
-		request := peer.UsageRequest{From: e.self, Usages: usagesFor(address, targets, usages)}
+		request := peer.UsageRequest{From: e.self.Name, Usages: usagesFor(address, targets, usages)}
 		if len(request.Usages) == 0 {
 			continue
 		}
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -17,7 +17,7 @@
 // Numbers of peers that soft state is passed on to.
 const (
 	exchangeFanout = 2 // live peers compared with in each round
-	pushFanout     = 3 // live peers that news is pushed to
+	pushFanout     = 2 // live peers that news is pushed to
 	gatewayCount   = 2 // entry hosts of a zone that compare with other zones in each round
 	discoverEvery  = 5 // rounds between tries to reach listed but silent hosts
 )
@@ -131,7 +131,7 @@
 
 // startExchange compares soft state with one peer.
 func (c *control) startExchange(target model.Peer) {
-	request := &peer.ExchangeRequest{From: c.self, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
+	request := &peer.ExchangeRequest{Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
 	e := c.edge
 	e.spawn(func(ctx context.Context) {
 		reply, err := e.peers.Exchange(ctx, target.Address, request)
@@ -151,12 +151,16 @@
 
 func (e exchangeReplied) apply(c *control, now time.Time) {
 	c.members.Hear(now, e.reply.Beats)
-	items, want := c.table.Reconcile(e.reply.Digest, e.reply.Summaries)
-	beats := c.members.BeatsNewer(e.reply.Wanted)
+	var items []gossip.Item
+	var want []gossip.ItemID
+	if e.reply.Digest != nil {
+		items, want = c.table.Reconcile(*e.reply.Digest, e.reply.Summaries)
+	}
+	beats := c.members.SelectBeats(e.reply.Wanted)
 	if len(items) == 0 && len(want) == 0 && len(beats) == 0 {
 		return
 	}
-	request := &peer.PushRequest{From: c.self, Beats: beats, Items: items, Want: want}
+	request := &peer.PushRequest{Zone: c.self.Zone, Beats: beats, Items: items, Want: want}
 	edge := c.edge
 	edge.spawn(func(ctx context.Context) {
 		reply, err := edge.peers.Push(ctx, e.target.Address, request)
@@ -184,7 +188,7 @@
 	isConfigurationNew := false
 	for _, item := range accepted {
 		switch item.ID.Kind {
-		case gossip.KindBackend:
+		case gossip.KindBackend, gossip.KindCheckpoints:
 			c.backends.isStale = true
 		case gossip.KindHost:
 			c.introduce(now, item)
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -128,10 +128,12 @@
 	c.hosts.absent = absent
 	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
 	c.edge.setEngines(e.hosts)
-	c.table.Remove(gossip.KindBackend, func(name string) bool {
+	isGone := func(name string) bool {
 		_, found := c.hosts.find(name)
 		return !found
-	})
+	}
+	c.table.Remove(gossip.KindBackend, isGone)
+	c.table.Remove(gossip.KindCheckpoints, isGone)
 	c.isSnapshotStale = true
 	c.backends.isStale = true
 	c.assign(now)
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if lead.Name != c.self.Name && e.hops == 0 {
-		c.edge.forwardWake(lead.Address, peer.WakeRequest{From: c.self, Wake: e.wake})
+		c.edge.forwardWake(lead.Address, peer.WakeRequest{Wake: e.wake})
 		return
 	}
 	c.metrics.wakes.Add(1)
@@ -121,7 +121,7 @@
 	}
 	c.metrics.wakesForwarded.Add(1)
 	for _, target := range c.hosts.oneOfEachOtherZone(c.self.Zone) {
-		c.edge.forwardWake(target.Address, peer.WakeRequest{From: c.self, Wake: wake, Hops: 1})
+		c.edge.forwardWake(target.Address, peer.WakeRequest{Wake: wake, Hops: 1})
 	}
 }
 
@@ -140,7 +140,7 @@
 		c.permitAnswered(now, choice, c.permits.Ask(now, choice.Wake, choice.Backend))
 		return
 	}
-	request := peer.PermitRequest{From: c.self, Wake: choice.Wake, Backend: choice.Backend}
+	request := peer.PermitRequest{Wake: choice.Wake, Backend: choice.Backend}
 	c.edge.askPermit(holder.Address, request, func(granted bool) event {
 		return permitReplied{choice: choice, granted: granted}
 	})
@@ -169,7 +169,7 @@
 		loadAsked{key: choice.Key, backend: choice.Backend, adapters: choice.Adapters}.apply(c, now)
 		return
 	}
-	request := peer.LoadRequest{From: c.self, Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
+	request := peer.LoadRequest{Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
 	c.edge.askLoad(choice.Owner, request)
 }
 
@@ -196,7 +196,7 @@
 		adapterAsked{id: id}.apply(c, now)
 		return
 	}
-	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{From: c.self, Key: id.key, Backend: id.backend, Adapter: id.adapter})
+	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{Key: id.key, Backend: id.backend, Adapter: id.adapter})
 }
 
 func preferZone(statuses []model.BackendStatus, zone string) model.BackendStatus {
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -46,9 +46,12 @@
 	reportDue time.Time
 	version   int64
 	published model.BackendStatus
-	replicas  map[model.ModelKey]*replicaUse
-	wants     []wantedLoad
-	refused   []model.RefusedLoad
+
+	checkpoints        []model.Checkpoint // as last published
+	checkpointsVersion int64
+	replicas           map[model.ModelKey]*replicaUse
+	wants              []wantedLoad
+	refused            []model.RefusedLoad
 }
 
 // replicaUse is how a replica was used of late.
@@ -108,6 +111,9 @@
 func (s *ownerState) loads(now time.Time) []membership.Load {
 	var loads []membership.Load
 	for name, b := range s.backends {
+		if b.report.Running+b.report.Waiting == 0 {
+			continue // a backend server that is not named is idle
+		}
 		loads = append(loads, membership.Load{
 			Backend: name,
 			Running: quantise(b.report.Running),
--- a/entryhost/peerhandler.go
+++ b/entryhost/peerhandler.go
@@ -57,12 +57,15 @@
 	reply   chan peer.ExchangeReply
 }
 
-func (e exchangeAsked) apply(c *control, now time.Time) {
-	reply := peer.ExchangeReply{Digest: c.table.Digest(), Summaries: c.table.Summaries(e.request.Digest)}
-	if e.request.From.Zone == c.self.Zone {
-		c.members.Introduce(now, e.request.From)
+func (e exchangeAsked) apply(c *control, _ time.Time) {
+	var reply peer.ExchangeReply
+	if digest := c.table.Digest(); digest != e.request.Digest {
+		reply.Digest = &digest
+		reply.Summaries = c.table.Summaries(e.request.Digest)
+	}
+	if e.request.Zone == c.self.Zone {
 		reply.Beats = c.members.BeatsNewer(e.request.Beats)
-		reply.Wanted = c.members.BeatDigest()
+		reply.Wanted = c.members.BeatsWanted(e.request.Beats)
 	}
 	e.reply <- reply
 }
@@ -80,7 +83,7 @@
 }
 
 func (e pushAsked) apply(c *control, now time.Time) {
-	if e.request.From.Zone == c.self.Zone {
+	if e.request.Zone == c.self.Zone {
 		c.members.Hear(now, e.request.Beats)
 	}
 	c.merge(now, e.request.Items)
@@ -143,5 +146,5 @@
 
 // Usage takes a router's report of the use of owned replicas.
 func (h *peerHandler) Usage(ctx context.Context, request *peer.UsageRequest) (*peer.Empty, error) {
-	return tell(ctx, h.edge, peerUsageReported{from: request.From.Name, usages: request.Usages})
+	return tell(ctx, h.edge, peerUsageReported{from: request.From, usages: request.Usages})
 }
--- a/entryhost/status.go
+++ b/entryhost/status.go
@@ -16,6 +16,7 @@
 	loaded := c.ledger.Replicas()
 	for _, o := range c.ledger.Owned() {
 		b := c.owner.get(o.Record.Backend)
+		c.publishCheckpoints(now, o, b)
 		status := c.statusOf(now, o, loaded)
 		status.Version = b.version
 		if reflect.DeepEqual(status, b.published) {
@@ -32,6 +33,21 @@
 	}
 }
 
+// publishCheckpoints tells where a backend server finds checkpoints, when that has changed.
+func (c *control) publishCheckpoints(now time.Time, o ledger.OwnedBackend, b *ownedBackend) {
+	found := o.Observation.Checkpoints
+	if slices.Equal(found, b.checkpoints) {
+		return
+	}
+	b.checkpoints = slices.Clone(found)
+	b.checkpointsVersion++
+	c.put(now, gossip.Item{
+		ID:    gossip.ItemID{Kind: gossip.KindCheckpoints, Key: o.Record.Backend},
+		Rank:  gossip.Rank{Major: o.Record.Term, Minor: b.checkpointsVersion},
+		Value: c.encode(found),
+	})
+}
+
 func (c *control) statusOf(now time.Time, o ledger.OwnedBackend, loaded []ledger.LoadedReplica) model.BackendStatus {
 	record := o.Record
 	host, _ := c.hosts.find(record.Backend)
@@ -47,7 +63,6 @@
 		MemoryBytes:  record.MemoryBytes,
 		FreeBytes:    freeBytes(record),
 		Capacity:     b.report.Capacity,
-		Checkpoints:  slices.Clone(o.Observation.Checkpoints),
 		Refused:      slices.Clone(b.refused),
 	}
 	for _, r := range record.Reservations {
--- a/entryhost/statuses.go
+++ b/entryhost/statuses.go
@@ -36,6 +36,7 @@
 func (c *control) statuses(time.Time) *statusCache {
 	if c.backends.isStale {
 		c.backends.refresh(c.table.Items(gossip.KindBackend), c.log)
+		c.addCheckpoints(c.backends.sorted)
 	}
 	return &c.backends
 }
@@ -62,6 +63,19 @@
 	s.isStale = false
 }
 
+// addCheckpoints completes the statuses of the own zone, where loads are placed.
+func (c *control) addCheckpoints(statuses []model.BackendStatus) {
+	for i := range statuses {
+		item, found := c.table.Get(gossip.ItemID{Kind: gossip.KindCheckpoints, Key: statuses[i].Backend})
+		if !found || statuses[i].Zone != c.self.Zone {
+			continue
+		}
+		if err := unmarshal(item.Value, &statuses[i].Checkpoints); err != nil {
+			c.log.Warn("checkpoints not decoded", zap.String("backend", statuses[i].Backend), zap.Error(err))
+		}
+	}
+}
+
 func (s *statusCache) add(status model.BackendStatus) {
 	for _, r := range status.Replicas {
 		if r.State != model.ReservationUnloading && !r.Draining {
--- a/gossip/item.go
+++ b/gossip/item.go
@@ -14,15 +14,17 @@
 
 // Item kinds.
 const (
-	KindHost    Kind = iota + 1 // an entry host: its addresses and incarnation
-	KindBackend                 // a backend server: its replicas, by its owner
-	KindConfig                  // an operators' record
-	KindSuspect                 // a request that was running when a backend server died
-	KindDemand                  // what a zone loads from the weight store
+	KindHost        Kind = iota + 1 // an entry host: its addresses and incarnation
+	KindBackend                     // a backend server: its replicas, by its owner
+	KindConfig                      // an operators' record
+	KindSuspect                     // a request that was running when a backend server died
+	KindDemand                      // what a zone loads from the weight store
+	KindCheckpoints                 // where a backend server finds checkpoints, by its owner
 )
 
 // Rank orders the values of one item. The higher rank replaces the lower one.
 type Rank struct {
+	_     struct{} `cbor:",toarray"`
 	Major int64
 	Minor int64
 	Tie   string
@@ -35,12 +37,14 @@
 
 // ItemID names an item.
 type ItemID struct {
+	_    struct{} `cbor:",toarray"`
 	Kind Kind
 	Key  string
 }
 
 // Item is one value of soft state.
 type Item struct {
+	_         struct{} `cbor:",toarray"`
 	ID        ItemID
 	Rank      Rank
 	Value     []byte    // CBOR
@@ -53,6 +57,7 @@
 
 // Summary tells which rank of an item a host holds, by hash.
 type Summary struct {
+	_    struct{} `cbor:",toarray"`
 	ID   ItemID
 	Rank Rank
 }
--- a/membership/members.go
+++ b/membership/members.go
@@ -32,6 +32,7 @@
 
 // Load is the quantised load of one backend server, sent with its owner's heartbeat.
 type Load struct {
+	_       struct{} `cbor:",toarray"`
 	Backend string
 	Running int
 	Waiting int
@@ -40,6 +41,7 @@
 
 // Beat is the latest heartbeat of an incarnation.
 type Beat struct {
+	_       struct{} `cbor:",toarray"`
 	ID      BeatID
 	Counter uint64
 	Loads   []Load
@@ -176,6 +178,26 @@
 	return newer
 }
 
+// BeatsWanted returns the names of the heartbeats in the digest that are newer than the held ones.
+func (m *Members) BeatsWanted(digest []Beat) []BeatID {
+	counters := make(map[BeatID]uint64, len(digest))
+	for _, b := range m.Beats() {
+		counters[b.ID] = b.Counter
+	}
+	var wanted []BeatID
+	for _, b := range digest {
+		if b.Counter > counters[b.ID] {
+			wanted = append(wanted, b.ID)
+		}
+	}
+	return wanted
+}
+
+// SelectBeats returns the heartbeats with the given names.
+func (m *Members) SelectBeats(ids []BeatID) []Beat {
+	return slices.DeleteFunc(m.Beats(), func(b Beat) bool { return !slices.Contains(ids, b.ID) })
+}
+
 // BeatDigest returns the heartbeats without their loads.
 func (m *Members) BeatDigest() []Beat {
 	beats := m.Beats()
--- a/model/status.go
+++ b/model/status.go
@@ -16,7 +16,7 @@
 	FreeBytes    int64
 	Capacity     int // requests the engine's batch can hold
 	Replicas     []ReplicaStatus
-	Checkpoints  []Checkpoint
+	Checkpoints  []Checkpoint `cbor:"-"` // told apart from the rest, because they change less
 	Refused      []RefusedLoad
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,22 +8,22 @@
 
 // ExchangeRequest starts a comparison of soft state.
 type ExchangeRequest struct {
-	From   model.Peer
+	Zone   string            // of the caller
 	Beats  []membership.Beat `cbor:",omitempty"` // counters alone, from hosts of the same zone
 	Digest gossip.Digest
 }
 
 // ExchangeReply tells what the answering host holds otherwise.
 type ExchangeReply struct {
-	Beats     []membership.Beat `cbor:",omitempty"`
-	Wanted    []membership.Beat `cbor:",omitempty"` // counters of the answering host, for the caller's newer ones
-	Digest    gossip.Digest
-	Summaries []gossip.Summary `cbor:",omitempty"`
+	Beats     []membership.Beat   `cbor:",omitempty"` // those that are newer than the caller's
+	Wanted    []membership.BeatID `cbor:",omitempty"` // those of which the caller has newer ones
+	Digest    *gossip.Digest      `cbor:",omitempty"` // nil when it is the caller's
+	Summaries []gossip.Summary    `cbor:",omitempty"` // of the buckets that differ
 }
 
 // PushRequest passes items and heartbeats on and asks for others.
 type PushRequest struct {
-	From  model.Peer
+	Zone  string            // of the caller
 	Beats []membership.Beat `cbor:",omitempty"`
 	Items []gossip.Item     `cbor:",omitempty"`
 	Want  []gossip.ItemID   `cbor:",omitempty"`
@@ -48,14 +48,12 @@
 
 // WakeRequest passes a wake to the lead of a model.
 type WakeRequest struct {
-	From model.Peer
 	Wake model.Wake
 	Hops int // zones passed through
 }
 
 // LoadRequest asks the owner of a backend server to load a model version, or to unload it.
 type LoadRequest struct {
-	From     model.Peer
 	Key      model.ModelKey
 	Backend  string
 	Adapters []string
@@ -65,7 +63,6 @@
 
 // PermitRequest asks the zone's permit holder for the right to load from the weight store.
 type PermitRequest struct {
-	From    model.Peer
 	Wake    model.Wake
 	Backend string
 }
@@ -77,7 +74,7 @@
 
 // UsageRequest tells the owner of backend servers how often their replicas were used.
 type UsageRequest struct {
-	From   model.Peer
+	From   string // name of the router's host
 	Usages []model.Usage
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,7 +8,6 @@
 
 	"citronspread/gossip"
 	"citronspread/membership"
-	"citronspread/model"
 )
 
 type echoHandler struct {
@@ -20,7 +19,7 @@
 }
 
 func (echoHandler) Exchange(_ context.Context, request *ExchangeRequest) (*ExchangeReply, error) {
-	return &ExchangeReply{Beats: request.Beats, Digest: request.Digest}, nil
+	return &ExchangeReply{Beats: request.Beats, Digest: &request.Digest}, nil
 }
 
 func startServer(t *testing.T) string {
@@ -55,7 +54,7 @@
 		Rank:  gossip.Rank{Major: 3, Minor: 7, Tie: "n"},
 		Value: []byte("value"),
 	}
-	reply, err := client.Push(t.Context(), address, &PushRequest{From: model.Peer{Name: "a"}, Items: []gossip.Item{item}})
+	reply, err := client.Push(t.Context(), address, &PushRequest{Zone: "a", Items: []gossip.Item{item}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, want := exchange.Digest, (gossip.Digest{1, 2}); got != want {
+	if got, want := *exchange.Digest, (gossip.Digest{1, 2}); got != want {
 		t.Errorf("digest: got %v, want %v", got, want)
 	}
 	if got, want := exchange.Beats[0].Counter, uint64(9); got != want {
--- a/slopes/disturb.go
+++ b/slopes/disturb.go
@@ -56,7 +56,7 @@
 }
 
 func (r *remote) push(ctx context.Context, models int, indexes ...int) error {
-	request := &peer.PushRequest{From: model.Peer{Name: remoteZone + "-entry-0", Zone: remoteZone}}
+	request := &peer.PushRequest{Zone: remoteZone}
 	for _, i := range indexes {
 		item, err := r.item(i, models)
 		if err != nil {
