faults: each load is checked against the slots in use in the store; decided numbers change more rarely

Before, the decided number allowed was nearly always the largest, because numbers changed every 12 s.

--- a/faults/configuration.go
+++ b/faults/configuration.go
@@ -22,6 +22,7 @@
 	modelMemoryMB = 5000
 	maxDecided    = 3
 	recordCount   = 12
+	replicasOneIn = 4 // changes of a record
 
 	popularSeconds = 3
 	popularShare   = 80 // percent of the requests
@@ -41,6 +42,7 @@
 	key           model.ModelKey
 	schemaVersion int
 	changes       int
+	replicas      int // as last written
 
 	mu       sync.Mutex
 	accepted []decision
@@ -76,7 +78,8 @@
 func (c *configuration) putAll(ctx context.Context) error {
 	deadline := time.Now().Add(startTimeout)
 	for _, r := range c.records {
-		for !c.change(ctx, r, maxDecided-1) {
+		r.replicas = maxDecided - 1
+		for !c.change(ctx, r) {
 			if time.Now().After(deadline) {
 				return errors.Newf("faults: can't write %s", r.name)
 			}
@@ -87,7 +90,7 @@
 }
 
 // change writes a record once and reports whether the change was accepted. Two operators race at times.
-func (c *configuration) change(ctx context.Context, r *configRecord, replicas int) bool {
+func (c *configuration) change(ctx context.Context, r *configRecord) bool {
 	current, generation, err := c.read(ctx, r)
 	if err != nil {
 		return false
@@ -97,7 +100,7 @@
 	var writing sync.WaitGroup
 	for i := range operators {
 		r.changes++
-		d := decision{number: r.changes, replicas: 1 + (replicas+i-1)%maxDecided, at: time.Now()}
+		d := decision{number: r.changes, replicas: r.replicas, at: time.Now()}
 		writing.Go(func() { accepted[i] = c.write(ctx, r, current, generation+1, d) })
 	}
 	writing.Wait()
@@ -180,6 +183,9 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		sleep(ctx, r.ConfigEvery)
 		record := r.config.records[i%len(r.config.records)]
-		r.config.change(ctx, record, 1+r.config.random.IntN(maxDecided))
+		if r.config.random.IntN(replicasOneIn) == 0 {
+			record.replicas = 1 + r.config.random.IntN(maxDecided)
+		}
+		r.config.change(ctx, record)
 	}
 }
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -54,6 +54,7 @@
 	config       *configuration
 	links        *links
 	trap         *trap
+	slots        *slotHistory
 	settings     settingsWriter
 }
 
@@ -109,7 +110,8 @@
 	}
 	p.hosts.View = r.links
 	r.trap = &trap{run: r, ctx: ctx, owners: map[string]string{}}
-	p.store.Written = r.trap
+	r.slots = &slotHistory{}
+	p.store.Written = writeSinks{r.slots, r.trap}
 	for _, e := range p.engines {
 		e.Orders = r.trap
 	}
--- a/faults/judge.go
+++ b/faults/judge.go
@@ -20,6 +20,9 @@
 	r.judgeExchanges(runs)
 	r.judgeBookings(runs)
 	r.judgeReplicas()
+	if r.slots != nil {
+		r.judgeSlots()
+	}
 	r.judgeMemory()
 	r.judgeLeaving()
 	r.judgeSuspects()
@@ -101,20 +104,11 @@
 
 // judgeReplicas checks each load against the number decided at its time.
 func (r *Run) judgeReplicas() {
-	holders := map[model.ModelKey]map[string]bool{}
-	for _, event := range r.platform.census.Events() {
-		if holders[event.Key] == nil {
-			holders[event.Key] = map[string]bool{}
-		}
-		if !event.Loaded {
-			delete(holders[event.Key], event.Backend)
-			continue
-		}
-		holders[event.Key][event.Backend] = true
-		loaded, decided := len(holders[event.Key]), r.decidedAt(event.Key, event.At)
-		r.tally.Check(ReplicasAsDecided, loaded <= decided, "%s: %d loaded at %s, %d decided",
-			event.Key, loaded, event.At.Format(time.TimeOnly), decided)
-	}
+	r.eachLoad(func(event standin.CensusEvent, loaded int) {
+		decided := r.decidedAt(event.Key, event.At)
+		r.tally.Check(ReplicasAsDecided, loaded <= decided, "%s: %d loaded at %s on %s, %d decided",
+			event.Key, loaded, event.At.Format(time.TimeOnly), event.Backend, decided)
+	})
 }
 
 // decidedAt returns the largest number that may still bind a load.
@@ -139,18 +133,13 @@
 // lowerBound goes back from a time over the faults that keep a lowered number from taking effect.
 func (r *Run) lowerBound(at time.Time) time.Time {
 	from := at.Add(-lowerWithin)
-	for {
-		earlier := from
-		for _, d := range r.disturbances.between(from, at, delaysLowering) {
-			if begin := d.begin.Add(-lowerWithin); begin.Before(earlier) {
-				earlier = begin
-			}
-		}
-		if earlier.Equal(from) {
-			return from
+	earliest := from
+	for _, d := range r.disturbances.between(from, at, delaysLowering) {
+		if begin := d.begin.Add(-lowerWithin); begin.Before(earliest) {
+			earliest = begin
 		}
-		from = earlier
 	}
+	return earliest
 }
 
 func delaysLowering(d disturbance) bool {
--- a/faults/judge_test.go
+++ b/faults/judge_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+func TestJudgeSlots(t *testing.T) {
+	now := time.Now()
+	for _, slots := range []int{1, 2} {
+		r := newJudged(t)
+		key := r.config.records[0].key
+		r.slots = &slotHistory{changes: []slotChange{{key: key, used: slots, at: now.Add(-time.Second)}}}
+		for _, backend := range []string{"a", "b"} {
+			r.platform.census.Record(standin.CensusEvent{Backend: backend, Key: key, Loaded: true, At: now})
+		}
+		r.judgeSlots()
+		if got, want := r.tally.Breached(), slots < 2; got != want {
+			t.Errorf("got breached %v with %d slots, want %v", got, slots, want)
+		}
+	}
+}
+
 func TestCheckRecord(t *testing.T) {
 	now := time.Now()
 	r := newJudged(t)
--- /dev/null
+++ b/faults/slots.go
@@ -0,0 +1,96 @@
+package faults
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"citronspread/model"
+	"citronspread/standin"
+	"citronspread/store"
+)
+
+// slotChange is the number of slots in use that a write of a model's record left.
+type slotChange struct {
+	key  model.ModelKey
+	used int
+	at   time.Time
+}
+
+// slotHistory keeps the slots in use as the store saw them.
+type slotHistory struct {
+	mu      sync.Mutex
+	changes []slotChange
+}
+
+// TakeWrite implements standin.WriteSink.
+func (s *slotHistory) TakeWrite(entry store.Entry) {
+	if !strings.HasPrefix(entry.Key, modelPrefix) {
+		return
+	}
+	var record model.ModelRecord
+	if json.Unmarshal(entry.Value, &record) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, slotChange{key: record.Key, used: record.Used(), at: time.Now()})
+}
+
+// usedAt returns the slots of a model in use at a time.
+func (s *slotHistory) usedAt(key model.ModelKey, at time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used := 0
+	for _, c := range s.changes {
+		if c.key == key && !c.at.After(at) {
+			used = c.used
+		}
+	}
+	return used
+}
+
+// writeSinks passes writes on to several sinks.
+type writeSinks []standin.WriteSink
+
+// TakeWrite implements standin.WriteSink.
+func (w writeSinks) TakeWrite(entry store.Entry) {
+	for _, sink := range w {
+		sink.TakeWrite(entry)
+	}
+}
+
+// judgeSlots checks each load, up to the first restore of the store, against the slots in use.
+func (r *Run) judgeSlots() {
+	until := time.Now()
+	for _, d := range r.disturbances.between(time.Time{}, until, isFault("", faultStoreRestore)) {
+		if d.begin.Before(until) {
+			until = d.begin
+		}
+	}
+	r.eachLoad(func(event standin.CensusEvent, loaded int) {
+		if event.At.After(until) {
+			return
+		}
+		used := r.slots.usedAt(event.Key, event.At)
+		r.tally.Check(ReplicasAsDecided, loaded <= used, "%s: %d loaded at %s on %s, %d slots in use",
+			event.Key, loaded, event.At.Format(time.TimeOnly), event.Backend, used)
+	})
+}
+
+// eachLoad calls visit for each load with the number of replicas then loaded.
+func (r *Run) eachLoad(visit func(event standin.CensusEvent, loaded int)) {
+	holders := map[model.ModelKey]map[string]bool{}
+	for _, event := range r.platform.census.Events() {
+		if holders[event.Key] == nil {
+			holders[event.Key] = map[string]bool{}
+		}
+		if !event.Loaded {
+			delete(holders[event.Key], event.Backend)
+			continue
+		}
+		holders[event.Key][event.Backend] = true
+		visit(event, len(holders[event.Key]))
+	}
+}
