--- a/measure/call.go
+++ b/measure/call.go
@@ -1,11 +1,8 @@
 package measure
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,7 +16,6 @@
 	runHeader    = "X-Citronspread-Run"
 	runNot       = "not-run"
 	timeoutSlack = 500 * time.Millisecond // beyond the deadline, before the caller gives up
-	maxAnswer    = 16 << 20               // bytes
 )
 
 // outcome is how a request ended.
@@ -30,7 +26,7 @@
 	outcomeWhole   outcome = "Whole"   // the whole answer, in time
 	outcomeLate    outcome = "Late"    // the whole answer after the deadline
 	outcomeRefused outcome = "Refused" // refused and not run
-	outcomeFailed  outcome = "Failed"  // an error that says it may have run
+	outcomeFailed  outcome = "Failed"  // an error that says it may have run, also as the last event of a stream
 	outcomeSilent  outcome = "Silent"  // no byte of an answer when the caller gave up
 	outcomeCut     outcome = "Cut"     // under way when the caller gave up
 	outcomeBroken  outcome = "Broken"  // ended without being whole
@@ -49,48 +45,20 @@
 
 // caller sends requests to entry hosts.
 type caller struct {
-	plan      Plan
+	classes   []Class
 	addresses []string
 	client    *http.Client
 }
 
-// completion is the part of an answer that is checked.
-type completion struct {
-	Choices []choice  `json:"choices"`
-	Error   *apiError `json:"error"`
-}
-
-type apiError struct {
-	Code string `json:"code"`
-}
-
-type choice struct {
-	Message      content `json:"message"`
-	Delta        content `json:"delta"`
-	FinishReason string  `json:"finish_reason"`
-}
-
-type content struct {
-	Content string `json:"content"`
-}
-
-// answer is what a caller read.
-type answer struct {
-	text    string
-	whole   bool
-	firstAt time.Time
-	reason  string // why there is no whole answer
-}
-
-func newCaller(p Plan, addresses []string) *caller {
+func newCaller(classes []Class, addresses []string) *caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1_000, DisableCompression: true}
-	return &caller{plan: p, addresses: addresses, client: &http.Client{Transport: transport}}
+	return &caller{classes: classes, addresses: addresses, client: &http.Client{Transport: transport}}
 }
 
 // call sends one request and checks its answer.
 func (c *caller) call(ctx context.Context, a Arrival, dueAt time.Time, cold bool) sample {
 	s := sample{Arrival: a, Cold: cold}
-	class := c.plan.Classes[a.Class]
+	class := c.classes[a.Class]
 	ctx, cancel := context.WithDeadline(ctx, dueAt.Add(class.Timeout+timeoutSlack))
 	defer cancel()
 	got, ended := c.exchange(ctx, a, class)
@@ -136,10 +104,15 @@
 		return refused, outcomeFailed
 	}
 	got, err := readAnswer(response.Body, class)
-	if err != nil {
+	var told *errorEvent
+	switch {
+	case errors.As(err, &told):
+		got.reason = told.code
+		return got, outcomeFailed
+	case err != nil:
 		got.reason = err.Error()
-	}
-	if err != nil || !got.whole {
+		return got, givenUp(ctx, outcomeCut)
+	case !got.whole:
 		return got, givenUp(ctx, outcomeCut)
 	}
 	return got, outcomeWhole
@@ -153,16 +126,6 @@
 	return outcomeBroken
 }
 
-// readReason returns the code of an error, or the status when there is none.
-func readReason(response *http.Response) string {
-	var got completion
-	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&got)
-	if err != nil || got.Error == nil {
-		return response.Status
-	}
-	return got.Error.Code
-}
-
 func (c *caller) request(ctx context.Context, a Arrival, class Class) (*http.Request, error) {
 	path, body := "/v1/chat/completions", c.body(a, class)
 	if class.Service != "" {
@@ -199,50 +162,3 @@
 	}
 	return standin.ExpectedText(key, prompt(a), a.Tokens)
 }
-
-func readAnswer(r io.Reader, class Class) (answer, error) {
-	if class.Stream {
-		return readStream(r)
-	}
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswer))
-	if err != nil || class.Service != "" {
-		return answer{text: string(body), whole: err == nil}, err
-	}
-	var whole completion
-	if err := json.Unmarshal(body, &whole); err != nil || len(whole.Choices) != 1 {
-		return answer{}, errors.New("measure: not a completion")
-	}
-	return answer{text: whole.Choices[0].Message.Content, whole: true, firstAt: time.Now()}, nil
-}
-
-// readStream reads server-sent events up to [DONE].
-func readStream(r io.Reader) (answer, error) {
-	var got answer
-	var text strings.Builder
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			got.text = text.String()
-			return got, nil
-		}
-		var chunk completion
-		err := json.Unmarshal([]byte(data), &chunk)
-		if err == nil && chunk.Error != nil {
-			return got, errors.Newf("measure: error event %s", chunk.Error.Code)
-		}
-		if err != nil || len(chunk.Choices) == 0 {
-			return got, errors.New("measure: not a chunk")
-		}
-		if got.firstAt.IsZero() {
-			got.firstAt = time.Now()
-		}
-		text.WriteString(chunk.Choices[0].Delta.Content)
-		got.whole = got.whole || chunk.Choices[0].FinishReason != ""
-	}
-	return answer{firstAt: got.firstAt, reason: "no [DONE]"}, lines.Err()
-}
