--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -265,6 +265,9 @@
 	if spent != 12 {
 		t.Errorf("got %d retries for 100 requests, want 12", spent)
 	}
+	if b.Spend(testTime.Add(budgetBuckets*time.Second), ExtraHedge) {
+		t.Error("got a hedge without requests, want none")
+	}
 	if !b.Spend(testTime.Add(budgetBuckets*time.Second), ExtraResume) {
 		t.Error("got a refused resumption in a new window, want the floor")
 	}
