entryhost: times in soft state keep their fractions

Cause: the library's default encoding cuts times to whole seconds. The order of records comes from WrittenAt, so that two writes of a record within a second counted as one for the ledger. Found in a dump of the store taken to explain writes at idle.

--- a/entryhost/configuration_test.go
+++ b/entryhost/configuration_test.go
@@ -118,6 +118,20 @@
 	}
 }
 
+// TestRecordsKeepTheirOrderOnTheWay holds that two writes within a second stay apart when peers pass them on.
+func TestRecordsKeepTheirOrderOnTheWay(t *testing.T) {
+	fromStore, fromPeer := newTestControl("a", &fakeStore{}), newTestControl("b", &fakeStore{})
+	written := newRecord(1, 5, "x")
+	written.WrittenAt = start.Add(123456 * time.Microsecond)
+	recordsSeen{entries: []store.Entry{entryOf(t, written)}}.apply(fromStore, start)
+	fromPeer.merge(start, fromStore.table.Items(gossip.KindConfig))
+	for _, c := range []*control{fromStore, fromPeer} {
+		if got, want := c.recordGenerations()[0].Generation, written.Order(); got != want {
+			t.Errorf("order on %s: got %d, want %d", c.self.Name, got, want)
+		}
+	}
+}
+
 func TestInvalidRecordLeavesTheLastValidOne(t *testing.T) {
 	c := newTestControl("a", &fakeStore{})
 	recordsSeen{entries: []store.Entry{entryOf(t, newRecord(1, 4, "x"))}}.apply(c, start)
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"citronspread/gossip"
@@ -62,14 +61,6 @@
 	c.merge(now, []gossip.Item{item})
 }
 
-func (c *control) encode(value any) []byte {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		c.log.Error("soft state not encoded", zap.Error(err))
-	}
-	return data
-}
-
 // exchangeTargets picks live peers of the zone, a silent one now and then, and a host of another zone on gateways.
 func (c *control) exchangeTargets(now time.Time) []model.Peer {
 	targets := sample(c.otherLive(now), exchangeFanout)
@@ -216,7 +207,7 @@
 
 func (c *control) introduce(now time.Time, item gossip.Item) {
 	var p model.Peer
-	if err := cbor.Unmarshal(item.Value, &p); err != nil {
+	if err := unmarshal(item.Value, &p); err != nil {
 		c.log.Warn("peer not decoded", zap.String("peer", item.ID.Key), zap.Error(err))
 		return
 	}
--- a/entryhost/statuses.go
+++ b/entryhost/statuses.go
@@ -3,15 +3,12 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"citronspread/gossip"
 	"citronspread/model"
 )
 
-func unmarshal(data []byte, value any) error { return cbor.Unmarshal(data, value) }
-
 // statusCache keeps the decoded statuses of backend servers.
 type statusCache struct {
 	entries map[string]cachedStatus
