entryhost: ready once the configuration is known; a restored store gets claims written again

Cause: path-check failed once with 404 for a declared model. A host was ready as soon as the host list named a service, before it had read the records. Ruled out: the records, which were in force 40 ms later. Change: ready when all records were listed or a peer holds the same, and the host list was read. Watchers tell all entry hosts of a restored store, and each writes its recent claims again. The dump shows the routers' and callers' state.

--- a/entryhost/callerside.go
+++ b/entryhost/callerside.go
@@ -44,7 +44,7 @@
 
 // addCallerServer serves callers until ctx ends, then finishes every request before the group ends.
 func (h *Host) addCallerServer(group *run.Group, ctx context.Context, listener net.Listener) {
-	callers := h.newCallerServer()
+	callers := h.callers
 	server := &http.Server{
 		Handler:           callers.Handler(),
 		ReadHeaderTimeout: h.Traffic.HeaderTime,
--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -27,6 +27,7 @@
 	watchTimeout     = 20 * time.Second
 	watchRetry       = 500 * time.Millisecond
 	watcherPoll      = time.Second
+	restoreNewsTime  = time.Minute // a host that starts later has no claims from before the restore
 	relistPeriod     = time.Minute // a restored store may have passed the watched revision unseen
 )
 
@@ -48,6 +49,7 @@
 type configuration struct {
 	records []heldRecord // sorted by name
 	models  []declared   // what they declare, sorted by key
+	isKnown bool         // all records were read from the store, or a peer holds the same
 	invalid []invalidRecord
 	applied int64
 }
@@ -245,6 +247,8 @@
 	}
 	c.merge(now, items)
 	if e.whole {
+		c.configuration.isKnown = true
+		c.isSnapshotStale = true
 		c.repairRecords(e.entries)
 	}
 }
@@ -312,10 +316,15 @@
 // watchUntilRelist lists all records and watches them while this host is a watcher, until they are to be listed again.
 func (e *edge) watchUntilRelist(ctx context.Context) {
 	revision, err := e.listRecords(ctx)
+	if err == nil {
+		e.noteRevision(ctx, revision)
+	}
 	relist, cancel := context.WithTimeout(ctx, relistPeriod)
 	defer cancel()
 	for err == nil && relist.Err() == nil && e.isWatcher(relist) {
-		revision, err = e.watchRecords(relist, revision)
+		if revision, err = e.watchRecords(relist, revision); err == nil {
+			e.noteRevision(ctx, revision)
+		}
 	}
 	if err != nil {
 		pause(ctx, watchRetry)
@@ -344,6 +353,27 @@
 	return change.Revision, nil
 }
 
+// noteRevision tells the control thread when the store's revision fell: it came back with older data.
+func (e *edge) noteRevision(ctx context.Context, revision int64) {
+	if revision < e.lastRevision {
+		e.post(ctx, storeRestored{})
+	}
+	e.lastRevision = revision
+}
+
+// storeRestored tells that the store came back with older data.
+type storeRestored struct{}
+
+// apply tells all entry hosts, since each has claims of its own to write again.
+func (storeRestored) apply(c *control, now time.Time) {
+	c.log.Warn("store came back with older data")
+	c.put(now, gossip.Item{
+		ID:        gossip.ItemID{Kind: gossip.KindRestore},
+		Rank:      gossip.Rank{Major: now.UnixMicro(), Tie: c.self.Name},
+		ExpiresAt: now.Add(restoreNewsTime),
+	})
+}
+
 func (e *edge) isWatcher(ctx context.Context) bool {
 	reply := make(chan bool, 1)
 	e.post(ctx, watcherAsked{reply: reply})
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -32,6 +32,7 @@
 	dial     func(host model.Host) Engine
 	log      *zap.Logger
 	metrics  *metrics
+	restored func(ctx context.Context) error // writes again what the store may have lost
 	events   chan<- event
 	self     model.Peer
 	ctx      context.Context
@@ -39,6 +40,8 @@
 	mu       sync.Mutex
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
+
+	lastRevision int64 // of the store, as the thread that watches it last saw
 }
 
 // spawn runs work on a thread of its own that ends with the host.
@@ -197,6 +200,18 @@
 	})
 }
 
+// writeClaimsAgain writes the claims again that a restored store may have lost.
+func (e *edge) writeClaimsAgain() {
+	if e.restored == nil {
+		return
+	}
+	e.spawn(func(ctx context.Context) {
+		if err := e.restored(ctx); err != nil {
+			e.log.Warn("claims not written again", zap.Error(err))
+		}
+	})
+}
+
 // push passes items on to peers and merges what they return.
 func (e *edge) push(targets []model.Peer, items []gossip.Item) {
 	for _, target := range targets {
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -146,6 +146,8 @@
 	var want []gossip.ItemID
 	if e.reply.Digest != nil {
 		items, want = c.table.Reconcile(*e.reply.Digest, e.reply.Summaries)
+	} else if len(c.configuration.records) > 0 {
+		c.configuration.isKnown = true
 	}
 	beats := c.members.SelectBeats(e.reply.Wanted)
 	if len(items) == 0 && len(want) == 0 && len(beats) == 0 {
@@ -181,6 +183,9 @@
 		switch item.ID.Kind {
 		case gossip.KindBackend, gossip.KindCheckpoints:
 			c.backends.isStale = true
+		case gossip.KindRestore:
+			c.metrics.restores.Add(1)
+			c.edge.writeClaimsAgain()
 		case gossip.KindHost:
 			c.introduce(now, item)
 		case gossip.KindConfig:
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"citronspread/caller"
 	"citronspread/gossip"
 	"citronspread/ledger"
 	"citronspread/membership"
@@ -39,16 +40,17 @@
 	DialEngine      func(host model.Host) Engine
 	Log             *zap.Logger
 
-	incarnation  model.Incarnation
-	metrics      *metrics
-	snapshot     atomic.Pointer[model.Snapshot]
-	router       *routing.Router
-	events       chan event
-	edge         *edge
-	control      *control
-	peerTraffic  *peer.Traffic
-	isUnready    atomic.Bool
-	isSnapshotIn atomic.Bool
+	incarnation model.Incarnation
+	metrics     *metrics
+	snapshot    atomic.Pointer[model.Snapshot]
+	router      *routing.Router
+	events      chan event
+	edge        *edge
+	control     *control
+	callers     *caller.Server
+	peerTraffic *peer.Traffic
+	isUnready   atomic.Bool
+	isComplete  atomic.Bool
 }
 
 // listeners are the open sockets of a host.
@@ -123,6 +125,8 @@
 		engines:  make(map[string]Engine),
 		engineAt: make(map[string]string),
 	}
+	h.callers = h.newCallerServer()
+	h.edge.restored = h.callers.Claims.Restored
 	h.control = h.newControl(self)
 	return nil
 }
@@ -188,7 +192,7 @@
 // Publish hands a snapshot to the traffic threads.
 func (h *Host) Publish(snapshot *model.Snapshot) {
 	h.snapshot.Store(snapshot)
-	h.isSnapshotIn.Store(len(snapshot.Models) > 0 || len(snapshot.Services) > 0)
+	h.isComplete.Store(snapshot.Complete)
 	h.router.Changed()
 }
 
--- a/entryhost/operatorside.go
+++ b/entryhost/operatorside.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"time"
 
+	"citronspread/caller"
+	"citronspread/model"
 	"citronspread/operator"
+	"citronspread/routing"
 )
 
 const operatorHeaderTimeout = 5 * time.Second
@@ -32,15 +35,24 @@
 	return state, nil
 }
 
-// Snapshot returns the traffic side's last snapshot.
-func (h *Host) Snapshot() any { return h.snapshot.Load() }
+// TrafficState is the dump of the traffic threads. It does not wait for the control thread.
+type TrafficState struct {
+	Snapshot *model.Snapshot
+	Router   routing.State
+	Callers  caller.State
+}
+
+// Snapshot returns what the traffic threads know.
+func (h *Host) Snapshot() any {
+	return TrafficState{Snapshot: h.snapshot.Load(), Router: h.router.State(time.Now()), Callers: h.callers.State()}
+}
 
 // Ready reports whether the host takes new requests.
 func (h *Host) Ready() (bool, string) {
 	switch {
 	case h.isUnready.Load():
 		return false, "stopping"
-	case !h.isSnapshotIn.Load():
+	case !h.isComplete.Load():
 		return false, "no configuration or host list yet"
 	default:
 		return true, ""
--- a/entryhost/snapshot.go
+++ b/entryhost/snapshot.go
@@ -9,7 +9,11 @@
 // publishSnapshot hands the traffic threads a new view.
 func (c *control) publishSnapshot(now time.Time) {
 	c.version++
-	snapshot := &model.Snapshot{Version: c.version, Zone: c.self.Zone}
+	snapshot := &model.Snapshot{
+		Version:  c.version,
+		Complete: c.configuration.isKnown && c.hosts.revision > 0,
+		Zone:     c.self.Zone,
+	}
 	snapshot.Routers = len(c.members.Live(now))
 	replicas := c.replicas(now)
 	for _, m := range c.configuration.models {
--- a/model/replica.go
+++ b/model/replica.go
@@ -29,6 +29,7 @@
 // Snapshot is an immutable view of what can be routed to. Traffic threads read it through an atomic pointer.
 type Snapshot struct {
 	Version  int64
+	Complete bool // the configuration and the host list are known
 	Zone     string
 	Routers  int // live entry hosts of the zone, 0 counts as 1
 	Models   []RoutedModel
