--- a/Makefile
+++ b/Makefile
@@ -53,4 +53,4 @@
 slopes: build
 	@mkdir -p out
 	go test -c -o out/slopes.test ./slopes
-	./out/slopes.test -test.v -test.timeout 0 -test.run TestSlopes -slopes-binary ./citronspread -slopes-output out/slopes.md
+	./out/slopes.test -test.v -test.timeout 0 -test.run 'TestSlopes|TestRecovery' -slopes-binary ./citronspread -slopes-output out/slopes.md
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -20,6 +20,7 @@
 	statusPeriod   = 50 * time.Millisecond
 	usagePeriod    = time.Second
 	snapshotPeriod = 500 * time.Millisecond // of new loads alone
+	idlePeriod     = 4 * time.Second        // when there are no loads
 	snapshotPause  = 10 * time.Millisecond  // between two snapshots
 	pushPeriod     = 20 * time.Millisecond
 	permitPeriod   = 200 * time.Millisecond
@@ -104,7 +105,7 @@
 		c.updateStanding(now)
 	}
 	if isDue(now, &c.due.usage, usagePeriod) {
-		c.edge.reportUsage(c.usageTargets(now))
+		c.reportUsage(now)
 	}
 }
 
@@ -113,14 +114,26 @@
 	if isDue(now, &c.due.push, pushPeriod) {
 		c.pushFresh(now)
 	}
-	age := now.Sub(c.due.snapshot)
-	if age >= snapshotPeriod || c.isSnapshotStale && age >= snapshotPause {
+	if c.isSnapshotDue(now) {
 		c.due.snapshot = now
 		c.isSnapshotStale = false
 		c.publishSnapshot(now)
 	}
 }
 
+// isSnapshotDue reports whether the routers need a new snapshot: soon after a change,
+// now and then for new loads, and rarely when every backend server is idle.
+func (c *control) isSnapshotDue(now time.Time) bool {
+	age := now.Sub(c.due.snapshot)
+	if c.isSnapshotStale {
+		return age >= snapshotPause
+	}
+	if age < snapshotPeriod {
+		return false
+	}
+	return age >= idlePeriod || c.members.HasLoads()
+}
+
 // isDue reports whether period has passed since last, and then sets last.
 func isDue(now time.Time, last *time.Time, period time.Duration) bool {
 	if now.Sub(*last) < period {
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -255,55 +255,20 @@
 	})
 }
 
-// usageTarget is where the use of a backend server's replicas is reported.
-type usageTarget struct {
-	backend string
-	address string // peer address of the owner
-}
-
 // reportUsage tells the owners of backend servers how often their replicas were used.
-func (e *edge) reportUsage(targets []usageTarget) {
-	if e.usage == nil {
-		return
-	}
-	usages := e.usage.TakeUsage()
-	for _, address := range distinctAddresses(targets) {
-		request := peer.UsageRequest{From: e.self.Name, Usages: usagesFor(address, targets, usages)}
-		if len(request.Usages) == 0 {
-			continue
-		}
-		if address == e.self.Address {
-			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{request.Usages}) })
-			continue
-		}
-		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, address, &request) })
-	}
-}
-
-func distinctAddresses(targets []usageTarget) []string {
-	var addresses []string
-	seen := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		if !seen[t.address] && t.address != "" {
-			seen[t.address] = true
-			addresses = append(addresses, t.address)
-		}
-	}
-	return addresses
-}
-
-func usagesFor(address string, targets []usageTarget, usages []model.Usage) []model.Usage {
-	owned := make(map[string]bool)
-	for _, t := range targets {
-		if t.address == address {
-			owned[t.backend] = true
+func (e *edge) reportUsage(usages []model.Usage, ownerOf func(backend string) string) {
+	byOwner := make(map[string][]model.Usage)
+	for _, u := range usages {
+		if owner := ownerOf(u.Backend); owner != "" {
+			byOwner[owner] = append(byOwner[owner], u)
 		}
 	}
-	var selected []model.Usage
-	for _, u := range usages {
-		if owned[u.Backend] {
-			selected = append(selected, u)
+	for owner, reported := range byOwner {
+		if owner == e.self.Address {
+			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{reported}) })
+			continue
 		}
+		request := &peer.UsageRequest{From: e.self.Name, Usages: reported}
+		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, owner, request) })
 	}
-	return selected
 }
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// reportUsage tells the owners of backend servers what this host's routers sent to their replicas.
+func (c *control) reportUsage(now time.Time) {
+	if c.edge.usage == nil {
+		return
+	}
+	statuses := c.statuses(now)
+	c.edge.reportUsage(c.edge.usage.TakeUsage(), func(backend string) string {
+		return statuses.entries[backend].status.OwnerAddress
+	})
+}
+
 func (u *replicaUse) note(now time.Time, from string, usage model.Usage) {
 	if usage.Requests > 0 || usage.Running > 0 {
 		u.usedAt = now
@@ -105,12 +116,3 @@
 	}
 	return false
 }
-
-// usageTargets returns the owner of each backend server.
-func (c *control) usageTargets(now time.Time) []usageTarget {
-	var targets []usageTarget
-	for _, s := range c.statuses(now).sorted {
-		targets = append(targets, usageTarget{backend: s.Backend, address: s.OwnerAddress})
-	}
-	return targets
-}
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -210,22 +210,31 @@
 	if !ok || holder.Name != c.self.Name {
 		return
 	}
-	for _, s := range c.statuses(now).sorted {
-		for _, r := range s.Replicas {
-			if r.State == model.ReservationLoaded {
-				c.permits.Done(r.Key, s.Backend)
-			}
-		}
-		for _, r := range s.Refused {
-			c.permits.Done(r.Key, s.Backend)
-		}
-	}
+	c.returnPermits(now)
 	zones := c.zones()
 	c.permits.LoadsPerSecond = c.policy.LoadsPerSecond / float64(len(zones))
 	c.permits.Parallel = placement.Share(c.policy.ParallelLoads, zones, c.zoneDemands(), c.self.Zone)
 	c.publishDemand(now)
 }
 
+// returnPermits takes back the permits of loads that ended.
+func (c *control) returnPermits(now time.Time) {
+	statuses := c.statuses(now)
+	for _, held := range c.permits.Granted() {
+		status := statuses.entries[held.Backend].status
+		if isLoadEnded(status, held.Key) {
+			c.permits.Done(held.Key, held.Backend)
+		}
+	}
+}
+
+func isLoadEnded(status model.BackendStatus, key model.ModelKey) bool {
+	isLoaded := slices.ContainsFunc(status.Replicas, func(r model.ReplicaStatus) bool {
+		return r.Key == key && r.State == model.ReservationLoaded
+	})
+	return isLoaded || slices.ContainsFunc(status.Refused, func(r model.RefusedLoad) bool { return r.Key == key })
+}
+
 // zoneDemand is what the permit holder of a zone tells the others.
 type zoneDemand struct {
 	InUse   int
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,13 +16,14 @@
 // Table holds the items of one entry host. It is used by the control thread alone.
 type Table struct {
 	items  map[ItemID]Item
+	kinds  map[Kind]map[string]Item // the same items by kind and key
 	digest Digest
 	fresh  []Item
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{items: make(map[ItemID]Item)}
+	return &Table{items: make(map[ItemID]Item), kinds: make(map[Kind]map[string]Item)}
 }
 
 // Merge keeps those items that are newer than what the table holds and returns them.
@@ -46,12 +48,7 @@
 
 // Items returns the items of one kind, sorted by key.
 func (t *Table) Items(kind Kind) []Item {
-	var items []Item
-	for id, item := range t.items {
-		if id.Kind == kind {
-			items = append(items, item)
-		}
-	}
+	items := slices.Collect(maps.Values(t.kinds[kind]))
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.ID.Key, b.ID.Key) })
 	return items
 }
@@ -125,9 +122,9 @@
 
 // Remove forgets the items that gone reports, such as those of backend servers that left.
 func (t *Table) Remove(kind Kind, gone func(key string) bool) {
-	for id := range t.items {
-		if id.Kind == kind && gone(id.Key) {
-			t.remove(id)
+	for key := range t.kinds[kind] {
+		if gone(key) {
+			t.remove(ItemID{Kind: kind, Key: key})
 		}
 	}
 }
@@ -140,6 +137,10 @@
 func (t *Table) replace(item Item) {
 	t.remove(item.ID)
 	t.items[item.ID] = item
+	if t.kinds[item.ID.Kind] == nil {
+		t.kinds[item.ID.Kind] = make(map[string]Item)
+	}
+	t.kinds[item.ID.Kind][item.ID.Key] = item
 	t.toggle(item)
 }
 
@@ -149,6 +150,7 @@
 		return
 	}
 	delete(t.items, id)
+	delete(t.kinds[id.Kind], id.Key)
 	t.toggle(item)
 }
 
--- a/membership/members.go
+++ b/membership/members.go
@@ -224,6 +224,19 @@
 	return loads
 }
 
+// HasLoads reports whether a backend server of the zone is in use.
+func (m *Members) HasLoads() bool {
+	if len(m.loads) > 0 {
+		return true
+	}
+	for _, p := range m.peers {
+		if len(p.beat.Loads) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addLoads keeps the newer of two reports on one backend server.
 func addLoads(loads map[string]DatedLoad, reported []Load, heard time.Time) {
 	for _, l := range reported {
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -65,6 +65,21 @@
 	delete(p.granted, loadID{key, backend})
 }
 
+// GrantedLoad is a load that holds a permit.
+type GrantedLoad struct {
+	Key     model.ModelKey
+	Backend string
+}
+
+// Granted returns the loads that hold a permit.
+func (p *Permits) Granted() []GrantedLoad {
+	granted := make([]GrantedLoad, 0, len(p.granted))
+	for id := range p.granted {
+		granted = append(granted, GrantedLoad{Key: id.key, Backend: id.backend})
+	}
+	return granted
+}
+
 // InUse returns the number of granted permits.
 func (p *Permits) InUse() int { return len(p.granted) }
 
--- a/slopes/scenario.go
+++ b/slopes/scenario.go
@@ -146,7 +146,7 @@
 		"OperatorAddress: " + s.OperatorAddress,
 		"StoreAddress: " + s.StoreAddress,
 		"HostListAddress: " + s.HostListAddress,
-		fmt.Sprintf("Seeds: [%q]", strings.Join(s.Seeds, `", "`)),
+		"Seeds: [" + strings.Join(s.Seeds, ", ") + "]",
 		"BalancerLag: 0s",
 		"LogLevel: Info",
 		fmt.Sprintf("WeightStore: {LoadsPerSecond: %g, ParallelLoads: %d}", s.WeightStore.LoadsPerSecond, s.WeightStore.ParallelLoads),
--- a/slopes/slopes_test.go
+++ b/slopes/slopes_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,7 +14,6 @@
 
 	"go.uber.org/zap"
 
-	"citronspread/entryhost"
 	"citronspread/fleet"
 	"citronspread/peer"
 	"citronspread/settings"
@@ -68,6 +65,81 @@
 	directory string
 	mu        sync.Mutex
 	pids      map[string]int
+	cancels   map[string]context.CancelFunc
+	held      string // the host that is not started again for now
+	freed     chan struct{}
+}
+
+// runAgain runs an entry host, and starts it again each time that it was killed.
+func (p *hostProcesses) runAgain(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	for ctx.Err() == nil {
+		life, end := context.WithCancel(ctx)
+		p.mu.Lock()
+		p.cancels[s.Name] = end
+		p.mu.Unlock()
+		_ = p.run(life, s, logger)
+		end()
+		p.awaitRelease(ctx, s.Name)
+	}
+	return ctx.Err()
+}
+
+// hold kills a host and keeps it from starting again until release.
+func (p *hostProcesses) hold(name string) {
+	p.mu.Lock()
+	p.held, p.freed = name, make(chan struct{})
+	p.mu.Unlock()
+	p.kill(name)
+}
+
+func (p *hostProcesses) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held != "" {
+		close(p.freed)
+		p.held = ""
+	}
+}
+
+func (p *hostProcesses) awaitRelease(ctx context.Context, name string) {
+	p.mu.Lock()
+	held, freed := p.held == name, p.freed
+	p.mu.Unlock()
+	if !held {
+		return
+	}
+	select {
+	case <-freed:
+	case <-ctx.Done():
+	}
+}
+
+// restart kills the named hosts, which start again, and returns once the new processes run.
+func (p *hostProcesses) restart(names ...string) {
+	before := p.kill(names...)
+	for i, name := range names {
+		for p.pid(name) == before[i] {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// kill kills the named hosts and returns the IDs of their processes.
+func (p *hostProcesses) kill(names ...string) []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pids := make([]int, len(names))
+	for i, name := range names {
+		pids[i] = p.pids[name]
+		p.cancels[name]()
+	}
+	return pids
+}
+
+func (p *hostProcesses) pid(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pids[name]
 }
 
 func (p *hostProcesses) run(ctx context.Context, s settings.Settings, _ *zap.Logger) error {
@@ -172,17 +244,11 @@
 	t.Helper()
 	longest := time.Duration(0)
 	for _, s := range f.EntryHosts {
-		response, err := http.Get("http://" + s.OperatorAddress + "/debug/state")
-		if err != nil {
-			t.Fatal(err)
-		}
-		var dump struct{ Control entryhost.State }
-		err = json.NewDecoder(response.Body).Decode(&dump)
-		_ = response.Body.Close()
+		state, err := ReadState(t.Context(), s.OperatorAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, r := range dump.Control.Records {
+		for _, r := range state.Records {
 			if r.Generation > 1 {
 				longest = max(longest, r.AppliedAt.Sub(r.WrittenAt))
 			}
