--- a/faults/faults.go
+++ b/faults/faults.go
@@ -37,7 +37,8 @@
 	WarmUp   time.Duration // without faults
 	CoolDown time.Duration // without faults
 
-	ConfigEvery time.Duration // between changes of the configuration
+	RecoveryTime time.Duration // until each model must be served after the faults
+	ConfigEvery  time.Duration // between changes of the configuration
 
 	Except    []string // kinds of faults that are left out
 	Directory string   // for settings files
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -34,7 +34,8 @@
 		WarmUp:   4 * time.Second,
 		CoolDown: 10 * time.Second,
 
-		ConfigEvery: time.Second,
+		RecoveryTime: 20 * time.Second,
+		ConfigEvery:  time.Second,
 
 		Directory: filepath.Join(t.TempDir(), "settings"),
 		Dumps:     *keep,
--- a/faults/naive_test.go
+++ b/faults/naive_test.go
@@ -31,11 +31,10 @@
 	cancel   context.CancelFunc
 	servers  []*http.Server
 
-	mu       sync.Mutex
-	frozen   sync.RWMutex
-	hosts    []model.Host
-	records  []model.ModelDeclaration
-	replicas map[model.ModelKey][]string // addresses
+	mu      sync.Mutex
+	frozen  sync.RWMutex
+	hosts   []model.Host
+	records []model.ModelDeclaration
 }
 
 // naiveProcesses runs naive entry hosts in place of processes.
@@ -56,7 +55,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &naiveHost{settings: s, cancel: cancel, replicas: map[model.ModelKey][]string{}}
+	h := &naiveHost{settings: s, cancel: cancel}
 	calls := http.NewServeMux()
 	calls.HandleFunc("POST /v1/chat/completions", h.chat)
 	calls.HandleFunc("/services/order-desk/", h.book)
@@ -158,16 +157,20 @@
 	return addresses[rand.IntN(len(addresses))]
 }
 
-// load loads a model anywhere, without regard to what others loaded.
-func (h *naiveHost) load(ctx context.Context, name string) {
+// load loads a model on a backend server, without regard to what others loaded.
+func (h *naiveHost) load(ctx context.Context, address, name string) {
 	key := model.ModelKey{Model: strings.Split(name, "@")[0], Version: "v1"}
-	address := h.pick(model.KindBackend)
 	control := engine.Control{Address: address}
 	order := model.Order{ID: uuid.NewString(), Kind: model.OrderLoad, Key: key, Bytes: modelMemoryMB * 1_000_000}
+	if answer, _ := control.SendOrder(ctx, order); answer.Outcome != engine.OutcomeFailed {
+		return
+	}
+	if o, err := control.Observe(ctx); err == nil && len(o.Models) > 0 {
+		evicted := o.Models[rand.IntN(len(o.Models))].Key
+		_, _ = control.SendOrder(ctx, model.Order{ID: uuid.NewString(), Kind: model.OrderUnload, Key: evicted})
+	}
+	order.ID = uuid.NewString()
 	_, _ = control.SendOrder(ctx, order)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.replicas[key] = append(h.replicas[key], address)
 }
 
 // chat passes a request on as it is, again and again, and tells "not run" whenever it failed.
@@ -177,12 +180,15 @@
 	var body chatRequest
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	body.Stream = true
-	for range 4 {
-		if a := postJSON(r.Context(), "http://"+h.pick(model.KindBackend)+"/v1/chat/completions", body, ""); a.status == http.StatusOK {
-			_, _ = w.Write(a.body)
-			return
+	for range 3 {
+		address := h.pick(model.KindBackend)
+		for range 2 {
+			if a := postJSON(r.Context(), "http://"+address+"/v1/chat/completions", body, ""); a.status == http.StatusOK && a.err == nil {
+				_, _ = w.Write(a.body)
+				return
+			}
+			h.load(r.Context(), address, body.Model)
 		}
-		h.load(r.Context(), body.Model)
 	}
 	w.Header().Set(ranHeader, notRun)
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -213,11 +219,11 @@
 	}
 	p := &naiveProcesses{running: map[string]*naiveHost{}}
 	run := &Run{
-		Seed: 1, WarmUp: time.Second, CoolDown: time.Second, ConfigEvery: 4 * time.Second,
+		Seed: 1, WarmUp: time.Second, CoolDown: time.Second, RecoveryTime: time.Second, ConfigEvery: 4 * time.Second,
 		Directory: filepath.Join(t.TempDir(), "settings"), Processes: p, Log: t.Logf,
 		schedule: []fault{
 			{kind: faultStoreRestore, duration: 7 * time.Second},
-			{kind: faultEngineLeaves, duration: 8 * time.Second},
+			{kind: faultEngineLeaves, duration: 14 * time.Second},
 			{kind: faultService, target: 0, duration: 8 * time.Second, amount: 40},
 			{kind: faultService, target: 1, duration: 8 * time.Second, amount: 40},
 			{kind: faultService, target: 2, duration: 8 * time.Second, amount: 40},
@@ -225,7 +231,7 @@
 			{kind: faultTerminateHost, target: 0, at: time.Second, duration: time.Second},
 			{kind: faultTerminateHost, target: 1, at: 2 * time.Second, duration: time.Second},
 			{kind: faultTerminateHost, target: 2, at: 3 * time.Second, duration: time.Second},
-			{kind: faultCrashText, at: 4 * time.Second, duration: 4 * time.Second},
+			{kind: faultCrashText, at: 2 * time.Second, duration: 13 * time.Second},
 		},
 	}
 	tally, err := run.Execute(t.Context())
--- a/faults/recovery.go
+++ b/faults/recovery.go
@@ -7,14 +7,11 @@
 	"time"
 )
 
-const (
-	recoveryTime  = 20 * time.Second
-	recoveryPause = time.Second
-)
+const recoveryPause = time.Second
 
 // checkRecovery checks that each model is served once the faults are over.
 func (r *Run) checkRecovery(ctx context.Context) {
-	deadline := time.Now().Add(recoveryTime)
+	deadline := time.Now().Add(r.RecoveryTime)
 	var running sync.WaitGroup
 	for i, record := range r.config.records {
 		running.Go(func() {
