--- a/faults/naive_test.go
+++ b/faults/naive_test.go
@@ -136,7 +136,7 @@
 	d := dump{ControlThread: "answered"}
 	h.mu.Lock()
 	for _, declaration := range h.records {
-		d.Snapshot.Models = append(d.Snapshot.Models, model.RoutedModel{Declaration: declaration})
+		d.Snapshot.Snapshot.Models = append(d.Snapshot.Snapshot.Models, model.RoutedModel{Declaration: declaration})
 	}
 	h.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(d)
@@ -243,7 +243,7 @@
 	}
 	got := breaches(tally)
 	for want := range promiseCount {
-		if want != ServedOrRefusedInTime && want != ServedAfterFaults && !slices.Contains(got, want) {
+		if want != ServedOrRefusedInTime && want != ServedAfterFaults && want != InvariantsHold && !slices.Contains(got, want) {
 			t.Errorf("got %v, want a breach of %q", got, promiseNames[want])
 		}
 	}
--- a/faults/promise.go
+++ b/faults/promise.go
@@ -22,6 +22,7 @@
 	ConfigurationInForce
 	SuspectsContained
 	ServedAfterFaults
+	InvariantsHold
 	promiseCount
 )
 
@@ -37,6 +38,7 @@
 	"configuration in force and never reverted",
 	"a crashing request loses at most two backend servers a zone",
 	"each model is served after the faults",
+	"invariants asserted in the program hold",
 }
 
 // Bounds of the details kept for each promise.
--- a/faults/watch.go
+++ b/faults/watch.go
@@ -22,7 +22,18 @@
 // dump is the part of an entry host's dump that the watch reads.
 type dump struct {
 	ControlThread string
-	Snapshot      model.Snapshot
+	Control       controlDump
+	Snapshot      trafficDump
+}
+
+// controlDump is the part of the control thread's state that the watch reads.
+type controlDump struct {
+	Violations int // of invariants asserted in the program
+}
+
+// trafficDump is the part of the traffic side's state that the watch reads.
+type trafficDump struct {
+	Snapshot model.Snapshot
 }
 
 // hostView is what a host held of each record at the last look.
@@ -43,8 +54,9 @@
 		case err != nil:
 			view = newHostView(time.Now())
 		case d.ControlThread == "answered":
+			r.tally.Check(InvariantsHold, d.Control.Violations == 0, "%s: %d violations", h.name, d.Control.Violations)
 			for _, record := range r.config.records {
-				r.checkRecord(h, view, record, asked, d.Snapshot)
+				r.checkRecord(h, view, record, asked, d.Snapshot.Snapshot)
 			}
 		}
 		sleep(ctx, watchInterval)
