--- a/cli/measure.go
+++ b/cli/measure.go
@@ -18,6 +18,7 @@
 type measureCommand struct {
 	plan     string
 	out      string
+	basePort int
 	logLevel string
 }
 
@@ -25,6 +26,7 @@
 	clause := parent.Command("measure", measureHelp)
 	clause.Flag("plan", "File of the plan.").Required().PlaceHolder("FILE").StringVar(&c.plan)
 	clause.Flag("out", "File for the result as JSON.").PlaceHolder("FILE").StringVar(&c.out)
+	clause.Flag("base-port", "First port, instead of the plan's.").PlaceHolder("N").IntVar(&c.basePort)
 	clause.Flag("log-level", "Least severe level to log.").Default("Error").EnumVar(&c.logLevel, "Debug", "Info", "Warn", "Error")
 	return clause
 }
@@ -34,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if c.basePort != 0 {
+		plan.Layout.BasePort = c.basePort
+	}
 	logger, err := newLogger(c.logLevel, out.stderr)
 	if err != nil {
 		return err
