entryhost: a host that starts while the platform is down takes the host list from a peer

Cause: a host that starts during an outage got records from its peers but no host list, and stayed unready until the platform was back. Change: it asks its seeds for their list. Also: a backend server that one owner's list shows as leaving drains for everybody, whatever their lists say; a wake that its lead does not take is decided by the sender; the settings' store timeout and connection limit are used. Before: TestHostStartsDuringAnOutage, not ready within 9 s.

--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -282,7 +282,7 @@
 		return
 	}
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		if _, err := e.store.CompareAndSwap(ctx, configPrefix+r.Name, value, revision); err != nil {
 			e.log.Warn("record not written back", zap.String("record", r.Name), zap.Error(err))
@@ -332,7 +332,7 @@
 }
 
 func (e *edge) listRecords(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 	defer cancel()
 	listing, err := e.store.List(ctx, configPrefix)
 	if err != nil {
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -18,7 +18,6 @@
 
 // Bounds of calls that the control thread waits for.
 const (
-	storeTimeout   = 3 * time.Second
 	observeTimeout = 2 * time.Second
 	orderTimeout   = 3 * time.Minute
 )
@@ -41,7 +40,9 @@
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
 
-	lastRevision int64 // of the store, as the thread that watches it last saw
+	storeTimeout time.Duration // of one call
+	seeds        []string      // peer addresses that are asked first
+	lastRevision int64         // of the store, as the thread that watches it last saw
 }
 
 // spawn runs work on a thread of its own that ends with the host.
@@ -82,7 +83,7 @@
 
 func (e *edge) readRecord(action ledger.ReadRecord) {
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		entry, err := e.store.Get(ctx, action.Key)
 		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreRead, entry, err)})
@@ -91,7 +92,7 @@
 
 func (e *edge) writeRecord(action ledger.WriteRecord) {
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		revision, err := e.store.CompareAndSwap(ctx, action.Key, action.Value, action.Revision)
 		entry := store.Entry{Key: action.Key, Value: action.Value, Revision: revision}
@@ -236,6 +237,9 @@
 	e.spawn(func(ctx context.Context) {
 		if err := e.peers.Wake(ctx, address, &request); err != nil {
 			e.log.Debug("wake not delivered", zap.String("model", request.Wake.Key.String()), zap.Error(err))
+			if request.Hops == 0 {
+				e.post(ctx, wakeAsked{wake: request.Wake, hops: 1}) // in place of a lead that is gone
+			}
 		}
 	})
 }
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"citronspread/caller"
 	"citronspread/gossip"
@@ -34,6 +35,7 @@
 	OperatorAddress string
 	Policy          Policy
 	Traffic         Traffic
+	StoreTimeout    time.Duration // of one call
 	LongestOrder    time.Duration // an order reaches its engine within this time or never
 	Store           Store
 	HostList        HostList
@@ -90,6 +92,7 @@
 	if open.caller, err = net.Listen("tcp", h.CallerAddress); err != nil {
 		return open, errors.Wrap(err, "entryhost: caller address")
 	}
+	open.caller = netutil.LimitListener(open.caller, h.Traffic.Connections)
 	if open.peer, err = net.Listen("tcp", h.PeerAddress); err != nil {
 		return open, errors.Wrap(err, "entryhost: peer address")
 	}
@@ -124,6 +127,9 @@
 		ctx:      ctx,
 		engines:  make(map[string]Engine),
 		engineAt: make(map[string]string),
+
+		storeTimeout: h.StoreTimeout,
+		seeds:        h.Policy.Seeds,
 	}
 	h.callers = h.newCallerServer()
 	h.edge.restored = h.callers.Claims.Restored
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -10,6 +10,7 @@
 
 	"citronspread/gossip"
 	"citronspread/model"
+	"citronspread/peer"
 )
 
 // Times of reading the host list.
@@ -72,6 +73,12 @@
 	return h, found
 }
 
+// isLeaving reports whether the platform lists a host as leaving.
+func (v *hostView) isLeaving(name string) bool {
+	h, found := v.find(name)
+	return found && h.State == model.HostLeaving
+}
+
 // leaving returns the names of the backend servers that get no new work.
 func (v *hostView) leaving() []string {
 	var names []string
@@ -148,6 +155,37 @@
 	}
 }
 
+// hostListID names the host list, which is sent only to a host that asks for it.
+var hostListID = gossip.ItemID{Kind: gossip.KindHostList}
+
+// askPeersForHosts takes the host list from peers, because the platform does not give it.
+func (e *edge) askPeersForHosts(ctx context.Context) {
+	request := &peer.PushRequest{Zone: e.self.Zone, Want: []gossip.ItemID{hostListID}}
+	for _, seed := range e.seeds {
+		if seed == e.self.Address {
+			continue
+		}
+		reply, err := e.peers.Push(ctx, seed, request)
+		if err != nil || len(reply.Items) == 0 {
+			continue
+		}
+		var hosts []model.Host
+		if err := unmarshal(reply.Items[0].Value, &hosts); err == nil {
+			e.log.Info("host list taken from a peer", zap.String("peer", seed), zap.Int("hosts", len(hosts)))
+			e.post(ctx, hostsRead{hosts: hosts, revision: reply.Items[0].Rank.Major})
+			return
+		}
+	}
+}
+
+// hostListItem returns the host list for a peer that asks for it.
+func (c *control) hostListItem() []gossip.Item {
+	if c.hosts.revision == 0 {
+		return nil
+	}
+	return []gossip.Item{{ID: hostListID, Rank: gossip.Rank{Major: c.hosts.revision}, Value: c.encode(c.hosts.hosts)}}
+}
+
 // watchHosts reads the host list whenever it changes.
 func (e *edge) watchHosts(ctx context.Context, hosts HostList) error {
 	revision := int64(0)
@@ -155,6 +193,9 @@
 		listing, err := hosts.Hosts(ctx, revision, hostsTimeout)
 		if err != nil {
 			e.metrics.hostListFailures.Add(1)
+			if revision == 0 {
+				e.askPeersForHosts(ctx)
+			}
 			pause(ctx, hostsRetry)
 			continue
 		}
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -83,7 +83,7 @@
 }
 
 func (e loadAsked) apply(c *control, now time.Time) {
-	if !c.isOwned(e.backend) {
+	if !c.isOwned(e.backend) || c.hosts.isLeaving(e.backend) && !e.unload {
 		return
 	}
 	if e.unload {
--- a/entryhost/peerhandler.go
+++ b/entryhost/peerhandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"citronspread/gossip"
@@ -91,6 +92,9 @@
 	if len(e.request.Want) > 0 {
 		items = c.table.Select(e.request.Want)
 	}
+	if slices.Contains(e.request.Want, hostListID) {
+		items = append(items, c.hostListItem()...)
+	}
 	e.reply <- peer.PushReply{Items: items}
 }
 
--- a/entryhost/status.go
+++ b/entryhost/status.go
@@ -88,7 +88,7 @@
 		return status
 	}
 	status.State = model.ReservationLoaded
-	status.Draining = loaded[i].Draining
+	status.Draining = loaded[i].Draining || c.hosts.isLeaving(o.Record.Backend)
 	status.Adapters = c.adaptersOf(o, r.Key)
 	if use := c.owner.get(o.Record.Backend).replicas[r.Key]; use != nil && use.isIdle(now) {
 		status.IdleSince = use.usedAt
--- a/entryhost/traffic.go
+++ b/entryhost/traffic.go
@@ -28,6 +28,7 @@
 	Limits      caller.Limits
 	Policy      routing.Policy
 	Picker      routing.Picker
+	Connections int // of callers at once
 	HeaderBytes int
 	HeaderTime  time.Duration
 	DialTimeout time.Duration
--- a/slopes/disturb.go
+++ b/slopes/disturb.go
@@ -33,7 +33,7 @@
 	for i := range backends {
 		f.HostList.Set(model.Host{
 			Name: remoteName(i), Kind: model.KindBackend, Zone: remoteZone, Region: "bavaria",
-			Address: fmt.Sprintf("127.0.0.2:%d", basePort+i), State: model.HostLive, Service: serviceName,
+			Address: fmt.Sprintf("127.0.0.2:%d", remotePort+i), State: model.HostLive, Service: serviceName,
 		})
 	}
 }
@@ -42,8 +42,8 @@
 func (r *remote) item(i, models int) (gossip.Item, error) {
 	r.version++
 	status := model.BackendStatus{
-		Backend: remoteName(i), Zone: remoteZone, Service: serviceName, Address: fmt.Sprintf("127.0.0.2:%d", basePort+i),
-		OwnerName: fmt.Sprintf("%s-entry-%d", remoteZone, i/2), OwnerAddress: fmt.Sprintf("127.0.0.2:%d", basePort+i/2),
+		Backend: remoteName(i), Zone: remoteZone, Service: serviceName, Address: fmt.Sprintf("127.0.0.2:%d", remotePort+i),
+		OwnerName: fmt.Sprintf("%s-entry-%d", remoteZone, i/2), OwnerAddress: fmt.Sprintf("127.0.0.2:%d", remotePort+i/2),
 		Term: 1, Version: r.version, MemoryBytes: engineMemory, FreeBytes: engineMemory, Capacity: 32,
 		Replicas: []model.ReplicaStatus{{Key: model.ModelKey{Model: modelName(i % models), Version: "v1"}, State: model.ReservationLoaded}},
 	}
--- a/slopes/recovery_test.go
+++ b/slopes/recovery_test.go
@@ -16,7 +16,6 @@
 
 const (
 	recoveryModels = 20
-	recoveryPort   = 30_000
 	outageTime     = 60 * time.Second
 	leaseSettle    = 12 * time.Second
 )
@@ -28,9 +27,9 @@
 	if *binary == "" {
 		t.Skip("run by make slopes")
 	}
-	layout := baseSize.Layout()
+	layout := baseSize.Layout(*port)
 	layout.Zones = recoveryZones
-	layout.HostsPerZone, layout.EnginesPerZone, layout.BasePort = 4, 8, recoveryPort
+	layout.HostsPerZone, layout.EnginesPerZone = 4, 8
 	f := layout.Build(zap.NewNop())
 	processes := &hostProcesses{directory: t.TempDir(), pids: make(map[string]int), cancels: make(map[string]context.CancelFunc)}
 	f.RunEntryHost = processes.runAgain
--- a/slopes/scenario.go
+++ b/slopes/scenario.go
@@ -82,13 +82,13 @@
 	zoneName     = "muenchen"
 	remoteZone   = "rosenheim"
 	serviceName  = "assist-llm"
-	basePort     = 26_000
+	remotePort   = 26_000 // of addresses that nothing listens at
 	modelBytes   = "4GB"
 	engineMemory = 24_000_000_000 // bytes
 )
 
 // Layout returns the fleet of a size, without the backend servers of other zones.
-func (s Size) Layout() fleet.Layout {
+func (s Size) Layout(port int) fleet.Layout {
 	return fleet.Layout{
 		Deployment:           settings.DeploymentTorwerk,
 		Region:               "bavaria",
@@ -104,7 +104,7 @@
 		HostListLag:          100 * time.Millisecond,
 		StoreWrites:          400,
 		StoreReads:           2000,
-		BasePort:             basePort,
+		BasePort:             port,
 		StandingReservations: 1,
 	}
 }
--- a/slopes/slopes_test.go
+++ b/slopes/slopes_test.go
@@ -22,6 +22,7 @@
 var (
 	binary = flag.String("slopes-binary", "", "the built binary; without it nothing is measured")
 	output = flag.String("slopes-output", "", "file that the tables are written to")
+	port   = flag.Int("slopes-port", 26_000, "first of the ports that are listened at")
 	only   = flag.String("slopes-only", "", "measure only this variable")
 	settle = flag.Duration("slopes-settle", 20*time.Second, "time before each measurement")
 	window = flag.Duration("slopes-window", 15*time.Second, "length of each measurement")
@@ -168,7 +169,7 @@
 func measurePoint(t *testing.T, point Point) Cost {
 	t.Helper()
 	size := point.Size
-	f := size.Layout().Build(zap.NewNop())
+	f := size.Layout(*port).Build(zap.NewNop())
 	processes := &hostProcesses{directory: t.TempDir(), pids: make(map[string]int)}
 	f.RunEntryHost = processes.run
 	ctx, cancel := context.WithCancel(t.Context())
