--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -76,7 +76,7 @@
 		{faultStoreDown, 3, 1, time.Second, 8 * time.Second},
 		{faultStoreSlow, 2, 1, time.Second, 6 * time.Second},
 		{faultStoreLose, 3, 1, time.Second, 3 * time.Second},
-		{faultStoreRestore, 1, 1, 3 * time.Second, 8 * time.Second},
+		{faultStoreRestore, 3, 1, 3 * time.Second, 8 * time.Second},
 		{faultCutZone, 3, zones, 2 * time.Second, 8 * time.Second},
 		{faultEngineCrash, 3, engines, time.Second, 2 * time.Second},
 		{faultEngineFreeze, 2, engines, time.Second, 4 * time.Second},
