caller: a body that comes too slowly is answered with 408 at once

Cause: the read deadline was taken back before the answer, so that net/http waited without end for the rest of the body and the answer never left (the new test hung). Now the deadline stays and the connection is closed.

--- a/caller/body.go
+++ b/caller/body.go
@@ -26,10 +26,12 @@
 	// A writer without deadlines is bounded by the server's own timeouts.
 	_ = control.SetReadDeadline(time.Now().Add(s.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, true
 	}
+	// The rest of the body is not waited for.
+	w.Header().Set("Connection", "close")
 	s.writeError(w, bodyFailure(err))
 	return nil, false
 }
--- a/caller/completion_test.go
+++ b/caller/completion_test.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -314,3 +316,32 @@
 		t.Errorf("got %+v, want 40 settled", counts)
 	}
 }
+
+func TestSlowBody(t *testing.T) {
+	f := &fakeEngine{}
+	b := newBench(t, f)
+	b.server.Limits.BodyTimeout = 50 * time.Millisecond
+	connection, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{", pathChat)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusRequestTimeout || response.Header.Get(headerRun) != runNot || f.seen.Load() != 0 {
+		t.Errorf("got %d %s, %d seen by the engine, want 408 %s, 0", response.StatusCode, response.Header.Get(headerRun), f.seen.Load(), runNot)
+	}
+}
+
+func TestKeepAliveComments(t *testing.T) {
+	b := newBench(t, &fakeEngine{interval: 60 * time.Millisecond})
+	b.server.Limits.KeepAlive = 20 * time.Millisecond
+	got := b.post(t, pathChat, strings.Replace(fmt.Sprintf(chatBody, `,"stream":true`), "20", "3", 1))
+	if text, whole := got.text(); !whole || text != wholeText(3) || !strings.Contains(got.body, waitingComment) {
+		t.Errorf("got %q, want comments and a whole answer", got.body)
+	}
+}
