--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -32,6 +32,7 @@
 	dial     func(host model.Host) Engine
 	log      *zap.Logger
 	metrics  *metrics
+	restored func(ctx context.Context) error // writes again what the store may have lost
 	events   chan<- event
 	self     model.Peer
 	ctx      context.Context
@@ -39,6 +40,8 @@
 	mu       sync.Mutex
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
+
+	lastRevision int64 // of the store, as the thread that watches it last saw
 }
 
 // spawn runs work on a thread of its own that ends with the host.
@@ -197,11 +200,23 @@
 	})
 }
 
+// writeClaimsAgain writes the claims again that a restored store may have lost.
+func (e *edge) writeClaimsAgain() {
+	if e.restored == nil {
+		return
+	}
+	e.spawn(func(ctx context.Context) {
+		if err := e.restored(ctx); err != nil {
+			e.log.Warn("claims not written again", zap.Error(err))
+		}
+	})
+}
+
 // push passes items on to peers and merges what they return.
 func (e *edge) push(targets []model.Peer, items []gossip.Item) {
 	for _, target := range targets {
 		e.spawn(func(ctx context.Context) {
-			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{From: e.self, Items: items})
+			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{Zone: e.self.Zone, Items: items})
 			if err != nil {
 				e.reportRefused(target, err)
 			}
@@ -240,55 +255,20 @@
 	})
 }
 
-// usageTarget is where the use of a backend server's replicas is reported.
-type usageTarget struct {
-	backend string
-	address string // peer address of the owner
-}
-
 // reportUsage tells the owners of backend servers how often their replicas were used.
-func (e *edge) reportUsage(targets []usageTarget) {
-	if e.usage == nil {
-		return
-	}
-	usages := e.usage.TakeUsage()
-	for _, address := range distinctAddresses(targets) {
-		request := peer.UsageRequest{From: e.self, Usages: usagesFor(address, targets, usages)}
-		if len(request.Usages) == 0 {
-			continue
-		}
-		if address == e.self.Address {
-			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{request.Usages}) })
-			continue
-		}
-		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, address, &request) })
-	}
-}
-
-func distinctAddresses(targets []usageTarget) []string {
-	var addresses []string
-	seen := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		if !seen[t.address] && t.address != "" {
-			seen[t.address] = true
-			addresses = append(addresses, t.address)
-		}
-	}
-	return addresses
-}
-
-func usagesFor(address string, targets []usageTarget, usages []model.Usage) []model.Usage {
-	owned := make(map[string]bool)
-	for _, t := range targets {
-		if t.address == address {
-			owned[t.backend] = true
+func (e *edge) reportUsage(usages []model.Usage, ownerOf func(backend string) string) {
+	byOwner := make(map[string][]model.Usage)
+	for _, u := range usages {
+		if owner := ownerOf(u.Backend); owner != "" {
+			byOwner[owner] = append(byOwner[owner], u)
 		}
 	}
-	var selected []model.Usage
-	for _, u := range usages {
-		if owned[u.Backend] {
-			selected = append(selected, u)
+	for owner, reported := range byOwner {
+		if owner == e.self.Address {
+			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{reported}) })
+			continue
 		}
+		request := &peer.UsageRequest{From: e.self.Name, Usages: reported}
+		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, owner, request) })
 	}
-	return selected
 }
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if lead.Name != c.self.Name && e.hops == 0 {
-		c.edge.forwardWake(lead.Address, peer.WakeRequest{From: c.self, Wake: e.wake})
+		c.edge.forwardWake(lead.Address, peer.WakeRequest{Wake: e.wake})
 		return
 	}
 	c.metrics.wakes.Add(1)
@@ -121,7 +121,7 @@
 	}
 	c.metrics.wakesForwarded.Add(1)
 	for _, target := range c.hosts.oneOfEachOtherZone(c.self.Zone) {
-		c.edge.forwardWake(target.Address, peer.WakeRequest{From: c.self, Wake: wake, Hops: 1})
+		c.edge.forwardWake(target.Address, peer.WakeRequest{Wake: wake, Hops: 1})
 	}
 }
 
@@ -140,7 +140,7 @@
 		c.permitAnswered(now, choice, c.permits.Ask(now, choice.Wake, choice.Backend))
 		return
 	}
-	request := peer.PermitRequest{From: c.self, Wake: choice.Wake, Backend: choice.Backend}
+	request := peer.PermitRequest{Wake: choice.Wake, Backend: choice.Backend}
 	c.edge.askPermit(holder.Address, request, func(granted bool) event {
 		return permitReplied{choice: choice, granted: granted}
 	})
@@ -169,7 +169,7 @@
 		loadAsked{key: choice.Key, backend: choice.Backend, adapters: choice.Adapters}.apply(c, now)
 		return
 	}
-	request := peer.LoadRequest{From: c.self, Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
+	request := peer.LoadRequest{Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
 	c.edge.askLoad(choice.Owner, request)
 }
 
@@ -196,7 +196,7 @@
 		adapterAsked{id: id}.apply(c, now)
 		return
 	}
-	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{From: c.self, Key: id.key, Backend: id.backend, Adapter: id.adapter})
+	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{Key: id.key, Backend: id.backend, Adapter: id.adapter})
 }
 
 func preferZone(statuses []model.BackendStatus, zone string) model.BackendStatus {
@@ -210,22 +210,31 @@
 	if !ok || holder.Name != c.self.Name {
 		return
 	}
-	for _, s := range c.statuses(now).sorted {
-		for _, r := range s.Replicas {
-			if r.State == model.ReservationLoaded {
-				c.permits.Done(r.Key, s.Backend)
-			}
-		}
-		for _, r := range s.Refused {
-			c.permits.Done(r.Key, s.Backend)
-		}
-	}
+	c.returnPermits(now)
 	zones := c.zones()
 	c.permits.LoadsPerSecond = c.policy.LoadsPerSecond / float64(len(zones))
 	c.permits.Parallel = placement.Share(c.policy.ParallelLoads, zones, c.zoneDemands(), c.self.Zone)
 	c.publishDemand(now)
 }
 
+// returnPermits takes back the permits of loads that ended.
+func (c *control) returnPermits(now time.Time) {
+	statuses := c.statuses(now)
+	for _, held := range c.permits.Granted() {
+		status := statuses.entries[held.Backend].status
+		if isLoadEnded(status, held.Key) {
+			c.permits.Done(held.Key, held.Backend)
+		}
+	}
+}
+
+func isLoadEnded(status model.BackendStatus, key model.ModelKey) bool {
+	isLoaded := slices.ContainsFunc(status.Replicas, func(r model.ReplicaStatus) bool {
+		return r.Key == key && r.State == model.ReservationLoaded
+	})
+	return isLoaded || slices.ContainsFunc(status.Refused, func(r model.RefusedLoad) bool { return r.Key == key })
+}
+
 // zoneDemand is what the permit holder of a zone tells the others.
 type zoneDemand struct {
 	InUse   int
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -37,7 +37,8 @@
 	WarmUp   time.Duration // without faults
 	CoolDown time.Duration // without faults
 
-	ConfigEvery time.Duration // between changes of the configuration
+	RecoveryTime time.Duration // until each model must be served after the faults
+	ConfigEvery  time.Duration // between changes of the configuration
 
 	Except    []string // kinds of faults that are left out
 	Directory string   // for settings files
@@ -54,6 +55,7 @@
 	config       *configuration
 	links        *links
 	trap         *trap
+	slots        *slotHistory
 	settings     settingsWriter
 }
 
@@ -109,7 +111,8 @@
 	}
 	p.hosts.View = r.links
 	r.trap = &trap{run: r, ctx: ctx, owners: map[string]string{}}
-	p.store.Written = r.trap
+	r.slots = &slotHistory{}
+	p.store.Written = writeSinks{r.slots, r.trap}
 	for _, e := range p.engines {
 		e.Orders = r.trap
 	}
