--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,11 @@
 demo: build
 	./citronspread demo
 
+# soak walks the ledger's state machine for SECONDS, from seed SEED on, and prints the seeds.
+soak:
+	@echo "soak: seed $(SEED), $(SECONDS) s"
+	go test -count=1 -v -timeout 0 -run TestLedgerSoak ./ledger -soak.seconds=$(SECONDS) -rapid.seed=$(SEED)
+
 # faults-naive shows that the checks of faults catch entry hosts without the design's rules.
 faults-naive:
 	go test -count=1 -run TestNaiveHostIsCaught ./faults -faults-naive
