--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
 
 	"citronspread/entryhost"
 	"citronspread/settings"
@@ -13,8 +15,8 @@
 
 Example: citronspread serve --settings entry.yaml`
 
-// runEntryHost runs an entry host until ctx ends.
-var runEntryHost = entryhost.Run
+// collectionPercent is how much the heap may grow between two garbage collections.
+const collectionPercent = 40
 
 type serveCommand struct {
 	settings string
@@ -36,5 +38,13 @@
 		return err
 	}
 	defer logger.Sync()
+	debug.SetGCPercent(collectionPercent)
 	return runEntryHost(ctx, s, logger)
 }
+
+// runEntryHost runs an entry host until ctx ends.
+func runEntryHost(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	host := entryhost.FromSettings(s, logger)
+	host.Version = version()
+	return host.Run(ctx)
+}
--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -26,6 +27,8 @@
 	watchTimeout     = 20 * time.Second
 	watchRetry       = 500 * time.Millisecond
 	watcherPoll      = time.Second
+	restoreNewsTime  = time.Minute // a host that starts later has no claims from before the restore
+	relistPeriod     = time.Minute // a restored store may have passed the watched revision unseen
 )
 
 // heldRecord is the newest valid version of an operators' record.
@@ -45,6 +48,8 @@
 // configuration holds the records in force. Only rising ranks are applied, so a record never reverts.
 type configuration struct {
 	records []heldRecord // sorted by name
+	models  []declared   // what they declare, sorted by key
+	isKnown bool         // all records were read from the store, or a peer holds the same
 	invalid []invalidRecord
 	applied int64
 }
@@ -52,7 +57,7 @@
 func configItem(r model.Record, encode func(any) []byte) gossip.Item {
 	return gossip.Item{
 		ID:    gossip.ItemID{Kind: gossip.KindConfig, Key: r.Name},
-		Rank:  gossip.Rank{Major: r.Generation, Minor: r.WrittenAt.UnixMicro(), Tie: r.Nonce},
+		Rank:  gossip.Rank{Major: r.Order(), Minor: r.Generation, Tie: r.Nonce},
 		Value: encode(r),
 	}
 }
@@ -66,7 +71,7 @@
 	if err == nil {
 		return true
 	}
-	s.noteInvalid(c, invalidRecord{Name: item.ID.Key, Generation: item.Rank.Major, Problem: err.Error()})
+	s.noteInvalid(c, invalidRecord{Name: item.ID.Key, Generation: item.Rank.Minor, Problem: err.Error()})
 	return false
 }
 
@@ -99,6 +104,7 @@
 		s.records[i] = held
 	}
 	s.invalid = slices.DeleteFunc(s.invalid, func(n invalidRecord) bool { return n.Name == r.Name && n.Generation <= r.Generation })
+	s.models = declaredModels(s.records)
 	s.applied++
 	c.log.Info("record in force", zap.String("record", r.Name), zap.Int64("generation", r.Generation),
 		zap.Duration("age", now.Sub(r.WrittenAt)), zap.Bool("retired", r.Retired))
@@ -122,21 +128,23 @@
 	declaration model.ModelDeclaration
 }
 
-// models returns the declared model versions, one entry each, sorted by key.
+// declaredModels returns the declared model versions, one entry each, sorted by key.
 // Where several records name one, the largest numbers count.
-func (s *configuration) models() []declared {
+func declaredModels(records []heldRecord) []declared {
 	var models []declared
-	for _, held := range s.records {
+	for _, held := range records {
 		for _, m := range held.Declaration.Models {
 			models = mergeDeclared(models, declared{service: held.Declaration.Service, declaration: m})
 		}
 	}
-	slices.SortFunc(models, func(a, b declared) int {
-		return strings.Compare(a.declaration.Key.String(), b.declaration.Key.String())
-	})
+	slices.SortFunc(models, func(a, b declared) int { return compareKeys(a.declaration.Key, b.declaration.Key) })
 	return models
 }
 
+func compareKeys(a, b model.ModelKey) int {
+	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.Version, b.Version))
+}
+
 func mergeDeclared(models []declared, added declared) []declared {
 	for i, m := range models {
 		if m.declaration.Key != added.declaration.Key {
@@ -162,12 +170,13 @@
 
 // find returns the declaration of a model version.
 func (s *configuration) find(key model.ModelKey) (declared, bool) {
-	for _, m := range s.models() {
-		if m.declaration.Key == key {
-			return m, true
-		}
+	i, found := slices.BinarySearchFunc(s.models, key, func(m declared, key model.ModelKey) int {
+		return compareKeys(m.declaration.Key, key)
+	})
+	if !found {
+		return declared{}, false
 	}
-	return declared{}, false
+	return s.models[i], true
 }
 
 // applySources tells the ledger what the records in force decide.
@@ -178,7 +187,7 @@
 func (c *control) modelSources(now time.Time) []ledger.ModelSources {
 	staying := c.members.Staying(now)
 	var sources []ledger.ModelSources
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		key := m.declaration.Key
 		lead, _ := membership.Lead(staying, key.String())
 		sources = append(sources, ledger.ModelSources{
@@ -197,7 +206,7 @@
 	for _, held := range c.configuration.records {
 		for _, m := range held.Declaration.Models {
 			if m.Key == key {
-				sources = append(sources, model.Source{Record: held.Record.Name, Generation: held.Record.Generation, Replicas: m.Replicas})
+				sources = append(sources, model.Source{Record: held.Record.Name, Generation: held.Record.Order(), Replicas: m.Replicas})
 			}
 		}
 	}
@@ -207,7 +216,7 @@
 func (c *control) recordGenerations() []ledger.RecordGeneration {
 	var generations []ledger.RecordGeneration
 	for _, held := range c.configuration.records {
-		generations = append(generations, ledger.RecordGeneration{Record: held.Record.Name, Generation: held.Record.Generation})
+		generations = append(generations, ledger.RecordGeneration{Record: held.Record.Name, Generation: held.Record.Order()})
 	}
 	return generations
 }
@@ -238,6 +247,8 @@
 	}
 	c.merge(now, items)
 	if e.whole {
+		c.configuration.isKnown = true
+		c.isSnapshotStale = true
 		c.repairRecords(e.entries)
 	}
 }
@@ -271,7 +282,7 @@
 		return
 	}
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		if _, err := e.store.CompareAndSwap(ctx, configPrefix+r.Name, value, revision); err != nil {
 			e.log.Warn("record not written back", zap.String("record", r.Name), zap.Error(err))
@@ -291,38 +302,48 @@
 
 // watchConfiguration reads all records at the start, then watches them while this host is one of the zone's watchers.
 func (e *edge) watchConfiguration(ctx context.Context) error {
-	revision := int64(0)
-	isListed := false
+	e.watchUntilRelist(ctx)
 	for ctx.Err() == nil {
-		if isListed && !e.isWatcher(ctx) {
-			isListed = false
-			pause(ctx, watcherPoll)
-			for ctx.Err() == nil && !e.isWatcher(ctx) {
-				pause(ctx, watcherPoll)
-			}
+		if e.isWatcher(ctx) {
+			e.watchUntilRelist(ctx)
 			continue
 		}
-		next, err := e.readConfiguration(ctx, revision, isListed)
-		if err != nil {
-			pause(ctx, watchRetry)
-			isListed = false
-			continue
-		}
-		revision, isListed = next, true
+		pause(ctx, watcherPoll)
 	}
 	return nil
 }
 
-// readConfiguration lists all records, or waits for changes after a revision.
-func (e *edge) readConfiguration(ctx context.Context, revision int64, isListed bool) (int64, error) {
-	if !isListed {
-		listing, err := e.store.List(ctx, configPrefix)
-		if err != nil {
-			return 0, err
+// watchUntilRelist lists all records and watches them while this host is a watcher, until they are to be listed again.
+func (e *edge) watchUntilRelist(ctx context.Context) {
+	revision, err := e.listRecords(ctx)
+	if err == nil {
+		e.noteRevision(ctx, revision)
+	}
+	relist, cancel := context.WithTimeout(ctx, relistPeriod)
+	defer cancel()
+	for err == nil && relist.Err() == nil && e.isWatcher(relist) {
+		if revision, err = e.watchRecords(relist, revision); err == nil {
+			e.noteRevision(ctx, revision)
 		}
-		e.post(ctx, recordsSeen{entries: listing.Entries, whole: true})
-		return listing.Revision, nil
 	}
+	if err != nil {
+		pause(ctx, watchRetry)
+	}
+}
+
+func (e *edge) listRecords(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
+	defer cancel()
+	listing, err := e.store.List(ctx, configPrefix)
+	if err != nil {
+		return 0, err
+	}
+	e.post(ctx, recordsSeen{entries: listing.Entries, whole: true})
+	return listing.Revision, nil
+}
+
+// watchRecords waits for changes after a revision and returns the new one.
+func (e *edge) watchRecords(ctx context.Context, revision int64) (int64, error) {
 	change, err := e.store.Watch(ctx, configPrefix, revision, watchTimeout)
 	if err != nil {
 		return 0, err
@@ -332,6 +353,27 @@
 	return change.Revision, nil
 }
 
+// noteRevision tells the control thread when the store's revision fell: it came back with older data.
+func (e *edge) noteRevision(ctx context.Context, revision int64) {
+	if revision < e.lastRevision {
+		e.post(ctx, storeRestored{})
+	}
+	e.lastRevision = revision
+}
+
+// storeRestored tells that the store came back with older data.
+type storeRestored struct{}
+
+// apply tells all entry hosts, since each has claims of its own to write again.
+func (storeRestored) apply(c *control, now time.Time) {
+	c.log.Warn("store came back with older data")
+	c.put(now, gossip.Item{
+		ID:        gossip.ItemID{Kind: gossip.KindRestore},
+		Rank:      gossip.Rank{Major: now.UnixMicro(), Tie: c.self.Name},
+		ExpiresAt: now.Add(restoreNewsTime),
+	})
+}
+
 func (e *edge) isWatcher(ctx context.Context) bool {
 	reply := make(chan bool, 1)
 	e.post(ctx, watcherAsked{reply: reply})
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -19,7 +19,9 @@
 	beatPeriod     = time.Second
 	statusPeriod   = 50 * time.Millisecond
 	usagePeriod    = time.Second
-	snapshotPeriod = 250 * time.Millisecond
+	snapshotPeriod = 500 * time.Millisecond // of new loads alone
+	idlePeriod     = 4 * time.Second        // when there are no loads
+	snapshotPause  = 10 * time.Millisecond  // between two snapshots
 	pushPeriod     = 20 * time.Millisecond
 	permitPeriod   = 200 * time.Millisecond
 	standingPeriod = 5 * time.Second
@@ -57,7 +59,6 @@
 	version         int64 // of the snapshot
 	isSnapshotStale bool
 	due             schedule
-	leaving         bool
 }
 
 // schedule holds when each periodic work was last done.
@@ -104,7 +105,7 @@
 		c.updateStanding(now)
 	}
 	if isDue(now, &c.due.usage, usagePeriod) {
-		c.edge.reportUsage(c.usageTargets())
+		c.reportUsage(now)
 	}
 }
 
@@ -113,13 +114,26 @@
 	if isDue(now, &c.due.push, pushPeriod) {
 		c.pushFresh(now)
 	}
-	if c.isSnapshotStale || now.Sub(c.due.snapshot) >= snapshotPeriod {
+	if c.isSnapshotDue(now) {
 		c.due.snapshot = now
 		c.isSnapshotStale = false
 		c.publishSnapshot(now)
 	}
 }
 
+// isSnapshotDue reports whether the routers need a new snapshot: soon after a change,
+// now and then for new loads, and rarely when every backend server is idle.
+func (c *control) isSnapshotDue(now time.Time) bool {
+	age := now.Sub(c.due.snapshot)
+	if c.isSnapshotStale {
+		return age >= snapshotPause
+	}
+	if age < snapshotPeriod {
+		return false
+	}
+	return age >= idlePeriod || c.members.HasLoads()
+}
+
 // isDue reports whether period has passed since last, and then sets last.
 func isDue(now time.Time, last *time.Time, period time.Duration) bool {
 	if now.Sub(*last) < period {
@@ -167,6 +181,9 @@
 		return
 	}
 	staying := c.members.Staying(now)
+	if len(staying) == 0 {
+		return
+	}
 	var assignments []ledger.Assignment
 	for _, a := range membership.Assign(staying, c.hosts.backendNames(c.self.Zone)) {
 		assignments = append(assignments, ledger.Assignment{Backend: a.Backend, Owner: a.Owner})
--- a/entryhost/dump.go
+++ b/entryhost/dump.go
@@ -32,6 +32,7 @@
 	SchemaVersion int
 	Generation    int64
 	Retired       bool
+	WrittenAt     time.Time
 	AppliedAt     time.Time
 }
 
@@ -66,7 +67,7 @@
 		HostRevision: c.hosts.revision,
 		Owned:        c.ledger.Owned(),
 		Replicas:     c.ledger.Replicas(),
-		Backends:     c.statuses(now),
+		Backends:     c.statuses(now).sorted,
 		Suspects:     c.suspects(),
 		Permits:      PermitState{InUse: c.permits.InUse(), Waiting: c.permits.Waiting(), Parallel: c.permits.Parallel},
 		Items:        c.table.Len(),
@@ -78,6 +79,7 @@
 			SchemaVersion: held.Record.SchemaVersion,
 			Generation:    held.Record.Generation,
 			Retired:       held.Record.Retired,
+			WrittenAt:     held.Record.WrittenAt,
 			AppliedAt:     held.AppliedAt,
 		})
 	}
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -18,7 +18,6 @@
 
 // Bounds of calls that the control thread waits for.
 const (
-	storeTimeout   = 3 * time.Second
 	observeTimeout = 2 * time.Second
 	orderTimeout   = 3 * time.Minute
 )
@@ -32,6 +31,7 @@
 	dial     func(host model.Host) Engine
 	log      *zap.Logger
 	metrics  *metrics
+	restored func(ctx context.Context) error // writes again what the store may have lost
 	events   chan<- event
 	self     model.Peer
 	ctx      context.Context
@@ -39,6 +39,10 @@
 	mu       sync.Mutex
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
+
+	storeTimeout time.Duration // of one call
+	seeds        []string      // peer addresses that are asked first
+	lastRevision int64         // of the store, as the thread that watches it last saw
 }
 
 // spawn runs work on a thread of its own that ends with the host.
@@ -79,7 +83,7 @@
 
 func (e *edge) readRecord(action ledger.ReadRecord) {
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		entry, err := e.store.Get(ctx, action.Key)
 		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreRead, entry, err)})
@@ -88,7 +92,7 @@
 
 func (e *edge) writeRecord(action ledger.WriteRecord) {
 	e.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		revision, err := e.store.CompareAndSwap(ctx, action.Key, action.Value, action.Revision)
 		entry := store.Entry{Key: action.Key, Value: action.Value, Revision: revision}
@@ -197,11 +201,23 @@
 	})
 }
 
+// writeClaimsAgain writes the claims again that a restored store may have lost.
+func (e *edge) writeClaimsAgain() {
+	if e.restored == nil {
+		return
+	}
+	e.spawn(func(ctx context.Context) {
+		if err := e.restored(ctx); err != nil {
+			e.log.Warn("claims not written again", zap.Error(err))
+		}
+	})
+}
+
 // push passes items on to peers and merges what they return.
 func (e *edge) push(targets []model.Peer, items []gossip.Item) {
 	for _, target := range targets {
 		e.spawn(func(ctx context.Context) {
-			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{From: e.self, Items: items})
+			_, err := e.peers.Push(ctx, target.Address, &peer.PushRequest{Zone: e.self.Zone, Items: items})
 			if err != nil {
 				e.reportRefused(target, err)
 			}
@@ -221,6 +237,9 @@
 	e.spawn(func(ctx context.Context) {
 		if err := e.peers.Wake(ctx, address, &request); err != nil {
 			e.log.Debug("wake not delivered", zap.String("model", request.Wake.Key.String()), zap.Error(err))
+			if request.Hops == 0 {
+				e.post(ctx, wakeAsked{wake: request.Wake, hops: 1}) // in place of a lead that is gone
+			}
 		}
 	})
 }
@@ -240,55 +259,20 @@
 	})
 }
 
-// usageTarget is where the use of a backend server's replicas is reported.
-type usageTarget struct {
-	backend string
-	address string // peer address of the owner
-}
-
 // reportUsage tells the owners of backend servers how often their replicas were used.
-func (e *edge) reportUsage(targets []usageTarget) {
-	if e.usage == nil {
-		return
-	}
-	usages := e.usage.TakeUsage()
-	for _, address := range distinctAddresses(targets) {
-		request := peer.UsageRequest{From: e.self, Usages: usagesFor(address, targets, usages)}
-		if len(request.Usages) == 0 {
-			continue
-		}
-		if address == e.self.Address {
-			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{request.Usages}) })
-			continue
-		}
-		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, address, &request) })
-	}
-}
-
-func distinctAddresses(targets []usageTarget) []string {
-	var addresses []string
-	seen := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		if !seen[t.address] && t.address != "" {
-			seen[t.address] = true
-			addresses = append(addresses, t.address)
-		}
-	}
-	return addresses
-}
-
-func usagesFor(address string, targets []usageTarget, usages []model.Usage) []model.Usage {
-	owned := make(map[string]bool)
-	for _, t := range targets {
-		if t.address == address {
-			owned[t.backend] = true
+func (e *edge) reportUsage(usages []model.Usage, ownerOf func(backend string) string) {
+	byOwner := make(map[string][]model.Usage)
+	for _, u := range usages {
+		if owner := ownerOf(u.Backend); owner != "" {
+			byOwner[owner] = append(byOwner[owner], u)
 		}
 	}
-	var selected []model.Usage
-	for _, u := range usages {
-		if owned[u.Backend] {
-			selected = append(selected, u)
+	for owner, reported := range byOwner {
+		if owner == e.self.Address {
+			e.spawn(func(ctx context.Context) { e.post(ctx, usageReported{reported}) })
+			continue
 		}
+		request := &peer.UsageRequest{From: e.self.Name, Usages: reported}
+		e.spawn(func(ctx context.Context) { _ = e.peers.Usage(ctx, owner, request) })
 	}
-	return selected
 }
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"citronspread/gossip"
@@ -17,7 +16,7 @@
 // Numbers of peers that soft state is passed on to.
 const (
 	exchangeFanout = 2 // live peers compared with in each round
-	pushFanout     = 3 // live peers that news is pushed to
+	pushFanout     = 2 // live peers that news is pushed to
 	gatewayCount   = 2 // entry hosts of a zone that compare with other zones in each round
 	discoverEvery  = 5 // rounds between tries to reach listed but silent hosts
 )
@@ -37,7 +36,7 @@
 	c.table.Expire(now)
 	c.members.Forget(now)
 	c.dropAbsent(now)
-	c.members.Beat(c.owner.loads())
+	c.members.Beat(c.owner.loads(now))
 	c.publishSelf(now)
 	for _, target := range c.exchangeTargets(now) {
 		c.startExchange(target)
@@ -62,14 +61,6 @@
 	c.merge(now, []gossip.Item{item})
 }
 
-func (c *control) encode(value any) []byte {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		c.log.Error("soft state not encoded", zap.Error(err))
-	}
-	return data
-}
-
 // exchangeTargets picks live peers of the zone, a silent one now and then, and a host of another zone on gateways.
 func (c *control) exchangeTargets(now time.Time) []model.Peer {
 	targets := sample(c.otherLive(now), exchangeFanout)
@@ -131,7 +122,7 @@
 
 // startExchange compares soft state with one peer.
 func (c *control) startExchange(target model.Peer) {
-	request := &peer.ExchangeRequest{From: c.self, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
+	request := &peer.ExchangeRequest{Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
 	e := c.edge
 	e.spawn(func(ctx context.Context) {
 		reply, err := e.peers.Exchange(ctx, target.Address, request)
@@ -151,12 +142,18 @@
 
 func (e exchangeReplied) apply(c *control, now time.Time) {
 	c.members.Hear(now, e.reply.Beats)
-	items, want := c.table.Reconcile(e.reply.Digest, e.reply.Summaries)
-	beats := c.members.BeatsNewer(e.reply.Wanted)
+	var items []gossip.Item
+	var want []gossip.ItemID
+	if e.reply.Digest != nil {
+		items, want = c.table.Reconcile(*e.reply.Digest, e.reply.Summaries)
+	} else if len(c.configuration.records) > 0 {
+		c.configuration.isKnown = true
+	}
+	beats := c.members.SelectBeats(e.reply.Wanted)
 	if len(items) == 0 && len(want) == 0 && len(beats) == 0 {
 		return
 	}
-	request := &peer.PushRequest{From: c.self, Beats: beats, Items: items, Want: want}
+	request := &peer.PushRequest{Zone: c.self.Zone, Beats: beats, Items: items, Want: want}
 	edge := c.edge
 	edge.spawn(func(ctx context.Context) {
 		reply, err := edge.peers.Push(ctx, e.target.Address, request)
@@ -184,6 +181,11 @@
 	isConfigurationNew := false
 	for _, item := range accepted {
 		switch item.ID.Kind {
+		case gossip.KindBackend, gossip.KindCheckpoints:
+			c.backends.isStale = true
+		case gossip.KindRestore:
+			c.metrics.restores.Add(1)
+			c.edge.writeClaimsAgain()
 		case gossip.KindHost:
 			c.introduce(now, item)
 		case gossip.KindConfig:
@@ -210,7 +212,7 @@
 
 func (c *control) introduce(now time.Time, item gossip.Item) {
 	var p model.Peer
-	if err := cbor.Unmarshal(item.Value, &p); err != nil {
+	if err := unmarshal(item.Value, &p); err != nil {
 		c.log.Warn("peer not decoded", zap.String("peer", item.ID.Key), zap.Error(err))
 		return
 	}
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -12,7 +12,9 @@
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
+	"citronspread/caller"
 	"citronspread/gossip"
 	"citronspread/ledger"
 	"citronspread/membership"
@@ -33,22 +35,24 @@
 	OperatorAddress string
 	Policy          Policy
 	Traffic         Traffic
+	StoreTimeout    time.Duration // of one call
 	LongestOrder    time.Duration // an order reaches its engine within this time or never
 	Store           Store
 	HostList        HostList
 	DialEngine      func(host model.Host) Engine
 	Log             *zap.Logger
 
-	incarnation  model.Incarnation
-	metrics      *metrics
-	snapshot     atomic.Pointer[model.Snapshot]
-	router       *routing.Router
-	events       chan event
-	edge         *edge
-	control      *control
-	peerTraffic  *peer.Traffic
-	isUnready    atomic.Bool
-	isSnapshotIn atomic.Bool
+	incarnation model.Incarnation
+	metrics     *metrics
+	snapshot    atomic.Pointer[model.Snapshot]
+	router      *routing.Router
+	events      chan event
+	edge        *edge
+	control     *control
+	callers     *caller.Server
+	peerTraffic *peer.Traffic
+	isUnready   atomic.Bool
+	isComplete  atomic.Bool
 }
 
 // listeners are the open sockets of a host.
@@ -88,6 +92,7 @@
 	if open.caller, err = net.Listen("tcp", h.CallerAddress); err != nil {
 		return open, errors.Wrap(err, "entryhost: caller address")
 	}
+	open.caller = netutil.LimitListener(open.caller, h.Traffic.Connections)
 	if open.peer, err = net.Listen("tcp", h.PeerAddress); err != nil {
 		return open, errors.Wrap(err, "entryhost: peer address")
 	}
@@ -122,7 +127,12 @@
 		ctx:      ctx,
 		engines:  make(map[string]Engine),
 		engineAt: make(map[string]string),
+
+		storeTimeout: h.StoreTimeout,
+		seeds:        h.Policy.Seeds,
 	}
+	h.callers = h.newCallerServer()
+	h.edge.restored = h.callers.Claims.Restored
 	h.control = h.newControl(self)
 	return nil
 }
@@ -147,7 +157,7 @@
 		lead:          placement.NewLead(),
 		permits:       placement.NewPermits(h.Policy.LoadsPerSecond, h.Policy.ParallelLoads),
 		configuration: &configuration{},
-		backends:      statusCache{entries: make(map[string]cachedStatus)},
+		backends:      newStatusCache(),
 		owner:         newOwnerState(),
 		asks:          newPendingAsks(h.incarnation),
 	}
@@ -188,7 +198,7 @@
 // Publish hands a snapshot to the traffic threads.
 func (h *Host) Publish(snapshot *model.Snapshot) {
 	h.snapshot.Store(snapshot)
-	h.isSnapshotIn.Store(len(snapshot.Models) > 0 || len(snapshot.Services) > 0)
+	h.isComplete.Store(snapshot.Complete)
 	h.router.Changed()
 }
 
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -10,6 +10,7 @@
 
 	"citronspread/gossip"
 	"citronspread/model"
+	"citronspread/peer"
 )
 
 // Times of reading the host list.
@@ -25,6 +26,21 @@
 	revision int64
 	readAt   time.Time
 	absent   map[string]time.Time // hosts that were asked for and are not listed, and since when
+	byName   map[string]model.Host
+	zones    []string // the availability zones of the backend servers, sorted
+}
+
+func newHostView(hosts []model.Host, revision int64, readAt time.Time) hostView {
+	v := hostView{hosts: hosts, revision: revision, readAt: readAt, byName: make(map[string]model.Host, len(hosts))}
+	for _, h := range hosts {
+		v.byName[h.Name] = h
+		if h.Kind == model.KindBackend {
+			v.zones = append(v.zones, h.Zone)
+		}
+	}
+	slices.Sort(v.zones)
+	v.zones = slices.Compact(v.zones)
+	return v
 }
 
 // isAbsent reports whether an entry host has not been listed for long. A host owns nothing before it is listed.
@@ -53,11 +69,14 @@
 }
 
 func (v *hostView) find(name string) (model.Host, bool) {
-	i := slices.IndexFunc(v.hosts, func(h model.Host) bool { return h.Name == name })
-	if i < 0 {
-		return model.Host{}, false
-	}
-	return v.hosts[i], true
+	h, found := v.byName[name]
+	return h, found
+}
+
+// isLeaving reports whether the platform lists a host as leaving.
+func (v *hostView) isLeaving(name string) bool {
+	h, found := v.find(name)
+	return found && h.State == model.HostLeaving
 }
 
 // leaving returns the names of the backend servers that get no new work.
@@ -111,15 +130,19 @@
 }
 
 func (e hostsRead) apply(c *control, now time.Time) {
-	before := c.hosts
-	c.hosts = hostView{hosts: e.hosts, revision: e.revision, readAt: now, absent: before.absent}
+	absent := c.hosts.absent
+	c.hosts = newHostView(e.hosts, e.revision, now)
+	c.hosts.absent = absent
 	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
 	c.edge.setEngines(e.hosts)
-	c.table.Remove(gossip.KindBackend, func(name string) bool {
+	isGone := func(name string) bool {
 		_, found := c.hosts.find(name)
 		return !found
-	})
+	}
+	c.table.Remove(gossip.KindBackend, isGone)
+	c.table.Remove(gossip.KindCheckpoints, isGone)
 	c.isSnapshotStale = true
+	c.backends.isStale = true
 	c.assign(now)
 }
 
@@ -132,6 +155,37 @@
 	}
 }
 
+// hostListID names the host list, which is sent only to a host that asks for it.
+var hostListID = gossip.ItemID{Kind: gossip.KindHostList}
+
+// askPeersForHosts takes the host list from peers, because the platform does not give it.
+func (e *edge) askPeersForHosts(ctx context.Context) {
+	request := &peer.PushRequest{Zone: e.self.Zone, Want: []gossip.ItemID{hostListID}}
+	for _, seed := range e.seeds {
+		if seed == e.self.Address {
+			continue
+		}
+		reply, err := e.peers.Push(ctx, seed, request)
+		if err != nil || len(reply.Items) == 0 {
+			continue
+		}
+		var hosts []model.Host
+		if err := unmarshal(reply.Items[0].Value, &hosts); err == nil {
+			e.log.Info("host list taken from a peer", zap.String("peer", seed), zap.Int("hosts", len(hosts)))
+			e.post(ctx, hostsRead{hosts: hosts, revision: reply.Items[0].Rank.Major})
+			return
+		}
+	}
+}
+
+// hostListItem returns the host list for a peer that asks for it.
+func (c *control) hostListItem() []gossip.Item {
+	if c.hosts.revision == 0 {
+		return nil
+	}
+	return []gossip.Item{{ID: hostListID, Rank: gossip.Rank{Major: c.hosts.revision}, Value: c.encode(c.hosts.hosts)}}
+}
+
 // watchHosts reads the host list whenever it changes.
 func (e *edge) watchHosts(ctx context.Context, hosts HostList) error {
 	revision := int64(0)
@@ -139,6 +193,9 @@
 		listing, err := hosts.Hosts(ctx, revision, hostsTimeout)
 		if err != nil {
 			e.metrics.hostListFailures.Add(1)
+			if revision == 0 {
+				e.askPeersForHosts(ctx)
+			}
 			pause(ctx, hostsRetry)
 			continue
 		}
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"citronspread/gossip"
 	"citronspread/ledger"
 	"citronspread/membership"
 	"citronspread/model"
@@ -37,9 +36,21 @@
 		if u.Requests > 0 {
 			c.arrivalsOf(u.Key).Arrive(now)
 		}
+		c.step(now, ledger.ReplicaUsed{Backend: u.Backend, Key: u.Key, Running: b.replicas[u.Key].running(now)})
 	}
 }
 
+// reportUsage tells the owners of backend servers what this host's routers sent to their replicas.
+func (c *control) reportUsage(now time.Time) {
+	if c.edge.usage == nil {
+		return
+	}
+	statuses := c.statuses(now)
+	c.edge.reportUsage(c.edge.usage.TakeUsage(), func(backend string) string {
+		return statuses.entries[backend].status.OwnerAddress
+	})
+}
+
 func (u *replicaUse) note(now time.Time, from string, usage model.Usage) {
 	if usage.Requests > 0 || usage.Running > 0 {
 		u.usedAt = now
@@ -90,7 +101,7 @@
 		return false
 	}
 	var holders []model.Peer
-	for _, s := range c.statuses(now) {
+	for _, s := range c.statuses(now).sorted {
 		for _, r := range s.Replicas {
 			if r.Key == key && r.State == model.ReservationLoaded && !r.Draining {
 				holders = append(holders, model.Peer{Name: s.Backend})
@@ -105,14 +116,3 @@
 	}
 	return false
 }
-
-// usageTargets returns the owner of each backend server.
-func (c *control) usageTargets() []usageTarget {
-	var targets []usageTarget
-	for _, item := range c.table.Items(gossip.KindBackend) {
-		if cached, ok := c.backends.entries[item.ID.Key]; ok {
-			targets = append(targets, usageTarget{backend: item.ID.Key, address: cached.status.OwnerAddress})
-		}
-	}
-	return targets
-}
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -19,6 +19,7 @@
 	permitKey     = "weight-store" // rendezvous key of the zone's permit holder
 	demandTime    = 5 * time.Second
 	warmWakeTime  = 2 * time.Second
+	warmDelay     = 5 * time.Second // a host that has just started does not know yet what others loaded
 	forwardPeriod = 500 * time.Millisecond
 )
 
@@ -34,7 +35,7 @@
 		return
 	}
 	if lead.Name != c.self.Name && e.hops == 0 {
-		c.edge.forwardWake(lead.Address, peer.WakeRequest{From: c.self, Wake: e.wake})
+		c.edge.forwardWake(lead.Address, peer.WakeRequest{Wake: e.wake})
 		return
 	}
 	c.metrics.wakes.Add(1)
@@ -52,7 +53,8 @@
 	if len(wakes) == 0 {
 		return
 	}
-	statuses := c.statuses(now)
+	statuses := c.statuses(now).sorted
+	loads := c.members.LoadsByBackend(now)
 	for _, wake := range wakes {
 		declared, known := c.configuration.find(wake.Key)
 		if !known {
@@ -61,7 +63,7 @@
 		view := placement.View{
 			Zone:        c.self.Zone,
 			Backends:    statuses,
-			Loads:       c.backendLoads(),
+			Loads:       loads,
 			Leaving:     c.hosts.leaving(),
 			Declaration: declared.declaration,
 			Service:     declared.service,
@@ -78,14 +80,17 @@
 
 // wantWarm demands the model versions that records keep loaded, in the first zone by rendezvous.
 func (c *control) wantWarm(now time.Time) {
+	if now.Sub(c.metrics.startedAt) < warmDelay {
+		return
+	}
 	staying := c.members.Staying(now)
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		if m.declaration.Warm == 0 {
 			continue
 		}
 		key := m.declaration.Key
 		lead, _ := membership.Lead(staying, key.String())
-		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.countReplicas(now, key) >= m.declaration.Warm {
+		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.statuses(now).count(key) >= m.declaration.Warm {
 			continue
 		}
 		c.lead.Want(now, model.Wake{Key: key, Waiting: 1, Priority: m.declaration.Priority, Deadline: now.Add(warmWakeTime)})
@@ -103,26 +108,10 @@
 
 // zones returns the availability zones that the host list names.
 func (c *control) zones() []string {
-	zones := []string{c.self.Zone}
-	for _, h := range c.hosts.hosts {
-		if h.Kind == model.KindBackend {
-			zones = append(zones, h.Zone)
-		}
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
-
-func (c *control) countReplicas(now time.Time, key model.ModelKey) int {
-	count := 0
-	for _, s := range c.statuses(now) {
-		for _, r := range s.Replicas {
-			if r.Key == key && r.State != model.ReservationUnloading && !r.Draining {
-				count++
-			}
-		}
+	if len(c.hosts.zones) == 0 {
+		return []string{c.self.Zone}
 	}
-	return count
+	return c.hosts.zones
 }
 
 // forwardElsewhere passes a demand that this zone can't meet to the other zones.
@@ -132,7 +121,7 @@
 	}
 	c.metrics.wakesForwarded.Add(1)
 	for _, target := range c.hosts.oneOfEachOtherZone(c.self.Zone) {
-		c.edge.forwardWake(target.Address, peer.WakeRequest{From: c.self, Wake: wake, Hops: 1})
+		c.edge.forwardWake(target.Address, peer.WakeRequest{Wake: wake, Hops: 1})
 	}
 }
 
@@ -151,7 +140,7 @@
 		c.permitAnswered(now, choice, c.permits.Ask(now, choice.Wake, choice.Backend))
 		return
 	}
-	request := peer.PermitRequest{From: c.self, Wake: choice.Wake, Backend: choice.Backend}
+	request := peer.PermitRequest{Wake: choice.Wake, Backend: choice.Backend}
 	c.edge.askPermit(holder.Address, request, func(granted bool) event {
 		return permitReplied{choice: choice, granted: granted}
 	})
@@ -180,14 +169,14 @@
 		loadAsked{key: choice.Key, backend: choice.Backend, adapters: choice.Adapters}.apply(c, now)
 		return
 	}
-	request := peer.LoadRequest{From: c.self, Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
+	request := peer.LoadRequest{Key: choice.Key, Backend: choice.Backend, Adapters: choice.Adapters}
 	c.edge.askLoad(choice.Owner, request)
 }
 
 // wakeAdapter asks the owner of a replica that lacks an adapter to load it, unless another replica has it.
 func (c *control) wakeAdapter(now time.Time, wake model.Wake) {
 	var lacking []model.BackendStatus
-	for _, s := range c.statuses(now) {
+	for _, s := range c.statuses(now).sorted {
 		for _, r := range s.Replicas {
 			if r.Key != wake.Key || r.State != model.ReservationLoaded || r.Draining {
 				continue
@@ -207,7 +196,7 @@
 		adapterAsked{id: id}.apply(c, now)
 		return
 	}
-	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{From: c.self, Key: id.key, Backend: id.backend, Adapter: id.adapter})
+	c.edge.askLoad(chosen.OwnerAddress, peer.LoadRequest{Key: id.key, Backend: id.backend, Adapter: id.adapter})
 }
 
 func preferZone(statuses []model.BackendStatus, zone string) model.BackendStatus {
@@ -221,22 +210,31 @@
 	if !ok || holder.Name != c.self.Name {
 		return
 	}
-	for _, s := range c.statuses(now) {
-		for _, r := range s.Replicas {
-			if r.State == model.ReservationLoaded {
-				c.permits.Done(r.Key, s.Backend)
-			}
-		}
-		for _, r := range s.Refused {
-			c.permits.Done(r.Key, s.Backend)
-		}
-	}
+	c.returnPermits(now)
 	zones := c.zones()
 	c.permits.LoadsPerSecond = c.policy.LoadsPerSecond / float64(len(zones))
 	c.permits.Parallel = placement.Share(c.policy.ParallelLoads, zones, c.zoneDemands(), c.self.Zone)
 	c.publishDemand(now)
 }
 
+// returnPermits takes back the permits of loads that ended.
+func (c *control) returnPermits(now time.Time) {
+	statuses := c.statuses(now)
+	for _, held := range c.permits.Granted() {
+		status := statuses.entries[held.Backend].status
+		if isLoadEnded(status, held.Key) {
+			c.permits.Done(held.Key, held.Backend)
+		}
+	}
+}
+
+func isLoadEnded(status model.BackendStatus, key model.ModelKey) bool {
+	isLoaded := slices.ContainsFunc(status.Replicas, func(r model.ReplicaStatus) bool {
+		return r.Key == key && r.State == model.ReservationLoaded
+	})
+	return isLoaded || slices.ContainsFunc(status.Refused, func(r model.RefusedLoad) bool { return r.Key == key })
+}
+
 // zoneDemand is what the permit holder of a zone tells the others.
 type zoneDemand struct {
 	InUse   int
@@ -289,7 +287,7 @@
 		}
 	}
 	var keys []model.ModelKey
-	for _, m := range c.configuration.models() {
+	for _, m := range c.configuration.models {
 		if m.service != host.Service || m.declaration.Replicas < len(c.zones()) {
 			continue
 		}
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -46,9 +46,12 @@
 	reportDue time.Time
 	version   int64
 	published model.BackendStatus
-	replicas  map[model.ModelKey]*replicaUse
-	wants     []wantedLoad
-	refused   []model.RefusedLoad
+
+	checkpoints        []model.Checkpoint // as last published
+	checkpointsVersion int64
+	replicas           map[model.ModelKey]*replicaUse
+	wants              []wantedLoad
+	refused            []model.RefusedLoad
 }
 
 // replicaUse is how a replica was used of late.
@@ -80,7 +83,7 @@
 }
 
 func (e loadAsked) apply(c *control, now time.Time) {
-	if !c.isOwned(e.backend) {
+	if !c.isOwned(e.backend) || c.hosts.isLeaving(e.backend) && !e.unload {
 		return
 	}
 	if e.unload {
@@ -105,15 +108,29 @@
 }
 
 // loads returns the load reports that go with the heartbeat.
-func (s *ownerState) loads() []membership.Load {
+func (s *ownerState) loads(now time.Time) []membership.Load {
 	var loads []membership.Load
 	for name, b := range s.backends {
-		loads = append(loads, membership.Load{Backend: name, Running: quantise(b.report.Running), Waiting: quantise(b.report.Waiting)})
+		if b.report.Running+b.report.Waiting == 0 {
+			continue // a backend server that is not named is idle
+		}
+		loads = append(loads, membership.Load{
+			Backend: name,
+			Running: quantise(b.report.Running),
+			Waiting: quantise(b.report.Waiting),
+			Age:     quantiseAge(now.Sub(b.report.TakenAt)),
+		})
 	}
 	slices.SortFunc(loads, func(a, b membership.Load) int { return cmp.Compare(a.Backend, b.Backend) })
 	return loads
 }
 
+// quantiseAge rounds the age of a report. A clock that differs from the engine's gives no negative age.
+func quantiseAge(age time.Duration) time.Duration {
+	const step, longest = 100 * time.Millisecond, 10 * time.Second
+	return min(max(age.Round(step), 0), longest)
+}
+
 // quantise rounds large counts so that small changes look alike.
 func quantise(n int) int {
 	const fine = 8
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,9 @@
 	"citronspread/store"
 )
 
+// staleAfter allows for the lag of an engine's report and of the heartbeat that carries it.
+const staleAfter = 8 * time.Second
+
 // Run runs an entry host with the given settings until ctx ends.
 func Run(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
 	return FromSettings(s, logger).Run(ctx)
@@ -31,6 +35,7 @@
 		OperatorAddress: s.OperatorAddress,
 		Policy:          policyFrom(s),
 		Traffic:         trafficFrom(s),
+		StoreTimeout:    s.Deadlines.StoreCall,
 		LongestOrder:    s.Deadlines.Order,
 		Store:           &store.Client{Address: s.StoreAddress, Zone: s.Zone},
 		HostList:        &hostlist.Client{Address: s.HostListAddress, Zone: s.Zone},
@@ -60,10 +65,12 @@
 	limits.MaxTimeout = s.Deadlines.LongestRequest
 	policy := routing.DefaultPolicy()
 	policy.QueueLimit = s.Limits.QueueLength
+	policy.StaleAfter = staleAfter
 	return Traffic{
 		Limits:      limits,
 		Policy:      policy,
 		Picker:      routing.LatencyPicker{},
+		Connections: s.Limits.Connections,
 		HeaderBytes: int(s.Limits.HeaderBytes),
 		HeaderTime:  s.Deadlines.Header,
 		DialTimeout: s.Deadlines.Connect,
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +17,6 @@
 const (
 	startTimeout = 10 * time.Second
 	callerCount  = 24
-	configEvery  = 4 * time.Second
 )
 
 // Processes controls the processes of entry hosts.
@@ -32,11 +32,17 @@
 
 // Run is one seeded run.
 type Run struct {
-	Seed      uint64
-	Duration  time.Duration
-	WarmUp    time.Duration // without faults
-	CoolDown  time.Duration // without faults
-	Directory string        // for settings files
+	Seed     uint64
+	Duration time.Duration
+	WarmUp   time.Duration // without faults
+	CoolDown time.Duration // without faults
+
+	RecoveryTime time.Duration // until each model must be served after the faults
+	ConfigEvery  time.Duration // between changes of the configuration
+
+	Except    []string // kinds of faults that are left out
+	Directory string   // for settings files
+	Dumps     string   // directory for dumps of the state when the recovery fails; none when empty
 	Processes Processes
 	Log       func(format string, values ...any)
 
@@ -48,6 +54,8 @@
 	exchanges    exchanges
 	config       *configuration
 	links        *links
+	trap         *trap
+	slots        *slotHistory
 	settings     settingsWriter
 }
 
@@ -67,10 +75,12 @@
 	sleep(ctx, r.WarmUp)
 	if r.schedule == nil {
 		r.schedule = newSchedule(r.random(scheduleStream), r.faultTime(), r.hosts, r.platform)
+		r.schedule = slices.DeleteFunc(r.schedule, func(f fault) bool { return slices.Contains(r.Except, string(f.kind)) })
 	}
 	r.playSchedule(ctx)
 	r.Log("faults: all faults ended, cooling down")
 	sleep(ctx, r.CoolDown)
+	r.checkRecovery(ctx)
 	stopCalling()
 	callers.Wait()
 	r.judge()
@@ -100,6 +110,12 @@
 		return err
 	}
 	p.hosts.View = r.links
+	r.trap = &trap{run: r, ctx: ctx, owners: map[string]string{}}
+	r.slots = &slotHistory{}
+	p.store.Written = writeSinks{r.slots, r.trap}
+	for _, e := range p.engines {
+		e.Orders = r.trap
+	}
 	p.start(ctx, r.Log)
 	r.config = newConfiguration(p, r.random(configStream))
 	if err := r.config.putAll(ctx); err != nil {
--- a/faults/promise.go
+++ b/faults/promise.go
@@ -21,6 +21,8 @@
 	PlannedStopCutsNothing
 	ConfigurationInForce
 	SuspectsContained
+	ServedAfterFaults
+	InvariantsHold
 	promiseCount
 )
 
@@ -35,6 +37,8 @@
 	"planned stop cuts no request",
 	"configuration in force and never reverted",
 	"a crashing request loses at most two backend servers a zone",
+	"each model is served after the faults",
+	"invariants asserted in the program hold",
 }
 
 // Bounds of the details kept for each promise.
--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -13,6 +13,10 @@
 	faultKillHost      faultKind = "kill entry host"
 	faultFreezeHost    faultKind = "freeze entry host"
 	faultTerminateHost faultKind = "planned stop of entry host"
+	faultTrapKill      faultKind = "kill owner in the middle of a load"
+	faultTrapFreeze    faultKind = "freeze owner in the middle of a load"
+	faultOrdersLate    faultKind = "orders are late"
+	faultOrdersLost    faultKind = "answers to orders are lost"
 	faultStoreDown     faultKind = "store down"
 	faultStoreSlow     faultKind = "store slow"
 	faultStoreLose     faultKind = "store loses answers"
@@ -55,8 +59,8 @@
 
 // Gaps between faults. A fault may begin while others last.
 const (
-	shortestGap = 300 * time.Millisecond
-	longestGap  = 2500 * time.Millisecond
+	shortestGap = 100 * time.Millisecond
+	longestGap  = 1500 * time.Millisecond
 	maxAmount   = 5
 )
 
@@ -65,17 +69,21 @@
 		{faultKillHost, 4, hosts, time.Second, 4 * time.Second},
 		{faultFreezeHost, 4, hosts, time.Second, 8 * time.Second},
 		{faultTerminateHost, 3, hosts, time.Second, 2 * time.Second},
+		{faultTrapKill, 4, 3, time.Second, 4 * time.Second},
+		{faultTrapFreeze, 5, 3, 2 * time.Second, 9 * time.Second},
+		{faultOrdersLate, 3, engines, time.Second, 5 * time.Second},
+		{faultOrdersLost, 3, engines, time.Second, 5 * time.Second},
 		{faultStoreDown, 3, 1, time.Second, 8 * time.Second},
 		{faultStoreSlow, 2, 1, time.Second, 6 * time.Second},
 		{faultStoreLose, 3, 1, time.Second, 3 * time.Second},
-		{faultStoreRestore, 1, 1, 3 * time.Second, 8 * time.Second},
+		{faultStoreRestore, 3, 1, 3 * time.Second, 8 * time.Second},
 		{faultCutZone, 3, zones, 2 * time.Second, 8 * time.Second},
 		{faultEngineCrash, 3, engines, time.Second, 2 * time.Second},
 		{faultEngineFreeze, 2, engines, time.Second, 4 * time.Second},
 		{faultEngineSlow, 3, engines, time.Second, 5 * time.Second},
 		{faultEngineAnswers, 3, engines, time.Second, 3 * time.Second},
 		{faultLoadsFail, 2, engines, 2 * time.Second, 6 * time.Second},
-		{faultEngineLeaves, 2, engines, 9 * time.Second, 12 * time.Second},
+		{faultEngineLeaves, 5, engines, 9 * time.Second, 12 * time.Second},
 		{faultWeightsSlow, 1, 1, 2 * time.Second, 6 * time.Second},
 		{faultService, 2, services, time.Second, 3 * time.Second},
 		{faultCrashText, 1, 1, 6 * time.Second, 8 * time.Second},
--- a/membership/members.go
+++ b/membership/members.go
@@ -32,13 +32,16 @@
 
 // Load is the quantised load of one backend server, sent with its owner's heartbeat.
 type Load struct {
+	_       struct{} `cbor:",toarray"`
 	Backend string
 	Running int
 	Waiting int
+	Age     time.Duration // from the engine's report to the heartbeat
 }
 
 // Beat is the latest heartbeat of an incarnation.
 type Beat struct {
+	_       struct{} `cbor:",toarray"`
 	ID      BeatID
 	Counter uint64
 	Loads   []Load
@@ -175,6 +178,26 @@
 	return newer
 }
 
+// BeatsWanted returns the names of the heartbeats in the digest that are newer than the held ones.
+func (m *Members) BeatsWanted(digest []Beat) []BeatID {
+	counters := make(map[BeatID]uint64, len(digest))
+	for _, b := range m.Beats() {
+		counters[b.ID] = b.Counter
+	}
+	var wanted []BeatID
+	for _, b := range digest {
+		if b.Counter > counters[b.ID] {
+			wanted = append(wanted, b.ID)
+		}
+	}
+	return wanted
+}
+
+// SelectBeats returns the heartbeats with the given names.
+func (m *Members) SelectBeats(ids []BeatID) []Beat {
+	return slices.DeleteFunc(m.Beats(), func(b Beat) bool { return !slices.Contains(ids, b.ID) })
+}
+
 // BeatDigest returns the heartbeats without their loads.
 func (m *Members) BeatDigest() []Beat {
 	beats := m.Beats()
@@ -184,15 +207,46 @@
 	return beats
 }
 
-// Loads returns the latest loads of the zone's backend servers.
-func (m *Members) Loads() []Load {
-	var loads []Load
-	for _, b := range m.Beats() {
-		loads = append(loads, b.Loads...)
+// DatedLoad is the load of a backend server and when its engine reported it, as far as is known here.
+type DatedLoad struct {
+	Running int
+	Waiting int
+	TakenAt time.Time
+}
+
+// LoadsByBackend returns the latest loads of the zone's backend servers.
+func (m *Members) LoadsByBackend(now time.Time) map[string]DatedLoad {
+	loads := make(map[string]DatedLoad)
+	addLoads(loads, m.loads, now)
+	for _, p := range m.peers {
+		addLoads(loads, p.beat.Loads, p.peer.LastHeard)
 	}
 	return loads
 }
 
+// HasLoads reports whether a backend server of the zone is in use.
+func (m *Members) HasLoads() bool {
+	if len(m.loads) > 0 {
+		return true
+	}
+	for _, p := range m.peers {
+		if len(p.beat.Loads) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// addLoads keeps the newer of two reports on one backend server.
+func addLoads(loads map[string]DatedLoad, reported []Load, heard time.Time) {
+	for _, l := range reported {
+		takenAt := heard.Add(-l.Age)
+		if held, ok := loads[l.Backend]; !ok || takenAt.After(held.TakenAt) {
+			loads[l.Backend] = DatedLoad{Running: l.Running, Waiting: l.Waiting, TakenAt: takenAt}
+		}
+	}
+}
+
 // Live returns the entry hosts of the zone that live, self among them, sorted by name.
 func (m *Members) Live(now time.Time) []model.Peer {
 	live := []model.Peer{m.Self}
--- a/model/replica.go
+++ b/model/replica.go
@@ -29,6 +29,7 @@
 // Snapshot is an immutable view of what can be routed to. Traffic threads read it through an atomic pointer.
 type Snapshot struct {
 	Version  int64
+	Complete bool // the configuration and the host list are known
 	Zone     string
 	Routers  int // live entry hosts of the zone, 0 counts as 1
 	Models   []RoutedModel
@@ -53,6 +54,7 @@
 	Deaths      int // the number of backend servers in Lost
 	Lost        []Death
 	Recent      bool // it had begun shortly before the first death
+	Tokens      int  // the longest answer that it had brought at a death
 	RefuseUntil time.Time
 	ClearedAt   time.Time // a whole answer was given; deaths before it do not count
 
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -10,7 +11,6 @@
 
 const (
 	deathsToRefuse = 2
-	sameDeath      = time.Second // two reports of one backend server within it are one death
 	maxProven      = 4096
 )
 
@@ -27,9 +27,10 @@
 
 // Verdict is the answer of Suspects.Check.
 type Verdict struct {
-	State SuspectState
-	Until time.Time // end of the refusal or of the claim's spreading
-	Prime bool      // it had begun shortly before the first death
+	State  SuspectState
+	Until  time.Time // end of the refusal or of the claim's spreading
+	Prime  bool      // it had begun shortly before the first death
+	Tokens int       // the longest answer that it had brought at a death
 }
 
 // SuspectTotals counts since the start.
@@ -83,7 +84,7 @@
 	s.totals.Trials++
 	s.mu.Unlock()
 	s.publish(e)
-	return Verdict{State: StateClaimed, Until: now.Add(s.TrialDelay), Prime: e.Recent}
+	return Verdict{State: StateClaimed, Until: now.Add(s.TrialDelay), Prime: e.Recent, Tokens: e.Tokens}
 }
 
 // Confirm reports whether the claim still stands after it has spread. A lost claim is given up.
@@ -115,8 +116,8 @@
 	s.publish(e)
 }
 
-// Died notes that the request was running on a backend server that died.
-func (s *Suspects) Died(now time.Time, f model.Fingerprint, backend string, recent bool) {
+// Died notes that the request was running on a backend server that died, and how many tokens it had brought.
+func (s *Suspects) Died(now time.Time, f model.Fingerprint, backend string, recent bool, tokens int) {
 	s.mu.Lock()
 	e, known := s.entries[f]
 	if !known {
@@ -130,6 +131,7 @@
 	}
 	e.Lost = mergeDeaths(e.Lost, []model.Death{{Backend: backend, At: now}})
 	e.Deaths = len(e.Lost)
+	e.Tokens = max(e.Tokens, tokens)
 	s.totals.Deaths++
 	if e.Deaths >= deathsToRefuse {
 		e.RefuseUntil = now.Add(s.RefuseFor)
@@ -240,10 +242,7 @@
 		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b model.Suspect) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
 	})
 	return list
 }
@@ -304,88 +303,3 @@
 		s.Publish(e)
 	}
 }
-
-// MergeSuspect joins two views of one suspect. The order of merging does not matter.
-func MergeSuspect(a, b model.Suspect) model.Suspect {
-	merged := model.Suspect{
-		Fingerprint: a.Fingerprint,
-		Recent:      a.Recent || b.Recent,
-		RefuseUntil: later(a.RefuseUntil, b.RefuseUntil),
-		ClearedAt:   later(a.ClearedAt, b.ClearedAt),
-	}
-	for _, d := range mergeDeaths(a.Lost, b.Lost) {
-		if d.At.After(merged.ClearedAt) {
-			merged.Lost = append(merged.Lost, d)
-		}
-	}
-	merged.Deaths = len(merged.Lost)
-	winner := holderOf(a, b)
-	merged.Holder, merged.HeldUntil, merged.Epoch = winner.Holder, winner.HeldUntil, winner.Epoch
-	return merged
-}
-
-// holderOf returns the view whose claim counts: the higher epoch, else the smaller name.
-func holderOf(a, b model.Suspect) model.Suspect {
-	switch {
-	case a.Epoch != b.Epoch:
-		if a.Epoch > b.Epoch {
-			return a
-		}
-		return b
-	case a.Holder == b.Holder:
-		if a.HeldUntil.After(b.HeldUntil) {
-			return a
-		}
-		return b
-	case a.Holder == "" || b.Holder != "" && b.Holder < a.Holder:
-		return b
-	default:
-		return a
-	}
-}
-
-// mergeDeaths joins two sorted lists; reports of one backend server that lie close are one death.
-func mergeDeaths(a, b []model.Death) []model.Death {
-	all := slices.Concat(a, b)
-	slices.SortFunc(all, func(x, y model.Death) int {
-		if x.At.Equal(y.At) {
-			return compareNames(x.Backend, y.Backend)
-		}
-		return x.At.Compare(y.At)
-	})
-	var kept []model.Death
-	for _, d := range all {
-		if !slices.ContainsFunc(kept, func(k model.Death) bool {
-			return k.Backend == d.Backend && d.At.Sub(k.At) < sameDeath
-		}) {
-			kept = append(kept, d)
-		}
-	}
-	return kept
-}
-
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func lastNews(e model.Suspect) time.Time {
-	news := e.ClearedAt
-	for _, d := range e.Lost {
-		news = later(news, d.At)
-	}
-	return later(news, e.RefuseUntil)
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
