ledger: a replica whose slot is lost gets one or is drained

It is bound a slot when one is free, once the store has confirmed the owner, and is drained otherwise.

--- a/ledger/modelstate.go
+++ b/ledger/modelstate.go
@@ -31,6 +31,7 @@
 	check      bool      // slots of owned backend servers may have to be freed
 	verifyAt   time.Time
 	unheldAt   map[string]time.Time // by order: since when its slot has been seen without a reservation
+	repairDue  bool                 // a lost slot waits for the owner to be confirmed
 	starved    bool                 // a slot was wanted and none was free
 	involved   bool                 // an owned backend server holds or will hold a replica
 	unbound    bool                 // an intent has no slot yet
@@ -101,7 +102,7 @@
 func (h *Host) reconcileModel(now time.Time, m *modelState) {
 	m.cell.expire(now)
 	h.wantRead(now, m)
-	if m.cell.idle(now) && (m.check || m.involved && !m.restoredAt.IsZero() || m.unbound || m.cell.touchWanted || h.verifyDue(now, m)) {
+	if m.cell.idle(now) && (m.check || m.repairDue || m.involved && !m.restoredAt.IsZero() || m.unbound || m.cell.touchWanted || h.verifyDue(now, m)) {
 		h.planModel(now, m)
 	}
 	h.actions = append(h.actions, m.cell.read(now, h.token)...)
--- a/ledger/restore.go
+++ b/ledger/restore.go
@@ -67,9 +67,10 @@
 // repairSlots binds the slots of reservations of owned backend servers again, which only a restored store loses.
 func (h *Host) repairSlots(now time.Time, m *modelState, next *model.ModelRecord) bool {
 	changed := false
+	m.repairDue = false
 	for _, b := range h.sortedBackends() {
 		i := findKey(b.record, m.key)
-		if !h.owns(b) || i < 0 || !m.mayHaveLostSlots(b) {
+		if !h.owns(b) || i < 0 || !m.mayHaveLostSlots(b) && next.Used() >= next.Decided() {
 			continue
 		}
 		r := b.record.Reservations[i]
@@ -78,7 +79,7 @@
 			continue
 		}
 		if now.Sub(b.confirmedAt) > confirmTime {
-			b.cell.touchWanted = true
+			b.cell.touchWanted, m.repairDue = true, true
 			continue
 		}
 		slot := model.Slot{ID: r.SlotID, State: model.SlotBound, Zone: h.Zone, Backend: b.name, Term: b.record.Term, OrderID: r.OrderID}
@@ -101,9 +102,9 @@
 	return !m.restoredAt.IsZero()
 }
 
-// lostSlot reports whether a reservation's slot has been bound to another backend server.
+// lostSlot reports whether a reservation's slot is not bound to its backend server any more.
 func (m *modelState) lostSlot(b *backend, slotID int) bool {
-	return slices.ContainsFunc(m.record.Slots, func(s model.Slot) bool {
-		return s.ID == slotID && s.State != model.SlotFree && s.Backend != b.name
+	return !slices.ContainsFunc(m.record.Slots, func(s model.Slot) bool {
+		return s.ID == slotID && s.State != model.SlotFree && s.Backend == b.name
 	})
 }
