--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -166,7 +166,8 @@
 
 // checkBackend asserts what holds for every record and every change of it.
 func (h *Host) checkBackend(old, record model.BackendRecord) {
-	if reservedBytes(record) > record.MemoryBytes && len(record.Reservations) > len(old.Reservations) {
+	added := len(record.Reservations) > len(old.Reservations) && record.Term == old.Term
+	if added && reservedBytes(record) > record.MemoryBytes {
 		h.violate("memory", "%s: %d bytes reserved of %d", record.Backend, reservedBytes(record), record.MemoryBytes)
 	}
 	for i, r := range record.Reservations {
