entryhost, placement: drains end, and a draining replica is kept for a new request

The ledger lets a drain wait for routers' counts taken after it began, but counts were only passed on when a router reported use, and nobody uses a draining replica. Requests for such a model waited, since the lead counted it as served, and other loads chose the full backend server beside the checkpoint again and again. Change: owners tell the counts each second; a lead keeps a draining replica rather than load anew, and weighs an eviction against the tier. Before: TestIdleModelIsUnloaded, no unload within 15 s; three cases of TestLeadChooses failed.

--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -36,7 +36,6 @@
 		if u.Requests > 0 {
 			c.arrivalsOf(u.Key).Arrive(now)
 		}
-		c.step(now, ledger.ReplicaUsed{Backend: u.Backend, Key: u.Key, Running: b.replicas[u.Key].running(now)})
 	}
 }
 
@@ -65,6 +64,18 @@
 	u.reports = append(u.reports, report)
 }
 
+// tellUse tells the ledger what routers have running on each replica, also when no router reports any more:
+// a drain waits for counts that were taken after it began.
+func (c *control) tellUse(now time.Time) {
+	for _, r := range c.ledger.Replicas() {
+		use := c.owner.get(r.Backend).replicas[r.Key]
+		if use == nil {
+			continue
+		}
+		c.step(now, ledger.ReplicaUsed{Backend: r.Backend, Key: r.Key, Running: use.running(now)})
+	}
+}
+
 func (c *control) arrivalsOf(key model.ModelKey) *placement.KeepAlive {
 	arrivals, ok := c.owner.arrivals[key]
 	if !ok {
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -159,6 +159,7 @@
 	c.forgetAdapters()
 	c.serveWants(now)
 	if isDue(now, &c.owner.keepAlive, keepAlivePeriod) {
+		c.tellUse(now)
 		c.unloadIdle(now)
 	}
 }
@@ -234,7 +235,11 @@
 // serveWant reports whether the wanted load needs no more attention.
 func (c *control) serveWant(now time.Time, o ledger.OwnedBackend, w wantedLoad) bool {
 	declared, known := c.configuration.find(w.key)
-	if !known || hasReservation(o.Record, w.key) {
+	if !known {
+		return true
+	}
+	if hasReservation(o.Record, w.key) {
+		c.step(now, ledger.LoadWanted{Key: w.key, Backend: o.Record.Backend, Adapters: w.adapters}) // ends a drain
 		return true
 	}
 	if freeBytes(o.Record) >= declared.declaration.Bytes {
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -18,8 +18,21 @@
 	busy   int // loads under way
 }
 
-// best returns the backend server that is likely to serve first: the fastest cached checkpoint,
-// then the one that needs no eviction, then the one with the fewest loads under way and the lowest load.
+// evictionDelay is how long an eviction takes, in steps from one tier to the next: a replica is drained before
+// it is unloaded, which takes longer than reading a checkpoint from one tier further away.
+const evictionDelay = 1.5
+
+// delay returns how long a load is likely to take, in steps from one tier to the next.
+func (c candidate) delay() float64 {
+	delay := float64(tierOrder(c.tier))
+	if c.evict {
+		delay += evictionDelay
+	}
+	return delay
+}
+
+// best returns the backend server that is likely to serve first by tier and eviction,
+// then the one with the fewest loads under way and the lowest load.
 func best(now time.Time, wake model.Wake, view View) (LoadChoice, bool) {
 	possible := candidates(now, wake, view)
 	if len(possible) == 0 {
@@ -68,8 +81,8 @@
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
+		cmp.Compare(a.delay(), b.delay()),
 		cmp.Compare(tierOrder(a.tier), tierOrder(b.tier)),
-		compareBools(a.evict, b.evict),
 		cmp.Compare(a.busy, b.busy),
 		cmp.Compare(a.load, b.load),
 		cmp.Compare(a.status.Backend, b.status.Backend),
@@ -90,17 +103,6 @@
 	return slices.Index([]model.Tier{model.TierMemory, model.TierDisk, model.TierRemote}, tier)
 }
 
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func countLoading(backend model.BackendStatus) int {
 	count := 0
 	for _, r := range backend.Replicas {
@@ -113,7 +115,7 @@
 
 func hasIdleReplica(backend model.BackendStatus) bool {
 	return slices.ContainsFunc(backend.Replicas, func(r model.ReplicaStatus) bool {
-		return r.State == model.ReservationLoaded && !r.IdleSince.IsZero()
+		return r.State == model.ReservationLoaded && !r.IdleSince.IsZero() && !r.Draining
 	})
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -36,6 +36,12 @@
 	busy := model.ReplicaStatus{Key: other, State: model.ReservationLoaded}
 	cached := newStatus("cached", 50)
 	cached.Checkpoints = []model.Checkpoint{{Key: key, Tier: model.TierDisk}}
+	full := newStatus("full", 0, idle)
+	full.Checkpoints = cached.Checkpoints
+	drained := loaded
+	drained.Draining = true
+	draining := idle
+	draining.Draining = true
 	refused := newStatus("refused", 50)
 	refused.Refused = []model.RefusedLoad{{Key: key, Until: start.Add(time.Second)}}
 	elsewhere := newStatus("elsewhere", 50)
@@ -49,6 +55,9 @@
 	}{
 		{"idle model", 1, newView(1, newStatus("a", 50)), OutcomeLoad, "a"},
 		{"cached checkpoint first", 1, newView(1, newStatus("a", 90), cached), OutcomeLoad, "cached"},
+		{"a draining replica is kept instead", 1, newView(1, newStatus("a", 10, drained)), OutcomeLoad, "a"},
+		{"free memory before an eviction beside the checkpoint", 1, newView(1, full, newStatus("b", 50)), OutcomeLoad, "b"},
+		{"a draining replica makes no room for a second load", 1, newView(1, newStatus("a", 0, draining)), OutcomeNoCapacity, ""},
 		{"free memory before eviction", 1, newView(1, newStatus("a", 0, idle), newStatus("b", 50)), OutcomeLoad, "b"},
 		{"eviction of an idle replica", 1, newView(1, newStatus("a", 0, idle)), OutcomeLoad, "a"},
 		{"no eviction of a busy one", 1, newView(1, newStatus("a", 0, busy)), OutcomeNoCapacity, ""},
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -121,9 +121,13 @@
 func (l *Lead) Choose(now time.Time, wake model.Wake, view View) (LoadChoice, Outcome) {
 	count := countReplicas(view, wake.Key)
 	underWay := count.loading + l.countAsked(now, wake.Key, view)
-	switch {
-	case underWay > 0:
+	if underWay > 0 {
 		return LoadChoice{}, OutcomeUnderWay
+	}
+	if kept, found := drainingReplica(wake, view); found && count.ready == 0 {
+		return kept, OutcomeLoad
+	}
+	switch {
 	case count.ready > 0 && !isCrowded(wake, count, view):
 		return LoadChoice{}, OutcomeServed
 	case count.ready+count.loading >= view.Declaration.Replicas:
@@ -136,6 +140,20 @@
 	return choice, OutcomeLoad
 }
 
+// drainingReplica finds a replica of the own zone that is about to be unloaded. Asking its owner for a load
+// ends the drain, which is faster than any load.
+func drainingReplica(wake model.Wake, view View) (LoadChoice, bool) {
+	for _, b := range view.Backends {
+		r, held := findReplica(b, wake.Key)
+		isKept := held && r.Draining && r.State == model.ReservationLoaded
+		if !isKept || b.Zone != view.Zone || slices.Contains(view.Leaving, b.Backend) {
+			continue
+		}
+		return LoadChoice{Key: wake.Key, Backend: b.Backend, Owner: b.OwnerAddress, Tier: model.TierMemory, Wake: wake}, true
+	}
+	return LoadChoice{}, false
+}
+
 // countAsked counts the asked loads that do not show yet.
 func (l *Lead) countAsked(now time.Time, key model.ModelKey, view View) int {
 	count := 0
@@ -155,8 +173,8 @@
 func isAnswered(now time.Time, backends []model.BackendStatus, id loadID) bool {
 	for _, b := range backends {
 		if b.Backend == id.backend {
-			_, held := findReplica(b, id.key)
-			return held || isRefused(now, b, id.key)
+			r, held := findReplica(b, id.key)
+			return held && !r.Draining || isRefused(now, b, id.key)
 		}
 	}
 	return false
@@ -189,7 +207,7 @@
 	var count replicaCount
 	for _, b := range view.Backends {
 		r, held := findReplica(b, key)
-		if !held {
+		if !held || r.Draining {
 			continue
 		}
 		switch r.State {
