--- a/routing/picker.go
+++ b/routing/picker.go
@@ -66,7 +66,7 @@
 }
 
 // costExponent sets how strongly LatencyPicker prefers a candidate of lower cost.
-const costExponent = 3
+const costExponent = 8
 
 // LatencyPicker chooses at random, with a weight that falls with the expected time on a candidate.
 // Routers that know equally little then do not all choose the same candidate.
