--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -167,6 +167,10 @@
 func (h *Host) addControl(group *run.Group, background context.Context) {
 	addActor(group, background, func(ctx context.Context) error { return h.control.run(ctx, h.events) })
 	addActor(group, background, h.edge.watchConfiguration)
+	addActor(group, background, func(ctx context.Context) error {
+		_ = h.callers.Claims.Run(ctx)
+		return nil
+	})
 	addActor(group, background, func(ctx context.Context) error { return h.edge.watchHosts(ctx, h.HostList) })
 	addActor(group, background, func(ctx context.Context) error {
 		_ = h.router.Run(ctx)
--- a/entryhost/ports.go
+++ b/entryhost/ports.go
@@ -17,6 +17,8 @@
 	List(ctx context.Context, prefix string) (store.Listing, error)
 	CompareAndSwap(ctx context.Context, key string, value []byte, revision int64) (int64, error)
 	Delete(ctx context.Context, key string, revision int64) (int64, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
+	CompareAndSwapLeased(ctx context.Context, key string, value []byte, revision int64, lease string) (int64, error)
 	Watch(ctx context.Context, prefix string, after int64, timeout time.Duration) (store.Change, error)
 }
 
