membership, entryhost: loads in heartbeats by hash; room kept ahead of cold starts as a policy

Cause: worked out for 60 entry hosts with 109 busy backend servers, loads named by text take about 8 KB/s of a node's 15 beside the 12 of an idle zone. Also: an owner may unload idle replicas ahead of the next load (KeepAlive.FreeLoads, off until it is measured), and memory of standing reservations goes before idle replicas when a load needs room.

--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -272,7 +272,10 @@
 		return
 	}
 	for _, o := range c.ledger.Owned() {
-		keys := c.standingKeys(o.Record.Backend)
+		var keys []model.ModelKey
+		if len(c.owner.get(o.Record.Backend).wants) == 0 {
+			keys = c.standingKeys(o.Record.Backend)
+		}
 		c.step(now, ledger.StandingWanted{Backend: o.Record.Backend, Keys: keys})
 	}
 }
--- a/entryhost/metrics.go
+++ b/entryhost/metrics.go
@@ -20,6 +20,7 @@
 	loadsRefused     atomic.Int64
 	evictions        atomic.Int64
 	idleUnloads      atomic.Int64
+	unloadsAhead     atomic.Int64
 	suspects         atomic.Int64
 	invalidRecords   atomic.Int64
 	repairedRecords  atomic.Int64
@@ -45,6 +46,7 @@
 		{"LoadsRefused", &m.loadsRefused},
 		{"Evictions", &m.evictions},
 		{"IdleUnloads", &m.idleUnloads},
+		{"UnloadsAhead", &m.unloadsAhead},
 		{"Suspects", &m.suspects},
 		{"InvalidRecords", &m.invalidRecords},
 		{"RepairedRecords", &m.repairedRecords},
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -115,22 +115,16 @@
 			continue // a backend server that is not named is idle
 		}
 		loads = append(loads, membership.Load{
-			Backend: name,
+			Backend: membership.NewBackendID(name),
 			Running: quantise(b.report.Running),
 			Waiting: quantise(b.report.Waiting),
-			Age:     quantiseAge(now.Sub(b.report.TakenAt)),
+			Age:     membership.NewAgeTenths(now.Sub(b.report.TakenAt)),
 		})
 	}
 	slices.SortFunc(loads, func(a, b membership.Load) int { return cmp.Compare(a.Backend, b.Backend) })
 	return loads
 }
 
-// quantiseAge rounds the age of a report. A clock that differs from the engine's gives no negative age.
-func quantiseAge(age time.Duration) time.Duration {
-	const step, longest = 100 * time.Millisecond, 10 * time.Second
-	return min(max(age.Round(step), 0), longest)
-}
-
 // quantise rounds large counts so that small changes look alike.
 func quantise(n int) int {
 	const fine = 8
@@ -161,6 +155,7 @@
 	if isDue(now, &c.owner.keepAlive, keepAlivePeriod) {
 		c.tellUse(now)
 		c.unloadIdle(now)
+		c.keepRoom(now)
 	}
 }
 
@@ -246,10 +241,24 @@
 		c.step(now, ledger.LoadWanted{Key: w.key, Backend: o.Record.Backend, Adapters: w.adapters})
 		return true
 	}
+	if standingBytes(o.Record) > 0 {
+		c.step(now, ledger.StandingWanted{Backend: o.Record.Backend}) // memory kept in advance goes first
+		return false
+	}
 	c.makeRoom(now, o, declared.declaration.Bytes)
 	return false
 }
 
+func standingBytes(record model.BackendRecord) int64 {
+	var sum int64
+	for _, r := range record.Reservations {
+		if r.State == model.ReservationStanding {
+			sum += r.Bytes
+		}
+	}
+	return sum
+}
+
 func hasReservation(record model.BackendRecord, key model.ModelKey) bool {
 	return slices.ContainsFunc(record.Reservations, func(r model.Reservation) bool {
 		return r.Key == key && r.State != model.ReservationStanding
@@ -266,12 +275,7 @@
 
 // makeRoom unloads the replicas that have been idle longest until the wanted bytes will be free.
 func (c *control) makeRoom(now time.Time, o ledger.OwnedBackend, wanted int64) {
-	free := freeBytes(o.Record)
-	for _, r := range o.Record.Reservations {
-		if r.State == model.ReservationUnloading || c.isDraining(o.Record.Backend, r.Key) {
-			free += r.Bytes
-		}
-	}
+	free := c.freeBytesSoon(o)
 	for _, victim := range c.idleReplicas(now, o) {
 		if free >= wanted {
 			return
@@ -283,6 +287,17 @@
 	}
 }
 
+// freeBytesSoon returns the memory that is free or is being freed.
+func (c *control) freeBytesSoon(o ledger.OwnedBackend) int64 {
+	free := freeBytes(o.Record)
+	for _, r := range o.Record.Reservations {
+		if r.State == model.ReservationUnloading || c.isDraining(o.Record.Backend, r.Key) {
+			free += r.Bytes
+		}
+	}
+	return free
+}
+
 func (c *control) isDraining(backend string, key model.ModelKey) bool {
 	return slices.ContainsFunc(c.ledger.Replicas(), func(r ledger.LoadedReplica) bool {
 		return r.Backend == backend && r.Key == key && r.Draining
--- a/entryhost/policy.go
+++ b/entryhost/policy.go
@@ -14,6 +14,7 @@
 	FixedKeepAlive       time.Duration // when positive, instead of one chosen for each model
 	ShortestKeepAlive    time.Duration
 	LongestKeepAlive     time.Duration
+	FreeLoads            int     // loads that a backend server has room for
 	LoadsPerSecond       float64 // of the weight store, for all zones together
 	ParallelLoads        int     // at full speed, for all zones together
 	ParallelAdapters     int     // at full speed, for all zones together
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -50,6 +50,7 @@
 		KeepAlive:            placement.Weights{IdleSecond: s.KeepAlive.IdleWeight, ColdStartSecond: s.KeepAlive.ColdStartWeight},
 		ShortestKeepAlive:    s.KeepAlive.Shortest,
 		LongestKeepAlive:     s.KeepAlive.Longest,
+		FreeLoads:            s.KeepAlive.FreeLoads,
 		LoadsPerSecond:       s.WeightStore.LoadsPerSecond,
 		ParallelLoads:        s.WeightStore.ParallelLoads,
 		ParallelAdapters:     s.WeightStore.ParallelAdapters,
--- a/entryhost/snapshot.go
+++ b/entryhost/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronspread/membership"
 	"citronspread/model"
 )
 
@@ -35,7 +36,7 @@
 	for _, s := range c.statuses(now).sorted {
 		host, listed := c.hosts.find(s.Backend)
 		isLeaving := !listed || host.State != model.HostLive
-		load, known := loads[s.Backend]
+		load, known := loads[membership.NewBackendID(s.Backend)]
 		if !known {
 			load.TakenAt = now
 		}
--- a/measure/plan.go
+++ b/measure/plan.go
@@ -83,6 +83,7 @@
 	Name                 string
 	ShortestKeepAlive    time.Duration
 	LongestKeepAlive     time.Duration
+	FreeLoads            int
 	StandingReservations int
 	Picker               string
 	LongCapShare         float64 // largest share of a batch for long streams, 1 for no cap
--- a/measure/variant.go
+++ b/measure/variant.go
@@ -21,6 +21,7 @@
 		Name:                 "default",
 		ShortestKeepAlive:    defaults.KeepAlive.Shortest,
 		LongestKeepAlive:     defaults.KeepAlive.Longest,
+		FreeLoads:            defaults.KeepAlive.FreeLoads,
 		StandingReservations: l.StandingReservations,
 		Picker:               pickLatency,
 		LongCapShare:         policy.LongCapShare,
@@ -34,6 +35,7 @@
 	v.Name = m.Name("Name")
 	v.ShortestKeepAlive = m.DurationOr("ShortestKeepAlive", v.ShortestKeepAlive, anyTime)
 	v.LongestKeepAlive = m.DurationOr("LongestKeepAlive", v.LongestKeepAlive, anyTime)
+	v.FreeLoads = int(m.IntOr("FreeLoads", int64(v.FreeLoads), yamlfile.IntRange{High: 16}))
 	v.StandingReservations = int(m.IntOr("StandingReservations", int64(v.StandingReservations), yamlfile.IntRange{High: 16}))
 	v.Picker = m.OneOfOr("Picker", v.Picker, pickLatency, pickLeast, pickRandom, pickCredit)
 	v.LongCapShare = m.FloatOr("LongCapShare", v.LongCapShare, share)
@@ -51,6 +53,7 @@
 func (v Variant) apply(s *settings.Settings) {
 	s.KeepAlive.Shortest = v.ShortestKeepAlive
 	s.KeepAlive.Longest = v.LongestKeepAlive
+	s.KeepAlive.FreeLoads = v.FreeLoads
 	s.StandingReservations = v.StandingReservations
 }
 
--- a/membership/members.go
+++ b/membership/members.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -33,12 +34,32 @@
 // Load is the quantised load of one backend server, sent with its owner's heartbeat.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
-	Backend string
+	Backend BackendID
 	Running int
 	Waiting int
-	Age     time.Duration // from the engine's report to the heartbeat
+	Age     AgeTenths // from the engine's report to the heartbeat
 }
 
+// BackendID names a backend server in heartbeats.
+type BackendID uint32
+
+// NewBackendID returns the heartbeat name of a backend server.
+func NewBackendID(backend string) BackendID { return BackendID(xxhash.Sum64String(backend)) }
+
+// AgeTenths is an age in tenths of a second.
+type AgeTenths uint8
+
+// ageUnit is the unit of AgeTenths.
+const ageUnit = 100 * time.Millisecond
+
+// NewAgeTenths rounds an age. A clock that differs from the engine's gives no negative age.
+func NewAgeTenths(age time.Duration) AgeTenths {
+	return AgeTenths(min(max(age.Round(ageUnit)/ageUnit, 0), math.MaxUint8))
+}
+
+// Duration returns the age.
+func (a AgeTenths) Duration() time.Duration { return time.Duration(a) * ageUnit }
+
 // Beat is the latest heartbeat of an incarnation.
 type Beat struct {
 	_       struct{} `cbor:",toarray"`
@@ -215,8 +236,8 @@
 }
 
 // LoadsByBackend returns the latest loads of the zone's backend servers.
-func (m *Members) LoadsByBackend(now time.Time) map[string]DatedLoad {
-	loads := make(map[string]DatedLoad)
+func (m *Members) LoadsByBackend(now time.Time) map[BackendID]DatedLoad {
+	loads := make(map[BackendID]DatedLoad)
 	addLoads(loads, m.loads, now)
 	for _, p := range m.peers {
 		addLoads(loads, p.beat.Loads, p.peer.LastHeard)
@@ -238,9 +259,9 @@
 }
 
 // addLoads keeps the newer of two reports on one backend server.
-func addLoads(loads map[string]DatedLoad, reported []Load, heard time.Time) {
+func addLoads(loads map[BackendID]DatedLoad, reported []Load, heard time.Time) {
 	for _, l := range reported {
-		takenAt := heard.Add(-l.Age)
+		takenAt := heard.Add(-l.Age.Duration())
 		if held, ok := loads[l.Backend]; !ok || takenAt.After(held.TakenAt) {
 			loads[l.Backend] = DatedLoad{Running: l.Running, Waiting: l.Waiting, TakenAt: takenAt}
 		}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -61,7 +61,7 @@
 
 func TestMembersHearThroughOthers(t *testing.T) {
 	a, b, c := NewMembers(newPeer("a", "a1")), NewMembers(newPeer("b", "b1")), NewMembers(newPeer("c", "c1"))
-	c.Beat([]Load{{Backend: "x", Running: 3}})
+	c.Beat([]Load{{Backend: NewBackendID("x"), Running: 3, Age: NewAgeTenths(time.Second)}})
 	b.Hear(start, c.BeatsNewer(nil))
 	b.Introduce(start, c.Self)
 	a.Introduce(start, c.Self)
@@ -70,7 +70,7 @@
 	if got, want := len(a.Live(start.Add(DeadAfter))), 2; got != want {
 		t.Errorf("live: got %d, want %d", got, want)
 	}
-	if got, want := a.LoadsByBackend(later)["x"], (DatedLoad{Running: 3, TakenAt: later}); got != want {
+	if got, want := a.LoadsByBackend(later)[NewBackendID("x")], (DatedLoad{Running: 3, TakenAt: later.Add(-time.Second)}); got != want {
 		t.Errorf("load: got %v, want %v", got, want)
 	}
 }
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"citronspread/membership"
 	"citronspread/model"
 )
 
@@ -67,7 +68,7 @@
 		if !fits && !hasIdleReplica(b) {
 			continue
 		}
-		load := view.Loads[b.Backend]
+		load := view.Loads[membership.NewBackendID(b.Backend)]
 		candidates = append(candidates, candidate{
 			status: b,
 			tier:   TierOf(b.Checkpoints, wake.Key),
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -110,9 +110,9 @@
 // View is what a lead knows when it decides.
 type View struct {
 	Zone        string
-	Backends    []model.BackendStatus           // of all zones
-	Loads       map[string]membership.DatedLoad // of the own zone
-	Leaving     []string                        // backend servers that get no new work
+	Backends    []model.BackendStatus                         // of all zones
+	Loads       map[membership.BackendID]membership.DatedLoad // of the own zone
+	Leaving     []string                                      // backend servers that get no new work
 	Declaration model.ModelDeclaration
 	Service     string
 }
@@ -216,7 +216,7 @@
 		case model.ReservationLoaded:
 			count.ready++
 			count.capacity += b.Capacity
-			load := view.Loads[b.Backend]
+			load := view.Loads[membership.NewBackendID(b.Backend)]
 			count.running += load.Running
 			count.waiting += load.Waiting
 		}
--- a/settings/load.go
+++ b/settings/load.go
@@ -96,6 +96,9 @@
 	return w
 }
 
+// maxFreeLoads bounds KeepAlive.FreeLoads.
+const maxFreeLoads = 16
+
 // readKeepAlive reads the weights, which the deployment's name gives unless it is Custom.
 func readKeepAlive(top *yamlfile.Mapping, deployment string, k KeepAlive) KeepAlive {
 	span := yamlfile.DurationRange{High: 24 * time.Hour}
@@ -114,6 +117,7 @@
 	}
 	k.Shortest = m.DurationOr("Shortest", k.Shortest, span)
 	k.Longest = m.DurationOr("Longest", k.Longest, span)
+	k.FreeLoads = int(m.IntOr("FreeLoads", int64(k.FreeLoads), yamlfile.IntRange{High: maxFreeLoads}))
 	m.Close()
 	if k.Shortest > k.Longest {
 		m.Fail("Shortest", "at most Longest")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,4 +66,5 @@
 	IdleWeight      float64
 	Shortest        time.Duration
 	Longest         time.Duration
+	FreeLoads       int // loads that a backend server has room for, because idle replicas are unloaded ahead
 }
