routing, entryhost: an idle router reviews less often

A router without waiting requests woke up 50 times a second, and each owner read the engines' late load reports twice a second. Change: 10 times a second without waiting requests; reports once a second.

--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -16,7 +16,7 @@
 
 // Times of an owner's work.
 const (
-	loadReportPeriod = 500 * time.Millisecond
+	loadReportPeriod = time.Second
 	usageFreshness   = 3 * time.Second
 	idleAfter        = 2 * time.Second // without requests, a replica counts as idle
 	wantTime         = 30 * time.Second
--- a/routing/router.go
+++ b/routing/router.go
@@ -13,6 +13,7 @@
 
 const (
 	tickInterval    = 20 * time.Millisecond
+	idleInterval    = historyInterval
 	reviewInterval  = 100 * time.Millisecond
 	heldPoll        = 50 * time.Millisecond
 	unsettledExcess = 500 * time.Millisecond // tolerance before a waiting request counts as forgotten
@@ -113,19 +114,30 @@
 // Run reviews the waiting requests until the context ends.
 func (r *Router) Run(ctx context.Context) error {
 	r.once.Do(r.init)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-r.changed:
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(r.interval())
 		}
 		r.Step(r.Now())
 	}
 }
 
+// interval returns the time until the next review. An idle router only keeps its history of the load.
+func (r *Router) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.queue.Len() == 0 {
+		return idleInterval
+	}
+	return tickInterval
+}
+
 // Step takes in a new snapshot, serves and refuses waiting requests, and repeats wakes.
 func (r *Router) Step(now time.Time) {
 	r.once.Do(r.init)
