--- a/engine/watchdog.go
+++ b/engine/watchdog.go
@@ -23,6 +23,9 @@
 	ended    atomic.Bool
 }
 
+// neverBarks is longer than any stream.
+const neverBarks = 365 * 24 * time.Hour
+
 var clockStart = time.Now()
 
 func newWatchdog(call *Call, timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
@@ -31,7 +34,8 @@
 		d.patience = min(call.Patience, timeout)
 	}
 	d.heard.Store(int64(time.Since(clockStart)))
-	d.timer = time.AfterFunc(d.patience, d.bark)
+	d.timer = time.AfterFunc(neverBarks, d.bark)
+	d.timer.Reset(d.patience) // only now, because bark reads the timer
 	return d
 }
 
