--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -30,7 +30,7 @@
 }
 
 func defaultKeepAlive(deployment string) KeepAlive {
-	k := KeepAlive{ColdStartWeight: 1, IdleWeight: 1, Shortest: 10 * time.Second, Longest: 30 * time.Minute}
+	k := KeepAlive{ColdStartWeight: 1, IdleWeight: 1, Shortest: 10 * time.Second, Longest: 30 * time.Minute, FreeLoads: 1}
 	switch deployment {
 	case DeploymentQureshi:
 		k.IdleWeight = 3
