--- a/entryhost/adapter.go
+++ b/entryhost/adapter.go
@@ -100,7 +100,7 @@
 		a.loaded = append(a.loaded, e.id)
 		c.publishStatus(now)
 	} else {
-		c.log.Warn("adapter not loaded", zap.String("backend", e.id.backend), zap.String("adapter", e.id.adapter), zap.String("outcome", string(e.outcome)))
+		c.log.Warn("adapter not loaded", zap.String("Backend", e.id.backend), zap.String("Adapter", e.id.adapter), zap.String("Outcome", string(e.outcome)))
 	}
 	c.startAdapters(now)
 }
--- a/entryhost/callerside.go
+++ b/entryhost/callerside.go
@@ -73,11 +73,11 @@
 func (h *Host) stopGracefully(callers *caller.Server, server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), h.Traffic.Shutdown)
 	defer cancel()
-	h.Log.Info("stopping", zap.String("name", h.Name), zap.Int64("open", callers.Open()))
+	h.Log.Info("stopping", zap.String("Name", h.Name), zap.Int64("Open", callers.Open()))
 	h.isUnready.Store(true)
 	h.edge.post(ctx, stopBegun{})
 	if err := callers.Drain(ctx, h.Traffic.BalancerLag); err != nil {
-		h.Log.Warn("requests cut by the stop", zap.Int64("open", callers.Open()))
+		h.Log.Warn("requests cut by the stop", zap.Int64("Open", callers.Open()))
 	}
 	if err := server.Shutdown(ctx); err != nil {
 		h.Log.Warn("callers' side not shut down", zap.Error(err))
@@ -97,7 +97,7 @@
 		}
 		pause(ctx, handOverPoll)
 	}
-	h.Log.Warn("ownership not handed over", zap.String("name", h.Name))
+	h.Log.Warn("ownership not handed over", zap.String("Name", h.Name))
 }
 
 // stopBegun tells the control thread of a planned stop.
--- a/entryhost/configuration.go
+++ b/entryhost/configuration.go
@@ -82,7 +82,7 @@
 	s.invalid = slices.DeleteFunc(s.invalid, func(r invalidRecord) bool { return r.Name == invalid.Name })
 	s.invalid = append(s.invalid, invalid)
 	c.metrics.invalidRecords.Add(1)
-	c.log.Warn("record not valid", zap.String("record", invalid.Name), zap.Int64("generation", invalid.Generation), zap.String("problem", invalid.Problem))
+	c.log.Warn("record not valid", zap.String("Record", invalid.Name), zap.Int64("Generation", invalid.Generation), zap.String("Problem", invalid.Problem))
 }
 
 // apply puts an accepted item in force.
@@ -106,8 +106,8 @@
 	s.invalid = slices.DeleteFunc(s.invalid, func(n invalidRecord) bool { return n.Name == r.Name && n.Generation <= r.Generation })
 	s.models = declaredModels(s.records)
 	s.applied++
-	c.log.Info("record in force", zap.String("record", r.Name), zap.Int64("generation", r.Generation),
-		zap.Duration("age", now.Sub(r.WrittenAt)), zap.Bool("retired", r.Retired))
+	c.log.Info("record in force", zap.String("Record", r.Name), zap.Int64("Generation", r.Generation),
+		zap.Duration("Age", now.Sub(r.WrittenAt)), zap.Bool("Retired", r.Retired))
 }
 
 // checkRising asserts that a record in force is only replaced by a newer one.
@@ -262,7 +262,7 @@
 			continue
 		}
 		c.metrics.repairedRecords.Add(1)
-		c.log.Warn("record written back", zap.String("record", held.Record.Name), zap.Int64("generation", held.Record.Generation))
+		c.log.Warn("record written back", zap.String("Record", held.Record.Name), zap.Int64("Generation", held.Record.Generation))
 		c.edge.writeBack(held.Record, entry.Revision)
 	}
 }
@@ -285,7 +285,7 @@
 		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		if _, err := e.store.CompareAndSwap(ctx, configPrefix+r.Name, value, revision); err != nil {
-			e.log.Warn("record not written back", zap.String("record", r.Name), zap.Error(err))
+			e.log.Warn("record not written back", zap.String("Record", r.Name), zap.Error(err))
 		}
 	})
 }
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -156,7 +156,7 @@
 		return
 	}
 	c.liveness = liveness{live: live, dead: dead}
-	c.log.Info("peers changed", zap.Int("live", len(live)), zap.Int("dead", len(dead)))
+	c.log.Info("peers changed", zap.Int("Live", len(live)), zap.Int("Dead", len(dead)))
 	c.step(now, ledger.PeersChanged{Peers: live, Dead: dead})
 	c.assign(now)
 	c.applySources(now)
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -150,15 +150,15 @@
 		return
 	}
 	if err := found.Fence(ctx, fence.Term); err != nil {
-		e.log.Warn("fencing number not presented", zap.String("backend", fence.Backend), zap.Error(err))
+		e.log.Warn("fencing number not presented", zap.String("Backend", fence.Backend), zap.Error(err))
 	}
 }
 
 func (e *edge) sendOrder(action ledger.SendOrder) {
 	e.spawn(func(ctx context.Context) {
 		outcome := e.order(ctx, action.Backend, action.Order)
-		e.log.Info("order answered", zap.String("backend", action.Backend), zap.String("kind", string(action.Order.Kind)),
-			zap.String("model", action.Order.Key.String()), zap.String("order", action.Order.ID), zap.String("outcome", string(outcome)))
+		e.log.Info("order answered", zap.String("Backend", action.Backend), zap.String("Kind", string(action.Order.Kind)),
+			zap.String("Model", action.Order.Key.String()), zap.String("Order", action.Order.ID), zap.String("Outcome", string(outcome)))
 		e.post(e.ctx, ledgerEvent{ledger.OrderAnswered{OrderID: action.Order.ID, Outcome: outcome}})
 	})
 }
@@ -236,7 +236,7 @@
 func (e *edge) forwardWake(address string, request peer.WakeRequest) {
 	e.spawn(func(ctx context.Context) {
 		if err := e.peers.Wake(ctx, address, &request); err != nil {
-			e.log.Debug("wake not delivered", zap.String("model", request.Wake.Key.String()), zap.Error(err))
+			e.log.Debug("wake not delivered", zap.String("Model", request.Wake.Key.String()), zap.Error(err))
 			if request.Final { // decided here in place of a lead that is gone
 				e.post(ctx, wakeAsked{wake: request.Wake, isForeign: request.Foreign, isFinal: true})
 			}
@@ -247,7 +247,7 @@
 func (e *edge) askLoad(address string, request peer.LoadRequest) {
 	e.spawn(func(ctx context.Context) {
 		if err := e.peers.Load(ctx, address, &request); err != nil {
-			e.log.Warn("load not asked", zap.String("model", request.Key.String()), zap.String("backend", request.Backend), zap.Error(err))
+			e.log.Warn("load not asked", zap.String("Model", request.Key.String()), zap.String("Backend", request.Backend), zap.Error(err))
 		}
 	})
 }
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -213,7 +213,7 @@
 func (c *control) introduce(now time.Time, item gossip.Item) {
 	var p model.Peer
 	if err := unmarshal(item.Value, &p); err != nil {
-		c.log.Warn("peer not decoded", zap.String("peer", item.ID.Key), zap.Error(err))
+		c.log.Warn("peer not decoded", zap.String("Peer", item.ID.Key), zap.Error(err))
 		return
 	}
 	c.members.Introduce(now, p)
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -78,11 +78,11 @@
 	h.addPeerServer(&group, background, open.peer)
 	h.addOperatorServer(&group, open.operator)
 	h.addCallerServer(&group, ctx, open.caller)
-	h.Log.Info("started", zap.String("name", h.Name), zap.String("zone", h.Zone), zap.String("incarnation", string(h.incarnation)))
+	h.Log.Info("started", zap.String("Name", h.Name), zap.String("Zone", h.Zone), zap.String("Incarnation", string(h.incarnation)))
 	err = group.Run()
 	stop()
 	h.edge.wait.Wait()
-	h.Log.Info("stopped", zap.String("name", h.Name))
+	h.Log.Info("stopped", zap.String("Name", h.Name))
 	return err
 }
 
--- a/entryhost/hosts.go
+++ b/entryhost/hosts.go
@@ -133,7 +133,7 @@
 	absent := c.hosts.absent
 	c.hosts = newHostView(e.hosts, e.revision, now)
 	c.hosts.absent = absent
-	c.log.Info("host list read", zap.Int64("revision", e.revision), zap.Int("hosts", len(e.hosts)))
+	c.log.Info("host list read", zap.Int64("Revision", e.revision), zap.Int("Hosts", len(e.hosts)))
 	c.edge.setEngines(e.hosts)
 	isGone := func(name string) bool {
 		_, found := c.hosts.find(name)
@@ -171,7 +171,7 @@
 		}
 		var hosts []model.Host
 		if err := unmarshal(reply.Items[0].Value, &hosts); err == nil {
-			e.log.Info("host list taken from a peer", zap.String("peer", seed), zap.Int("hosts", len(hosts)))
+			e.log.Info("host list taken from a peer", zap.String("Peer", seed), zap.Int("Hosts", len(hosts)))
 			e.post(ctx, hostsRead{hosts: hosts, revision: reply.Items[0].Rank.Major})
 			return
 		}
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -99,7 +99,7 @@
 			if known && (now.Sub(idle.usedAt) < keep || c.isKeptWarm(now, idle.key, o.Record.Backend, declared.declaration.Warm)) {
 				continue
 			}
-			c.log.Info("unload idle", zap.String("backend", o.Record.Backend), zap.String("model", idle.key.String()), zap.Duration("keepAlive", keep))
+			c.log.Info("unload idle", zap.String("Backend", o.Record.Backend), zap.String("Model", idle.key.String()), zap.Duration("KeepAlive", keep))
 			c.metrics.idleUnloads.Add(1)
 			c.step(now, ledger.UnloadWanted{Key: idle.key, Backend: o.Record.Backend})
 		}
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -167,7 +167,7 @@
 }
 
 func (c *control) askOwner(now time.Time, choice placement.LoadChoice) {
-	c.log.Info("load asked", zap.String("model", choice.Key.String()), zap.String("backend", choice.Backend), zap.String("tier", string(choice.Tier)))
+	c.log.Info("load asked", zap.String("Model", choice.Key.String()), zap.String("Backend", choice.Backend), zap.String("Tier", string(choice.Tier)))
 	c.metrics.loadsAsked.Add(1)
 	if choice.Owner == c.self.Address {
 		loadAsked{key: choice.Key, backend: choice.Backend, adapters: choice.Adapters}.apply(c, now)
--- a/entryhost/ledgerstep.go
+++ b/entryhost/ledgerstep.go
@@ -94,7 +94,7 @@
 
 func (c *control) violation(v ledger.Violation) {
 	c.metrics.violations.Add(1)
-	c.log.Error("invariant violated", zap.String("invariant", v.Invariant), zap.String("detail", v.Detail))
+	c.log.Error("invariant violated", zap.String("Invariant", v.Invariant), zap.String("Detail", v.Detail))
 }
 
 // pendingAsks holds the questions of peers that the ledger has not answered yet.
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -281,7 +281,7 @@
 			return
 		}
 		free += victim.bytes
-		c.log.Info("unload for room", zap.String("backend", o.Record.Backend), zap.String("model", victim.key.String()))
+		c.log.Info("unload for room", zap.String("Backend", o.Record.Backend), zap.String("Model", victim.key.String()))
 		c.metrics.evictions.Add(1)
 		c.step(now, ledger.UnloadWanted{Key: victim.key, Backend: o.Record.Backend})
 	}
@@ -341,7 +341,7 @@
 
 // loadRefused notes a load that the ledger gave up, so that the lead tries another backend server.
 func (c *control) loadRefused(now time.Time, refused ledger.LoadRefused) {
-	c.log.Info("load refused", zap.String("model", refused.Key.String()), zap.String("backend", refused.Backend), zap.String("reason", string(refused.Reason)))
+	c.log.Info("load refused", zap.String("Model", refused.Key.String()), zap.String("Backend", refused.Backend), zap.String("Reason", string(refused.Reason)))
 	c.metrics.loadsRefused.Add(1)
 	b, ok := c.owner.backends[refused.Backend]
 	if !ok {
--- a/entryhost/room.go
+++ b/entryhost/room.go
@@ -25,7 +25,7 @@
 			if c.isKeptWarm(now, idle.key, o.Record.Backend, declared.declaration.Warm) {
 				continue
 			}
-			c.log.Info("unload ahead", zap.String("backend", o.Record.Backend), zap.String("model", idle.key.String()))
+			c.log.Info("unload ahead", zap.String("Backend", o.Record.Backend), zap.String("Model", idle.key.String()))
 			c.metrics.unloadsAhead.Add(1)
 			c.step(now, ledger.UnloadWanted{Key: idle.key, Backend: o.Record.Backend})
 			break
--- a/entryhost/statuses.go
+++ b/entryhost/statuses.go
@@ -48,7 +48,7 @@
 		if !ok || cached.rank != item.Rank {
 			cached = cachedStatus{rank: item.Rank}
 			if err := unmarshal(item.Value, &cached.status); err != nil {
-				log.Warn("status not decoded", zap.String("backend", item.ID.Key), zap.Error(err))
+				log.Warn("status not decoded", zap.String("Backend", item.ID.Key), zap.Error(err))
 				continue
 			}
 		}
@@ -68,7 +68,7 @@
 			continue
 		}
 		if err := unmarshal(item.Value, &statuses[i].Checkpoints); err != nil {
-			c.log.Warn("checkpoints not decoded", zap.String("backend", statuses[i].Backend), zap.Error(err))
+			c.log.Warn("checkpoints not decoded", zap.String("Backend", statuses[i].Backend), zap.Error(err))
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,7 +90,7 @@
 func (f *Fleet) runEntryHosts(ctx context.Context) error {
 	var g run.Group
 	for _, s := range f.EntryHosts {
-		logger := f.Logger.With(zap.String("host", s.Name))
+		logger := f.Logger.With(zap.String("Host", s.Name))
 		addActor(ctx, &g, func(ctx context.Context) error { return f.RunEntryHost(ctx, s, logger) })
 	}
 	return g.Run()
