caller, entryhost: a claim that may stand in the place of a lost one is not trusted

Ruled out: the memory of the sending host, which only answers repeats there. Change: entry hosts tell each other the highest revision of the store; a claim written at a lower one shows the restore before its call is sent. What is left: a store restored to a moment that all hosts' knowledge is older than, a few seconds.

--- a/entryhost/configuration_test.go
+++ b/entryhost/configuration_test.go
@@ -57,7 +57,7 @@
 	h.edge = &edge{
 		store: platform, sink: discardSink{}, log: h.Log, metrics: h.metrics, self: self,
 		events: make(chan event, eventCapacity), ctx: context.Background(),
-		engines: make(map[string]Engine), engineAt: make(map[string]string), storeTimeout: time.Second,
+		engines: make(map[string]Engine), engineAt: make(map[string]string), storeTimeout: time.Second, revisions: &revisions{},
 	}
 	return h.newControl(self)
 }
--- a/entryhost/configwatch.go
+++ b/entryhost/configwatch.go
@@ -152,6 +152,7 @@
 
 // noteRevision tells the control thread when the store's revision fell: it came back with older data.
 func (e *edge) noteRevision(ctx context.Context, revision int64) {
+	e.revisions.Saw(revision)
 	if revision < e.lastRevision {
 		e.post(ctx, storeRestored{})
 	}
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -40,6 +40,7 @@
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
 
+	revisions    *revisions
 	storeTimeout time.Duration // of one call
 	seeds        []string      // peer addresses that are asked first
 	lastRevision int64         // of the store, as the thread that watches it last saw
@@ -95,6 +96,7 @@
 		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		revision, err := e.store.CompareAndSwap(ctx, action.Key, action.Value, action.Revision)
+		e.revisions.Saw(revision)
 		entry := store.Entry{Key: action.Key, Value: action.Value, Revision: revision}
 		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreApplied, entry, err)})
 	})
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -122,7 +122,8 @@
 
 // startExchange compares soft state with one peer.
 func (c *control) startExchange(target model.Peer) {
-	request := &peer.ExchangeRequest{Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
+	epoch, revision := c.edge.revisions.current()
+	request := &peer.ExchangeRequest{Epoch: epoch, Revision: revision, Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
 	e := c.edge
 	e.spawn(func(ctx context.Context) {
 		reply, err := e.peers.Exchange(ctx, target.Address, request)
@@ -142,6 +143,7 @@
 
 func (e exchangeReplied) apply(c *control, now time.Time) {
 	c.members.Hear(now, e.reply.Beats)
+	c.edge.revisions.heard(now, e.reply.Epoch, e.reply.Revision)
 	var items []gossip.Item
 	var want []gossip.ItemID
 	if e.reply.Digest != nil {
@@ -185,6 +187,7 @@
 			c.backends.isStale = true
 		case gossip.KindRestore:
 			c.metrics.restores.Add(1)
+			c.edge.revisions.restart(now, item.Rank.Major)
 			c.edge.writeClaimsAgain()
 		case gossip.KindHost:
 			c.introduce(now, item)
