--- a/entryhost/adapter.go
+++ b/entryhost/adapter.go
@@ -34,13 +34,13 @@
 	id adapterID
 }
 
-func (e adapterAsked) apply(c *control, now time.Time) {
+func (e adapterAsked) apply(c *control, _ time.Time) {
 	a := &c.owner.adapters
 	if !c.isOwned(e.id.backend) || a.isKnown(e.id) {
 		return
 	}
 	a.waiting = append(a.waiting, e.id)
-	c.startAdapters(now)
+	c.startAdapters()
 }
 
 func (a *adapterLoads) isKnown(id adapterID) bool {
@@ -48,7 +48,7 @@
 }
 
 // startAdapters starts waiting adapter loads within this host's share of those in flight.
-func (c *control) startAdapters(now time.Time) {
+func (c *control) startAdapters() {
 	a := &c.owner.adapters
 	for len(a.waiting) > 0 && len(a.inFlight) < c.adapterShare() {
 		id := a.waiting[0]
@@ -102,7 +102,7 @@
 	} else {
 		c.log.Warn("adapter not loaded", zap.String("Backend", e.id.backend), zap.String("Adapter", e.id.adapter), zap.String("Outcome", string(e.outcome)))
 	}
-	c.startAdapters(now)
+	c.startAdapters()
 }
 
 // adaptersOf returns the adapters of a replica: those that the engine lists and those loaded since.
--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -105,7 +105,7 @@
 		c.updateStanding(now)
 	}
 	if isDue(now, &c.due.usage, usagePeriod) {
-		c.reportUsage(now)
+		c.reportUsage()
 	}
 }
 
--- a/entryhost/dump.go
+++ b/entryhost/dump.go
@@ -67,7 +67,7 @@
 		HostRevision: c.hosts.revision,
 		Owned:        c.ledger.Owned(),
 		Replicas:     c.ledger.Replicas(),
-		Backends:     c.statuses(now).sorted,
+		Backends:     c.statuses().sorted,
 		Suspects:     c.suspects(),
 		Permits:      PermitState{InUse: c.permits.InUse(), Waiting: c.permits.Waiting(), Parallel: c.permits.Parallel},
 		Items:        c.table.Len(),
--- a/entryhost/keepalive.go
+++ b/entryhost/keepalive.go
@@ -40,11 +40,11 @@
 }
 
 // reportUsage tells the owners of backend servers what this host's routers sent to their replicas.
-func (c *control) reportUsage(now time.Time) {
+func (c *control) reportUsage() {
 	if c.edge.usage == nil {
 		return
 	}
-	statuses := c.statuses(now)
+	statuses := c.statuses()
 	c.edge.reportUsage(c.edge.usage.TakeUsage(), func(backend string) string {
 		return statuses.entries[backend].status.OwnerAddress
 	})
@@ -96,7 +96,7 @@
 		for _, idle := range c.idleReplicas(now, o) {
 			declared, known := c.configuration.find(idle.key)
 			keep := c.arrivalsOf(idle.key).Duration(usualColdStart)
-			if known && (now.Sub(idle.usedAt) < keep || c.isKeptWarm(now, idle.key, o.Record.Backend, declared.declaration.Warm)) {
+			if known && (now.Sub(idle.usedAt) < keep || c.isKeptWarm(idle.key, o.Record.Backend, declared.declaration.Warm)) {
 				continue
 			}
 			c.log.Info("unload idle", zap.String("Backend", o.Record.Backend), zap.String("Model", idle.key.String()), zap.Duration("KeepAlive", keep))
@@ -107,12 +107,12 @@
 }
 
 // isKeptWarm reports whether a replica is among those that stay loaded when idle: the highest ranked ones.
-func (c *control) isKeptWarm(now time.Time, key model.ModelKey, backend string, warm int) bool {
+func (c *control) isKeptWarm(key model.ModelKey, backend string, warm int) bool {
 	if warm == 0 {
 		return false
 	}
 	var holders []model.Peer
-	for _, s := range c.statuses(now).sorted {
+	for _, s := range c.statuses().sorted {
 		for _, r := range s.Replicas {
 			if r.Key == key && r.State == model.ReservationLoaded && !r.Draining {
 				holders = append(holders, model.Peer{Name: s.Backend})
--- a/entryhost/lead.go
+++ b/entryhost/lead.go
@@ -55,7 +55,7 @@
 	if len(wakes) == 0 {
 		return
 	}
-	statuses := c.statuses(now).sorted
+	statuses := c.statuses().sorted
 	loads := c.members.LoadsByBackend(now)
 	for _, wake := range wakes {
 		declared, known := c.configuration.find(wake.Key)
@@ -92,7 +92,7 @@
 		}
 		key := m.declaration.Key
 		lead, _ := membership.Lead(staying, key.String())
-		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.statuses(now).count(key) >= m.declaration.Warm {
+		if lead.Name != c.self.Name || c.warmZone(key) != c.self.Zone || c.statuses().count(key) >= m.declaration.Warm {
 			continue
 		}
 		c.lead.Want(now, model.Wake{Key: key, Waiting: 1, Priority: m.declaration.Priority, Deadline: now.Add(warmWakeTime)})
@@ -178,7 +178,7 @@
 // wakeAdapter asks the owner of a replica that lacks an adapter to load it, unless another replica has it.
 func (c *control) wakeAdapter(now time.Time, wake model.Wake) {
 	var lacking []model.BackendStatus
-	for _, s := range c.statuses(now).sorted {
+	for _, s := range c.statuses().sorted {
 		for _, r := range s.Replicas {
 			if r.Key != wake.Key || r.State != model.ReservationLoaded || r.Draining {
 				continue
--- a/entryhost/permit.go
+++ b/entryhost/permit.go
@@ -16,7 +16,7 @@
 	if !ok || holder.Name != c.self.Name {
 		return
 	}
-	c.returnPermits(now)
+	c.returnPermits()
 	zones := c.zones()
 	c.permits.LoadsPerSecond = c.policy.LoadsPerSecond / float64(len(zones))
 	c.permits.Parallel = placement.Share(c.policy.ParallelLoads, zones, c.zoneDemands(), c.self.Zone)
@@ -24,8 +24,8 @@
 }
 
 // returnPermits takes back the permits of loads that ended.
-func (c *control) returnPermits(now time.Time) {
-	statuses := c.statuses(now)
+func (c *control) returnPermits() {
+	statuses := c.statuses()
 	for _, held := range c.permits.Granted() {
 		status := statuses.entries[held.Backend].status
 		if isLoadEnded(status, held.Key) {
--- a/entryhost/room.go
+++ b/entryhost/room.go
@@ -17,13 +17,13 @@
 		return
 	}
 	for _, o := range c.ledger.Owned() {
-		wanted := int64(c.policy.FreeLoads) * c.largestAbsent(now, o)
+		wanted := int64(c.policy.FreeLoads) * c.largestAbsent(o)
 		if c.freeBytesSoon(o)+standingBytes(o.Record) >= wanted {
 			continue
 		}
 		for _, idle := range c.idleReplicas(now, o) {
 			declared, _ := c.configuration.find(idle.key)
-			if c.isKeptWarm(now, idle.key, o.Record.Backend, declared.declaration.Warm) {
+			if c.isKeptWarm(idle.key, o.Record.Backend, declared.declaration.Warm) {
 				continue
 			}
 			c.log.Info("unload ahead", zap.String("Backend", o.Record.Backend), zap.String("Model", idle.key.String()))
@@ -35,9 +35,9 @@
 }
 
 // largestAbsent returns the memory of the largest model version that the backend server may have to load.
-func (c *control) largestAbsent(now time.Time, o ledger.OwnedBackend) int64 {
+func (c *control) largestAbsent(o ledger.OwnedBackend) int64 {
 	host, _ := c.hosts.find(o.Record.Backend)
-	counts := c.statuses(now)
+	counts := c.statuses()
 	largest := int64(0)
 	for _, m := range c.configuration.models {
 		if m.service == host.Service && counts.count(m.declaration.Key) < m.declaration.Replicas && !holdsModel(o.Record, m.declaration.Key) {
--- a/entryhost/snapshot.go
+++ b/entryhost/snapshot.go
@@ -33,7 +33,7 @@
 func (c *control) replicas(now time.Time) map[model.ModelKey][]model.Replica {
 	replicas := make(map[model.ModelKey][]model.Replica)
 	loads := c.members.LoadsByBackend(now)
-	for _, s := range c.statuses(now).sorted {
+	for _, s := range c.statuses().sorted {
 		host, listed := c.hosts.find(s.Backend)
 		isLeaving := !listed || host.State != model.HostLive
 		load, known := loads[membership.NewBackendID(s.Backend)]
--- a/entryhost/statuses.go
+++ b/entryhost/statuses.go
@@ -1,8 +1,6 @@
 package entryhost
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"citronspread/gossip"
@@ -30,7 +28,7 @@
 func (s *statusCache) count(key model.ModelKey) int { return s.counts[key] }
 
 // statuses returns the statuses of all listed backend servers.
-func (c *control) statuses(time.Time) *statusCache {
+func (c *control) statuses() *statusCache {
 	if c.backends.isStale {
 		c.backends.refresh(c.table.Items(gossip.KindBackend), c.log)
 		c.addCheckpoints(c.backends.sorted)
