entryhost, placement: idle models load from standing reservations while the store is down

The owner gave its standing reservation up to make room for the very load, leads did not know where one was held, and a replica loaded from one was not shown to routers, since its record can't be written before the store is back. Ruled out: the ledger, whose walks load from standing reservations.

--- a/entryhost/room.go
+++ b/entryhost/room.go
@@ -48,12 +48,7 @@
 }
 
 func holdsModel(record model.BackendRecord, key model.ModelKey) bool {
-	for _, r := range record.Reservations {
-		if r.Key == key {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(record.Reservations, func(r model.Reservation) bool { return r.Key == key })
 }
 
 // serveWants starts the wanted loads that fit, and makes room for the others by unloading idle replicas.
@@ -76,11 +71,8 @@
 	if !known {
 		return true
 	}
-	if hasReservation(o.Record, w.key) {
-		c.step(now, ledger.LoadWanted{Key: w.key, Backend: o.Record.Backend, Adapters: w.adapters}) // ends a drain
-		return true
-	}
-	if freeBytes(o.Record) >= declared.declaration.Bytes {
+	// A reservation that is there is a standing one to be used, or a replica whose drain is to end.
+	if holdsModel(o.Record, w.key) || freeBytes(o.Record) >= declared.declaration.Bytes {
 		c.step(now, ledger.LoadWanted{Key: w.key, Backend: o.Record.Backend, Adapters: w.adapters})
 		return true
 	}
@@ -102,12 +94,6 @@
 	return sum
 }
 
-func hasReservation(record model.BackendRecord, key model.ModelKey) bool {
-	return slices.ContainsFunc(record.Reservations, func(r model.Reservation) bool {
-		return r.Key == key && r.State != model.ReservationStanding
-	})
-}
-
 func freeBytes(record model.BackendRecord) int64 {
 	free := record.MemoryBytes
 	for _, r := range record.Reservations {
--- a/entryhost/status.go
+++ b/entryhost/status.go
@@ -66,9 +66,11 @@
 		Refused:      slices.Clone(b.refused),
 	}
 	for _, r := range record.Reservations {
-		if r.State != model.ReservationStanding {
-			status.Replicas = append(status.Replicas, c.replicaStatus(now, o, r, loaded))
+		if r.State == model.ReservationStanding && !isLoaded(loaded, record.Backend, r.Key) {
+			status.Standing = append(status.Standing, r.Key)
+			continue
 		}
+		status.Replicas = append(status.Replicas, c.replicaStatus(now, o, r, loaded))
 	}
 	slices.SortFunc(status.Replicas, func(x, y model.ReplicaStatus) int { return strings.Compare(x.Key.String(), y.Key.String()) })
 	return status
@@ -78,9 +80,7 @@
 // A replica is shown as loaded as soon as the engine says so, before the record does.
 func (c *control) replicaStatus(now time.Time, o ledger.OwnedBackend, r model.Reservation, loaded []ledger.LoadedReplica) model.ReplicaStatus {
 	status := model.ReplicaStatus{Key: r.Key, State: r.State}
-	i := slices.IndexFunc(loaded, func(l ledger.LoadedReplica) bool {
-		return l.Backend == o.Record.Backend && l.Key == r.Key
-	})
+	i := findLoaded(loaded, o.Record.Backend, r.Key)
 	if i < 0 {
 		if status.State == model.ReservationLoaded {
 			status.State = model.ReservationUnloading
@@ -95,3 +95,14 @@
 	}
 	return status
 }
+
+// isLoaded reports whether the engine of a backend server shows a replica, whatever the record says yet.
+func isLoaded(loaded []ledger.LoadedReplica, backend string, key model.ModelKey) bool {
+	return findLoaded(loaded, backend, key) >= 0
+}
+
+func findLoaded(loaded []ledger.LoadedReplica, backend string, key model.ModelKey) int {
+	return slices.IndexFunc(loaded, func(l ledger.LoadedReplica) bool {
+		return l.Backend == backend && l.Key == key
+	})
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"citronspread/entryhost"
+)
+
+// ReadState returns the control state of an entry host.
+func ReadState(ctx context.Context, operatorAddress string) (entryhost.State, error) {
+	var dump struct{ Control entryhost.State }
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operatorAddress+"/debug/state", nil)
+	if err != nil {
+		return dump.Control, errors.Wrap(err, "fleet: state")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return dump.Control, errors.Wrap(err, "fleet: state")
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(response.Body).Decode(&dump)
+	return dump.Control, errors.Wrap(err, "fleet: state")
+}
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -12,11 +12,12 @@
 
 // candidate is a backend server that could load a model version.
 type candidate struct {
-	status model.BackendStatus
-	tier   model.Tier
-	evict  bool // idle replicas have to go first
-	load   int
-	busy   int // loads under way
+	status   model.BackendStatus
+	tier     model.Tier
+	standing bool // memory and slot are kept for this load
+	evict    bool // idle replicas have to go first
+	load     int
+	busy     int // loads under way
 }
 
 // evictionDelay is how long an eviction takes, in steps from one tier to the next: a replica is drained before
@@ -32,7 +33,19 @@
 	return delay
 }
 
-// best returns the backend server that is likely to serve first by tier and eviction,
+// compareStanding puts a backend server with a standing reservation first: it can load while the store is down.
+func compareStanding(a, b candidate) int {
+	switch {
+	case a.standing == b.standing:
+		return 0
+	case a.standing:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// best returns the backend server that keeps room for the load, or is likely to serve first by tier and eviction,
 // then the one with the fewest loads under way and the lowest load.
 func (l *Lead) best(now time.Time, wake model.Wake, view View) (LoadChoice, bool) {
 	possible := l.candidates(now, wake, view)
@@ -65,17 +78,19 @@
 			continue
 		}
 		askedBytes, asked := l.askedOf(b.Backend)
-		fits := b.FreeBytes-askedBytes >= view.Declaration.Bytes
+		standing := slices.Contains(b.Standing, wake.Key)
+		fits := standing || b.FreeBytes-askedBytes >= view.Declaration.Bytes
 		if !fits && !hasIdleReplica(b) {
 			continue
 		}
 		load := view.Loads[membership.NewBackendID(b.Backend)]
 		candidates = append(candidates, candidate{
-			status: b,
-			tier:   TierOf(b.Checkpoints, wake.Key),
-			evict:  !fits,
-			load:   load.Running + load.Waiting,
-			busy:   countLoading(b) + asked,
+			status:   b,
+			tier:     TierOf(b.Checkpoints, wake.Key),
+			standing: standing,
+			evict:    !fits,
+			load:     load.Running + load.Waiting,
+			busy:     countLoading(b) + asked,
 		})
 	}
 	return candidates
@@ -83,6 +98,7 @@
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
+		compareStanding(a, b),
 		cmp.Compare(a.delay(), b.delay()),
 		cmp.Compare(tierOrder(a.tier), tierOrder(b.tier)),
 		cmp.Compare(a.busy, b.busy),
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -38,6 +38,8 @@
 	cached.Checkpoints = []model.Checkpoint{{Key: key, Tier: model.TierDisk}}
 	full := newStatus("full", 0, idle)
 	full.Checkpoints = cached.Checkpoints
+	standing := newStatus("standing", 0)
+	standing.Standing = []model.ModelKey{key}
 	drained := loaded
 	drained.Draining = true
 	draining := idle
@@ -55,6 +57,7 @@
 	}{
 		{"idle model", 1, newView(1, newStatus("a", 50)), OutcomeLoad, "a"},
 		{"cached checkpoint first", 1, newView(1, newStatus("a", 90), cached), OutcomeLoad, "cached"},
+		{"a standing reservation first", 1, newView(1, newStatus("a", 90), standing), OutcomeLoad, "standing"},
 		{"a draining replica is kept instead", 1, newView(1, newStatus("a", 10, drained)), OutcomeLoad, "a"},
 		{"free memory before an eviction beside the checkpoint", 1, newView(1, full, newStatus("b", 50)), OutcomeLoad, "b"},
 		{"a draining replica makes no room for a second load", 1, newView(1, newStatus("a", 0, draining)), OutcomeNoCapacity, ""},
--- a/slopes/recovery.go
+++ b/slopes/recovery.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"citronspread/entryhost"
+	"citronspread/fleet"
 	"citronspread/settings"
 )
 
@@ -50,27 +48,11 @@
 	return b.String()
 }
 
-// ReadState returns the control state of an entry host.
-func ReadState(ctx context.Context, operatorAddress string) (entryhost.State, error) {
-	var dump struct{ Control entryhost.State }
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operatorAddress+"/debug/state", nil)
-	if err != nil {
-		return dump.Control, errors.Wrap(err, "slopes: state")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return dump.Control, errors.Wrap(err, "slopes: state")
-	}
-	defer response.Body.Close()
-	err = json.NewDecoder(response.Body).Decode(&dump)
-	return dump.Control, errors.Wrap(err, "slopes: state")
-}
-
 // isSteady reports whether the given hosts own all named backend servers and know all records.
 func isSteady(ctx context.Context, hosts []settings.Settings, backends []string, records int) bool {
 	var owned []string
 	for _, h := range hosts {
-		state, err := ReadState(ctx, h.OperatorAddress)
+		state, err := fleet.ReadState(ctx, h.OperatorAddress)
 		if err != nil || len(state.Records) != records {
 			return false
 		}
--- a/slopes/slopes_test.go
+++ b/slopes/slopes_test.go
@@ -245,7 +245,7 @@
 	t.Helper()
 	longest := time.Duration(0)
 	for _, s := range f.EntryHosts {
-		state, err := ReadState(t.Context(), s.OperatorAddress)
+		state, err := fleet.ReadState(t.Context(), s.OperatorAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
