--- a/model/status.go
+++ b/model/status.go
@@ -17,7 +17,7 @@
 	Capacity     int // requests the engine's batch can hold
 	Replicas     []ReplicaStatus
 	Checkpoints  []Checkpoint `cbor:"-"` // told apart from the rest, because they change less
-	Standing     []ModelKey // loads that have a standing reservation
+	Standing     []ModelKey   // loads that have a standing reservation
 	Refused      []RefusedLoad
 }
 
