fleet: the outage begins after ownership has settled

The test took the store down about six seconds after the start, when the first host hands backend servers over to the second: a record whose owner has released it can't be taken before the store is back. The check itself is the same.

--- a/fleet/standing_test.go
+++ b/fleet/standing_test.go
@@ -34,6 +34,7 @@
 	if err := f.PutRecord(t.Context(), []byte(standingRecord)); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(settleTime) // a hand-over that the outage cuts short leaves a backend server without owner
 	deadline := time.Now().Add(standingBound)
 	for !hasStanding(t, f, "guide-3b") {
 		if time.Now().After(deadline) {
@@ -44,6 +45,8 @@
 	post(t, f.Store.Address, "/fault", `{"Down": true}`)
 	body := `{"model":"guide-3b","prompt":"a stuck gate","max_tokens":4}`
 	if got, want := post(t, f.EntryHosts[0].CallerAddress, "/v1/completions", body), http.StatusOK; got != want {
+		dump(t, f.EntryHosts[0].OperatorAddress)
+		dump(t, f.EntryHosts[1].OperatorAddress)
 		t.Errorf("got status %d, want %d", got, want)
 	}
 	post(t, f.Store.Address, "/fault", `{}`)
