entryhost, peer, slopes: what nothing used, and one way to run a fleet in the slopes

No lead asks for an unload, the control thread never read its region, and two tests held the same start and stop of a fleet. Change: the first two go, the third stands once. Behaviour and assertions are the same.

--- a/entryhost/control.go
+++ b/entryhost/control.go
@@ -38,7 +38,6 @@
 // control is the state of the one control thread. No other thread reads or writes it.
 type control struct {
 	self    model.Peer
-	region  string
 	edge    *edge
 	metrics *metrics
 	log     *zap.Logger
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -142,7 +142,6 @@
 func (h *Host) newControl(self model.Peer) *control {
 	return &control{
 		self:    self,
-		region:  h.Region,
 		edge:    h.edge,
 		metrics: h.metrics,
 		log:     h.Log,
--- a/entryhost/owner.go
+++ b/entryhost/owner.go
@@ -74,20 +74,15 @@
 	until    time.Time
 }
 
-// loadAsked is a lead's wish that a model version be loaded or unloaded on an owned backend server.
+// loadAsked is a lead's wish that a model version be loaded on an owned backend server.
 type loadAsked struct {
 	key      model.ModelKey
 	backend  string
 	adapters []string
-	unload   bool
 }
 
 func (e loadAsked) apply(c *control, now time.Time) {
-	if !c.isOwned(e.backend) || c.hosts.isLeaving(e.backend) && !e.unload {
-		return
-	}
-	if e.unload {
-		c.step(now, ledger.UnloadWanted{Key: e.key, Backend: e.backend})
+	if !c.isOwned(e.backend) || c.hosts.isLeaving(e.backend) {
 		return
 	}
 	b := c.owner.get(e.backend)
--- a/entryhost/peerhandler.go
+++ b/entryhost/peerhandler.go
@@ -125,13 +125,13 @@
 	return tell(ctx, h.edge, wakeAsked{wake: request.Wake, isForeign: request.Foreign, isFinal: request.Final})
 }
 
-// Load takes a lead's wish to load or unload.
+// Load takes a lead's wish to load.
 func (h *peerHandler) Load(ctx context.Context, request *peer.LoadRequest) (*peer.Empty, error) {
 	if request.Adapter != "" {
 		id := adapterID{backend: request.Backend, key: request.Key, adapter: request.Adapter}
 		return tell(ctx, h.edge, adapterAsked{id: id})
 	}
-	return tell(ctx, h.edge, loadAsked{key: request.Key, backend: request.Backend, adapters: request.Adapters, unload: request.Unload})
+	return tell(ctx, h.edge, loadAsked{key: request.Key, backend: request.Backend, adapters: request.Adapters})
 }
 
 // Permit answers a request to load from the weight store.
--- a/peer/message.go
+++ b/peer/message.go
@@ -57,13 +57,12 @@
 	Final   bool // the receiver decides, whoever it believes to lead
 }
 
-// LoadRequest asks the owner of a backend server to load a model version, or to unload it.
+// LoadRequest asks the owner of a backend server to load a model version or an adapter.
 type LoadRequest struct {
 	Key      model.ModelKey
 	Backend  string
 	Adapters []string
 	Adapter  string // when set, only this adapter is loaded into the replica
-	Unload   bool
 }
 
 // PermitRequest asks the zone's permit holder for the right to load from the weight store.
--- a/slopes/recovery_test.go
+++ b/slopes/recovery_test.go
@@ -33,16 +33,8 @@
 	f := layout.Build(zap.NewNop())
 	processes := &hostProcesses{directory: t.TempDir(), pids: make(map[string]int), cancels: make(map[string]context.CancelFunc)}
 	f.RunEntryHost = processes.runAgain
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = f.Run(ctx)
-	}()
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	ctx, stopFleet := runFleet(t, f)
+	defer stopFleet()
 	prepare(t, ctx, f, Size{Models: recoveryModels})
 	r := &recoveryRun{fleet: f, processes: processes, ctx: ctx}
 	if _, err := awaitSteady(ctx, f.EntryHosts, r.backends(""), recoveryModels); err != nil {
--- a/slopes/slopes_test.go
+++ b/slopes/slopes_test.go
@@ -172,16 +172,8 @@
 	f := size.Layout(*port).Build(zap.NewNop())
 	processes := &hostProcesses{directory: t.TempDir(), pids: make(map[string]int)}
 	f.RunEntryHost = processes.run
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = f.Run(ctx)
-	}()
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	ctx, stopFleet := runFleet(t, f)
+	defer stopFleet()
 	prepare(t, ctx, f, size)
 	client, err := peer.NewClient(&peer.Traffic{})
 	if err != nil {
@@ -209,6 +201,21 @@
 	return cost
 }
 
+// runFleet runs a fleet until the returned function is called.
+func runFleet(t *testing.T, f *fleet.Fleet) (context.Context, func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = f.Run(ctx)
+	}()
+	return ctx, func() {
+		cancel()
+		<-ended
+	}
+}
+
 func prepare(t *testing.T, ctx context.Context, f *fleet.Fleet, size Size) {
 	t.Helper()
 	waiting, cancel := context.WithTimeout(ctx, time.Minute)
