--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,194 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"citronspread/gateway"
+	"citronspread/platform"
+)
+
+const gatewayHelp = `Run an entry host on the users' platform until SIGTERM, then stop gracefully.
+
+Example: CITRONSPREAD_CONFIG=/etc/citronspread/node.conf citronspread gateway`
+
+// Times and limits of the gateway's process.
+const (
+	// balancerLag is how long the platform may still send new connections: two questions for readiness, a second apart.
+	balancerLag = 2300 * time.Millisecond
+	// stopMargin is kept of the grace period for the end of the process.
+	stopMargin = 800 * time.Millisecond
+	// settingsPoll finds settings that changed without a signal.
+	settingsPoll = time.Second
+	drainPoll    = 20 * time.Millisecond
+	// headerTimeout and headerBytes bound a request's head beyond what the desired state allows at any time.
+	headerTimeout = 10 * time.Second
+	headerBytes   = 64 << 10
+	// callerIdle outlasts the idle time that clients are allowed.
+	callerIdle = 90 * time.Second
+)
+
+type gatewayCommand struct {
+	settings      string
+	level         string
+	parallelLoads int
+}
+
+func (c *gatewayCommand) register(parent parent) *kingpin.CmdClause {
+	clause := parent.Command("gateway", gatewayHelp)
+	clause.Flag("settings", "File of the platform's settings.").Envar(platform.SettingsVariable).Required().PlaceHolder("FILE").StringVar(&c.settings)
+	clause.Flag("log-level", "Debug, Info, Warn or Error.").Default("Info").StringVar(&c.level)
+	clause.Flag("parallel-loads", "Loads that the weight store carries at full speed.").Default("4").IntVar(&c.parallelLoads)
+	return clause
+}
+
+func (c *gatewayCommand) run(ctx context.Context, out output) error {
+	s, err := platform.ReadSettings(c.settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(c.level, out.stdout)
+	if err != nil {
+		return err
+	}
+	defer logger.Sync()
+	debug.SetGCPercent(collectionPercent)
+	host := newGatewayHost(s, logger, c.parallelLoads)
+	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
+	err = c.runHost(ctx, s, host, logger)
+	logger.Info("stopped", zap.String("Name", s.Name), zap.Error(err))
+	return err
+}
+
+func newGatewayHost(s platform.Settings, logger *zap.Logger, parallelLoads int) *gateway.Host {
+	host := &gateway.Host{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		PeerAddress: s.PeerAddress,
+		Store:       platform.NewStore(s.StoreAddress),
+		Orders:      platform.NewControl(),
+		Decoder: gateway.Decoder{
+			ConfigurationKey:    platform.ConfigurationKey,
+			ListingPrefix:       platform.ListingPrefix,
+			DecodeConfiguration: platform.DecodeConfiguration,
+			DecodeListing:       platform.DecodeListing,
+			ListingID:           platform.ListingID,
+		},
+		Log:            logger,
+		Now:            gateway.Boottime,
+		OrderTurn:      s.OrderTurn,
+		RetryRatio:     s.RetryRatio,
+		RetrySlack:     s.RetrySlack,
+		CeilingWindow:  s.CeilingWindow,
+		CeilingOverage: s.CeilingOverage,
+		ParallelLoads:  parallelLoads,
+	}
+	host.Prepare()
+	return host
+}
+
+// runHost runs the host with its servers until ctx ends and every request is finished.
+func (c *gatewayCommand) runHost(ctx context.Context, s platform.Settings, host *gateway.Host, logger *zap.Logger) error {
+	ingress := &platform.Ingress{Desk: host.Desk, Backends: platform.NewBackends(), Log: logger, Now: host.Now}
+	callers := &http.Server{Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
+	router := chi.NewRouter()
+	router.Get(platform.ReadyPath, platform.ReadyHandler(host.Ready))
+	ready := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	if err := addHTTPServer(&group, s.CallerAddress, callers); err != nil {
+		return err
+	}
+	if err := addHTTPServer(&group, s.ReadyAddress, ready); err != nil {
+		return err
+	}
+	group.Add(func() error { return host.Run(background) }, func(error) { cancel() })
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			host.Stop()
+			finishRequests(s.GracePeriod-stopMargin, ingress, callers, logger)
+		case <-background.Done():
+		}
+		return nil
+	}, func(error) { cancel() })
+	group.Add(func() error { return c.watchSettings(background, logger) }, func(error) { cancel() })
+	return group.Run()
+}
+
+func addHTTPServer(group *run.Group, address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "cli: listen")
+	}
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "cli: serve")
+		}
+		<-stopped // a server that was shut down does not end the group
+		return nil
+	}, func(error) {
+		close(stopped)
+		_ = server.Close()
+	})
+	return nil
+}
+
+// finishRequests serves on until the platform sends no more clients and every request is finished.
+func finishRequests(most time.Duration, ingress *platform.Ingress, callers *http.Server, logger *zap.Logger) {
+	end := time.Now().Add(most)
+	time.Sleep(balancerLag)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for ingress.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		logger.Warn("requests cut by the stop", zap.Int64("Open", ingress.Open()), zap.Error(err))
+	}
+}
+
+// watchSettings logs changes of the settings file. What a process listens on and its place never change while it runs.
+func (c *gatewayCommand) watchSettings(ctx context.Context, logger *zap.Logger) error {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	last, _ := platform.ReadSettings(c.settings) // read without a problem at the start
+	for {
+		reason := "poll"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangUps:
+			reason = "SIGHUP"
+		case <-ticker.C:
+		}
+		s, err := platform.ReadSettings(c.settings)
+		if err != nil {
+			logger.Warn("settings not read, the last ones stay in force", zap.String("Reason", reason), zap.Error(err))
+			continue
+		}
+		if text := fmt.Sprint(s); text != fmt.Sprint(last) || reason == "SIGHUP" {
+			logger.Info("settings read again", zap.String("Reason", reason), zap.Bool("Changed", text != fmt.Sprint(last)))
+			last = s
+		}
+	}
+}
--- /dev/null
+++ b/gateway/question.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"time"
+
+	"citronspread/model"
+)
+
+// Question is a caller's request as far as it decides where the request goes.
+type Question struct {
+	ID          string
+	Route       model.Route
+	Service     string
+	Model       string // empty for a plain service
+	Adapter     string
+	Prompt      int // tokens
+	MaxTokens   int // 0 when the caller stated none
+	Arrived     time.Time
+	Deadline    time.Time
+	Fingerprint model.Fingerprint
+}
+
+// IsOnce reports whether the request must not run twice.
+func (q Question) IsOnce() bool {
+	return q.Route.Kind == model.RouteOnce || q.Route.Kind == model.RouteStream && !q.Route.Resumable
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citronspread/model"
+)
+
+// routeTable finds routes in one desired state. It is immutable.
+type routeTable struct {
+	state  model.DesiredState
+	byHost map[string][]model.Route // longest prefix first
+}
+
+func newRouteTable(state model.DesiredState) *routeTable {
+	t := &routeTable{state: state, byHost: make(map[string][]model.Route)}
+	for _, route := range state.Routes {
+		t.byHost[route.Host] = append(t.byHost[route.Host], route)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b model.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// find returns the route with the longest prefix that begins the path.
+func (t *routeTable) find(host, path string) (model.Route, bool) {
+	for _, route := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return model.Route{}, false
+}
+
+// serviceOf chooses one of the route's services by weight. The same request always goes to the same one.
+func serviceOf(route model.Route, id string) string {
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	const steps = 1 << 20
+	at := total * float64(xxhash.Sum64String(id)%steps) / steps
+	for _, share := range route.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -22,6 +22,7 @@
 	DialTimeout     time.Duration
 	IdlePerHost     int
 	FreshConnection bool // dial for each request
+	KeepAlive       net.KeepAliveConfig
 
 	once      sync.Once
 	transport *http.Transport
@@ -63,7 +64,7 @@
 }
 
 func (c *Client) init() {
-	dialer := &net.Dialer{Timeout: c.DialTimeout}
+	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: c.KeepAlive}
 	if dialer.Timeout == 0 {
 		dialer.Timeout = defaultDialTimeout
 	}
--- a/model/replica.go
+++ b/model/replica.go
@@ -21,6 +21,7 @@
 // ServiceEndpoint is a host of a plain service.
 type ServiceEndpoint struct {
 	Service string
+	Backend string // ID on the platform, empty where hosts have none
 	Zone    string
 	Address string
 	Leaving bool
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,7 +24,7 @@
 
 // Server accepts the connections of other entry hosts.
 type Server struct {
-	Handler  Handler
+	Handler  any // a Handler or a FleetHandler
 	Listener net.Listener
 	Traffic  *Traffic
 }
@@ -36,16 +36,21 @@
 		return err
 	}
 	mux := drpcmux.New()
-	if err := mux.Register(s.Handler, description{encoding: encoding}); err != nil {
+	calls := methods
+	if _, isFleet := s.Handler.(FleetHandler); isFleet {
+		calls = fleetMethods
+	}
+	if err := mux.Register(s.Handler, description{encoding: encoding, methods: calls}); err != nil {
 		return errors.Wrap(err, "peer: register")
 	}
 	listener := &countingListener{Listener: s.Listener, traffic: s.Traffic}
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
-// description lists the calls of Handler for drpc.
+// description lists the calls of a handler for drpc.
 type description struct {
 	encoding *codec
+	methods  []methodEntry
 }
 
 type methodEntry struct {
@@ -65,9 +70,9 @@
 }
 
 // unary describes one call with one message each way.
-func unary[Request, Reply any](name string, call func(Handler, context.Context, *Request) (*Reply, error)) methodEntry {
+func unary[H, Request, Reply any](name string, call func(H, context.Context, *Request) (*Reply, error)) methodEntry {
 	receiver := func(server any, ctx context.Context, request, _ any) (drpc.Message, error) {
-		handler, isHandler := server.(Handler)
+		handler, isHandler := server.(H)
 		message, isRequest := request.(*Request)
 		if !isHandler || !isRequest {
 			return nil, errors.Newf("peer: %s got %T for %T", name, request, server)
@@ -78,13 +83,13 @@
 }
 
 // NumMethods returns the number of calls.
-func (d description) NumMethods() int { return len(methods) }
+func (d description) NumMethods() int { return len(d.methods) }
 
 // Method describes call n.
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n < 0 || n >= len(methods) {
+	if n < 0 || n >= len(d.methods) {
 		return "", nil, nil, nil, false
 	}
-	m := methods[n]
+	m := d.methods[n]
 	return m.name, d.encoding, m.receiver, m.method, true
 }
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -68,6 +68,13 @@
 	return true
 }
 
+// SetFloor changes the extras that are allowed however few requests came.
+func (b *Budget) SetFloor(floor int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Floor = floor
+}
+
 // Totals returns the counts since the start.
 func (b *Budget) Totals() BudgetTotals {
 	b.mu.Lock()
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -97,7 +97,7 @@
 
 // isTooLate reports whether serving the ticket would take a place from others in vain.
 func (r *Router) isTooLate(now time.Time, t *Ticket) bool {
-	if !now.Before(t.Deadline) {
+	if !now.Before(t.giveUpAt()) {
 		return true
 	}
 	return r.queue.Len() > 1 && now.Add(r.Service(now, t)).After(t.Deadline)
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -13,6 +13,7 @@
 	StaleAfter      time.Duration // age from which a replica's report is not trusted
 	DefaultCapacity int           // batch size of a replica that reported none
 	ColdStart       time.Duration // expected load time until one was measured
+	AdapterStart    time.Duration // expected load time of an adapter whose model is loaded, 0 when it is like a model's
 	WakeEvery       time.Duration // interval of repeated wakes
 	OverloadPause   time.Duration // no new work for a backend server that said overloaded
 	FailurePause    time.Duration // no new work for a backend server that could not be reached
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -36,8 +36,14 @@
 
 // coldRest returns the rest of the expected load time.
 func (r *Router) coldRest(now time.Time, target Target, history *modelHistory) time.Duration {
+	if at, told := r.readyAt[target]; told {
+		return max(0, at.Sub(now))
+	}
 	expected := r.Policy.ColdStart
-	if history.cold.known {
+	switch {
+	case r.Policy.AdapterStart > 0 && target.Adapter != "" && r.slots(now, Target{Key: target.Key}, Short) > 0:
+		expected = r.Policy.AdapterStart
+	case history.cold.known:
 		expected = time.Duration(history.cold.value * float64(time.Second))
 	}
 	since, waiting := r.coldSince[target]
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -152,8 +152,8 @@
 			}
 			forecast, ahead := outlook.Forecast(now, line.Target, Class(class)), 0
 			for _, t := range lane {
-				whole := now.Add(forecast.Wait(ahead) + outlook.Service(now, t))
-				if whole.After(t.Deadline) || !now.Before(t.Deadline) {
+				start := now.Add(forecast.Wait(ahead))
+				if t.isLate(start, start.Add(outlook.Service(now, t))) || !now.Before(t.giveUpAt()) {
 					hopeless = append(hopeless, t)
 					continue
 				}
--- a/routing/review.go
+++ b/routing/review.go
@@ -25,6 +25,7 @@
 			continue
 		}
 		delete(r.coldSince, target)
+		delete(r.readyAt, target)
 		if target.Adapter == "" {
 			r.estimates.loaded(now, target.Key, now.Sub(since))
 		}
@@ -54,13 +55,13 @@
 		ahead = len(line.Lanes[t.Class])
 	}
 	wait := r.Forecast(now, t.Target, t.Class).Wait(ahead)
-	return max(retryAfterFloor, wait).Truncate(time.Second)
+	return max(retryAfterFloor, wait)
 }
 
 // isHopeless reports whether the answer of a waiting ticket is predicted to come too late.
 func (r *Router) isHopeless(now time.Time, t *Ticket, ahead int) bool {
-	wait := r.Forecast(now, t.Target, t.Class).Wait(ahead)
-	return now.Add(wait + r.Service(now, t)).After(t.Deadline)
+	start := now.Add(r.Forecast(now, t.Target, t.Class).Wait(ahead))
+	return t.isLate(start, start.Add(r.Service(now, t)))
 }
 
 // dueWakes returns the wakes to be sent or repeated now.
@@ -99,6 +100,7 @@
 	for target, since := range r.coldSince {
 		if r.queue.Line(target) == nil && now.Sub(since) >= r.Policy.ColdStart {
 			delete(r.coldSince, target)
+			delete(r.readyAt, target)
 		}
 	}
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -49,6 +49,7 @@
 
 	estimates estimates
 	coldSince map[Target]time.Time // since when requests wait for a target without a replica
+	readyAt   map[Target]time.Time // when such a target is expected to be there, by whoever loads it
 	wokenAt   map[Target]time.Time
 	pins      map[model.Fingerprint]pin
 	sites     sites
@@ -102,6 +103,16 @@
 	return target, routed, nil
 }
 
+// Expect tells when a target without a replica is expected to be there. It goes before what was learned from other loads.
+func (r *Router) Expect(target Target, at time.Time) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, waiting := r.coldSince[target]; waiting {
+		r.readyAt[target] = at
+	}
+}
+
 // Changed tells the router that a new snapshot was stored.
 func (r *Router) Changed() {
 	r.once.Do(r.init)
@@ -162,6 +173,7 @@
 	r.random = rand.New(rand.NewPCG(r.Seed, r.Seed))
 	r.estimates = newEstimates()
 	r.coldSince = make(map[Target]time.Time)
+	r.readyAt = make(map[Target]time.Time)
 	r.wokenAt = make(map[Target]time.Time)
 	r.pins = make(map[model.Fingerprint]pin)
 	if r.Now == nil {
@@ -213,7 +225,7 @@
 		return res
 	default:
 	}
-	timer := time.NewTimer(t.Deadline.Sub(r.Now()))
+	timer := time.NewTimer(t.giveUpAt().Sub(r.Now()))
 	defer timer.Stop()
 	var err error
 	select {
