gateway: one watch for the whole store, with short waits

Ruled out: the 410 path, which read the whole state correctly once the watch returned. One watch of the whole store with waits of 1 s replaces three, and the reads of host records.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -33,7 +33,6 @@
 	stopMargin = 800 * time.Millisecond
 	// settingsPoll finds settings that changed without a signal.
 	settingsPoll = time.Second
-	drainPoll    = 20 * time.Millisecond
 	// headerTimeout and headerBytes bound a request's head beyond what the desired state allows at any time.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
@@ -150,15 +149,11 @@
 	return nil
 }
 
-// finishRequests serves on until the platform sends no more clients and every request is finished.
+// finishRequests serves on until the platform sends no more clients, then takes no new request and finishes the others.
 func finishRequests(most time.Duration, ingress *platform.Ingress, callers *http.Server, logger *zap.Logger) {
-	end := time.Now().Add(most)
-	time.Sleep(balancerLag)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
-	for ingress.Open() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
+	time.Sleep(balancerLag)
 	if err := callers.Shutdown(ctx); err != nil {
 		logger.Warn("requests cut by the stop", zap.Int64("Open", ingress.Open()), zap.Error(err))
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -73,8 +73,7 @@
 	permits     permits
 	suspects    map[model.Fingerprint]model.Suspect
 	renewing    bool
-	observing   bool
-	observeAt   time.Time
+	claimAt     time.Time // no claim before
 	claiming    bool
 	steppedAt   time.Time
 	usedAt      time.Time
@@ -125,9 +124,7 @@
 		group.Add(func() error { return task(ctx) }, func(error) { cancel() })
 	}
 	add(h.control)
-	add(h.watchConfiguration)
-	add(h.watchListings)
-	add(h.watchOwners)
+	add(h.watchStore)
 	add(h.router.Run)
 	add((&peer.Server{Handler: &fleetHandler{host: h}, Listener: listener, Traffic: traffic}).Run)
 	err = group.Run()
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -23,6 +23,8 @@
 const (
 	// firstClaims is left to all hosts to register when the system starts, so that backend servers spread evenly.
 	firstClaims = 1200 * time.Millisecond
+	// claimPause follows a claim that failed, longer than the pace of the watch.
+	claimPause = 2 * watchPace
 	// registerPause is waited for after a failed registration.
 	registerPause = 300 * time.Millisecond
 	// claimBatch bounds the claims of one transaction, which takes 32 rows of each kind.
@@ -41,17 +43,14 @@
 	case now.Sub(h.steppedAt) >= tenure.RenewEvery:
 		h.renew(now)
 	}
-	if h.registered && !h.observing && now.Sub(h.table.ObservedAt) >= tenure.ObserveEvery && !now.Before(h.observeAt) {
-		h.observe()
-	}
 	if !h.registered || h.claiming {
 		return
 	}
-	if silent := h.table.Deposals(now); len(silent) > 0 {
+	if silent := h.table.Deposals(now); len(silent) > 0 && !now.Before(h.claimAt) {
 		h.depose(silent[0])
 		return
 	}
-	if now.Before(h.observeAt) {
+	if now.Before(h.claimAt) {
 		return
 	}
 	if claims := h.table.Claims(now, h.backendsToOwn()); len(claims) > 0 {
@@ -80,7 +79,7 @@
 	self := h.table.Self
 	h.spawn(func(ctx context.Context) {
 		begun := h.Now()
-		revision, hosts, owners, err := h.registration(ctx, self)
+		revision, owners, err := h.registration(ctx, self)
 		if err != nil {
 			sleep(ctx, registerPause)
 		}
@@ -91,40 +90,39 @@
 				return
 			}
 			h.registered, h.steppedAt = true, now
-			if h.observeAt.IsZero() {
-				h.observeAt = now.Add(firstClaims)
+			if h.claimAt.IsZero() {
+				h.claimAt = now.Add(firstClaims)
 			}
-			h.table.Observed(now, hosts)
 			h.table.Owners = owners
 			h.table.Renewed(begun, revision)
 			h.noteHosts(now)
-			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", revision), zap.Int("Hosts", len(hosts)))
+			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", revision))
 		})
 	})
 }
 
-func (h *Host) registration(ctx context.Context, self tenure.HostRecord) (int64, map[string]tenure.Host, map[string]tenure.Owner, error) {
+func (h *Host) registration(ctx context.Context, self tenure.HostRecord) (int64, map[string]tenure.Owner, error) {
 	key := hostPrefix + self.Name
 	current, err := h.Store.Get(ctx, key)
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, err
 	}
 	revision, err := h.Store.Commit(ctx, store.Transaction{
 		Expected: []store.Entry{{Key: key, Revision: current.Revision}},
 		Writes:   []store.Entry{{Key: key, Value: encode(self)}},
 	})
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, err
 	}
 	owned, err := h.Store.List(ctx, ownerPrefix)
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, err
 	}
-	listed, err := h.Store.List(ctx, hostPrefix)
-	if err != nil {
-		return 0, nil, nil, err
+	owners := make(map[string]tenure.Owner)
+	for _, e := range owned.Entries {
+		h.putOwner(owners, e)
 	}
-	return revision, h.hostsOf(listed), h.ownersOf(owned.Entries), nil
+	return revision, owners, nil
 }
 
 // renew proves that this host lives. Only while that is recent does it give orders.
@@ -173,23 +171,6 @@
 	h.Log.Warn("ownership lost", zap.Bool("Deposed", record.Deposed), zap.Int64("Revision", conflict.Current.Revision))
 }
 
-// observe reads all host records.
-func (h *Host) observe() {
-	h.observing = true
-	h.spawn(func(ctx context.Context) {
-		listing, err := h.Store.List(ctx, hostPrefix)
-		h.post(func(now time.Time) {
-			h.observing = false
-			if err != nil {
-				h.observeAt = now.Add(registerPause)
-				return // the watches tell that the store is lost
-			}
-			h.table.Observed(now, h.hostsOf(listing))
-			h.noteHosts(now)
-		})
-	})
-}
-
 // noteHosts tells the traffic threads how many hosts share the budgets.
 func (h *Host) noteHosts(now time.Time) {
 	live := int64(len(h.table.Live(now)))
@@ -199,50 +180,29 @@
 	}
 }
 
-func (h *Host) hostsOf(listing store.Listing) map[string]tenure.Host {
-	hosts := make(map[string]tenure.Host, len(listing.Entries))
-	for _, e := range listing.Entries {
-		var record tenure.HostRecord
-		if err := json.Unmarshal(e.Value, &record); err != nil {
-			h.Log.Error("host record not readable", zap.String("Key", e.Key), zap.Error(err))
-			continue
-		}
+// putHost decodes a host record. A record that was seen in a newer state stays.
+func (h *Host) putHost(hosts map[string]tenure.Host, e store.Entry) {
+	var record tenure.HostRecord
+	if err := json.Unmarshal(e.Value, &record); err != nil {
+		h.Log.Error("host record not readable", zap.String("Key", e.Key), zap.Error(err))
+		return
+	}
+	if e.Revision > hosts[record.Name].Revision {
 		hosts[record.Name] = tenure.Host{Record: record, Revision: e.Revision}
 	}
-	return hosts
 }
 
-func (h *Host) ownersOf(entries []store.Entry) map[string]tenure.Owner {
-	owners := make(map[string]tenure.Owner, len(entries))
-	for _, e := range entries {
-		var record tenure.OwnerRecord
-		if err := json.Unmarshal(e.Value, &record); err != nil {
-			h.Log.Error("owner record not readable", zap.String("Key", e.Key), zap.Error(err))
-			continue
-		}
-		owners[strings.TrimPrefix(e.Key, ownerPrefix)] = tenure.Owner{Record: record, Revision: e.Revision}
+// putOwner decodes an owner record. A record that was seen in a newer state stays.
+func (h *Host) putOwner(owners map[string]tenure.Owner, e store.Entry) {
+	var record tenure.OwnerRecord
+	if err := json.Unmarshal(e.Value, &record); err != nil {
+		h.Log.Error("owner record not readable", zap.String("Key", e.Key), zap.Error(err))
+		return
+	}
+	id := strings.TrimPrefix(e.Key, ownerPrefix)
+	if e.Revision > owners[id].Revision {
+		owners[id] = tenure.Owner{Record: record, Revision: e.Revision}
 	}
-	return owners
-}
-
-// watchOwners follows who owns what.
-func (h *Host) watchOwners(ctx context.Context) error {
-	return h.follow(ctx, watcher{
-		name:   "owners",
-		prefix: ownerPrefix,
-		pace:   ownerPace,
-		listed: func(_ time.Time, l store.Listing) { h.table.Owners = h.ownersOf(l.Entries) },
-		changed: func(_ time.Time, c store.Change) {
-			for id, owner := range h.ownersOf(c.Entries) {
-				if owner.Revision > h.table.Owners[id].Revision {
-					h.table.Owners[id] = owner
-				}
-			}
-			for _, key := range c.Deleted {
-				delete(h.table.Owners, strings.TrimPrefix(key, ownerPrefix))
-			}
-		},
-	})
 }
 
 // depose marks a host that has been silent for longer than its validity.
@@ -265,8 +225,7 @@
 				h.noteHosts(now)
 				return
 			}
-			h.observeAt = now
-			h.table.ObservedAt = time.Time{}
+			h.claimAt = now.Add(claimPause) // until the watch has told what is different
 		})
 	})
 }
@@ -301,7 +260,7 @@
 func (h *Host) claimed(now time.Time, claims []tenure.Claim, record tenure.OwnerRecord, revision int64, err error) {
 	if err != nil {
 		h.Log.Info("not claimed", zap.Int("Backends", len(claims)), zap.Error(err))
-		h.observeAt, h.table.ObservedAt = now, time.Time{}
+		h.claimAt = now.Add(claimPause) // until the watch has told what is different
 		return
 	}
 	for _, c := range claims {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,56 +3,51 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"citronspread/model"
 	"citronspread/store"
+	"citronspread/tenure"
 )
 
 // Times of watches.
 const (
-	watchWait = 20 * time.Second
-	// listingPace gathers changes of the platform's list, since each answer of a watch is a call.
-	listingPace = 400 * time.Millisecond
-	ownerPace   = 100 * time.Millisecond
+	// watchWait is short, because a watch whose history is dropped may wait on without hearing of changes,
+	// and a desired state has to be in force within two seconds.
+	watchWait = time.Second
+	// watchPace gathers changes, since each answer of a watch is a call.
+	watchPace = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pauses between calls to a store that does not answer.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
 )
 
-// watcher follows all keys under a prefix.
-type watcher struct {
-	name    string
-	prefix  string
-	pace    time.Duration // pause after each change
-	listed  func(now time.Time, listing store.Listing)
-	changed func(now time.Time, change store.Change)
-}
-
-// follow reads the prefix and then its changes, until ctx ends.
-func (h *Host) follow(ctx context.Context, w watcher) error {
+// watchStore follows everything in the store with one watch, until ctx ends.
+func (h *Host) watchStore(ctx context.Context) error {
 	revision, pause, isLost := int64(0), retryFirst, false
 	for ctx.Err() == nil {
-		next, err := h.followOnce(ctx, w, revision)
+		next, err := h.watchOnce(ctx, revision)
 		if err == nil {
 			if isLost {
-				h.Log.Info("store regained", zap.String("Watch", w.name), zap.Int64("Revision", next))
+				h.Log.Info("store regained", zap.Int64("Revision", next))
 			}
 			revision, pause, isLost = next, retryFirst, false
-			sleep(ctx, w.pace)
+			sleep(ctx, watchPace)
 			continue
 		}
 		var history *store.HistoryLostError
 		if errors.As(err, &history) {
-			h.Log.Info("history lost", zap.String("Watch", w.name), zap.Int64("Revision", revision))
+			h.Log.Info("history lost", zap.Int64("Revision", revision))
 			revision = 0
 			continue
 		}
 		if !isLost && ctx.Err() == nil {
-			h.Log.Warn("store lost", zap.String("Watch", w.name), zap.Int64("Revision", revision), zap.Error(err))
+			h.Log.Warn("store lost", zap.Int64("Revision", revision), zap.Error(err))
 		}
 		isLost = true
 		sleep(ctx, pause/2+rand.N(pause))
@@ -61,25 +56,76 @@
 	return ctx.Err()
 }
 
-func (h *Host) followOnce(ctx context.Context, w watcher, revision int64) (int64, error) {
+func (h *Host) watchOnce(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
-		listing, err := h.Store.List(ctx, w.prefix)
+		listing, err := h.Store.List(ctx, "")
 		if err != nil {
 			return 0, err
 		}
-		h.post(func(now time.Time) { w.listed(now, listing) })
+		h.post(func(now time.Time) { h.storeRead(now, listing) })
 		return listing.Revision, nil
 	}
-	change, err := h.Store.Watch(ctx, w.prefix, revision, watchWait)
+	change, err := h.Store.Watch(ctx, "", revision, watchWait)
 	if err != nil {
 		return 0, err
 	}
-	if len(change.Entries)+len(change.Deleted) > 0 {
-		h.post(func(now time.Time) { w.changed(now, change) })
-	}
+	h.post(func(now time.Time) { h.storeChanged(now, change) })
 	return change.Revision, nil
 }
 
+// storeRead takes in the whole content of the store.
+func (h *Host) storeRead(now time.Time, l store.Listing) {
+	hosts, owners, present := make(map[string]tenure.Host), make(map[string]tenure.Owner), make(map[string]bool)
+	for _, e := range l.Entries {
+		switch {
+		case e.Key == h.Decoder.ConfigurationKey:
+			h.configure(e)
+		case strings.HasPrefix(e.Key, hostPrefix):
+			h.putHost(hosts, e)
+		case strings.HasPrefix(e.Key, ownerPrefix):
+			h.putOwner(owners, e)
+		case strings.HasPrefix(e.Key, h.Decoder.ListingPrefix):
+			if h.listed(now, e) {
+				present[h.Decoder.ListingID(e.Key)] = true
+			}
+		}
+	}
+	h.view.relisted(now, present)
+	h.listedOK.Store(true)
+	h.table.Observed(now, hosts)
+	h.table.Owners = owners
+	h.noteHosts(now)
+}
+
+// storeChanged takes in changes of the store.
+func (h *Host) storeChanged(now time.Time, c store.Change) {
+	hosts := maps.Clone(h.table.Hosts)
+	for _, e := range c.Entries {
+		switch {
+		case e.Key == h.Decoder.ConfigurationKey:
+			h.configure(e)
+		case strings.HasPrefix(e.Key, hostPrefix):
+			h.putHost(hosts, e)
+		case strings.HasPrefix(e.Key, ownerPrefix):
+			h.putOwner(h.table.Owners, e)
+		case strings.HasPrefix(e.Key, h.Decoder.ListingPrefix):
+			h.listed(now, e)
+		}
+	}
+	for _, key := range c.Deleted {
+		switch {
+		case strings.HasPrefix(key, hostPrefix):
+			delete(hosts, strings.TrimPrefix(key, hostPrefix))
+		case strings.HasPrefix(key, ownerPrefix):
+			delete(h.table.Owners, strings.TrimPrefix(key, ownerPrefix))
+		case strings.HasPrefix(key, h.Decoder.ListingPrefix):
+			h.unlisted(h.Decoder.ListingID(key))
+		}
+	}
+	h.table.Observed(now, hosts)
+	h.noteHosts(now)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -92,25 +138,8 @@
 	}
 }
 
-// watchConfiguration follows the operators' desired state.
-func (h *Host) watchConfiguration(ctx context.Context) error {
-	apply := func(now time.Time, entries []store.Entry) {
-		for _, e := range entries {
-			if e.Key == h.Decoder.ConfigurationKey {
-				h.configure(now, e)
-			}
-		}
-	}
-	return h.follow(ctx, watcher{
-		name:    "configuration",
-		prefix:  h.Decoder.ConfigurationKey,
-		listed:  func(now time.Time, l store.Listing) { apply(now, l.Entries) },
-		changed: func(now time.Time, c store.Change) { apply(now, c.Entries) },
-	})
-}
-
 // configure puts a desired state in force, unless a newer one is.
-func (h *Host) configure(_ time.Time, e store.Entry) {
+func (h *Host) configure(e store.Entry) {
 	state, err := h.Decoder.DecodeConfiguration(e.Value)
 	if err != nil {
 		h.Log.Error("desired state not valid, the last one stays in force", zap.Int64("Revision", e.Revision), zap.Error(err))
@@ -124,33 +153,6 @@
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
 }
 
-// watchListings follows the backend servers' entries.
-func (h *Host) watchListings(ctx context.Context) error {
-	return h.follow(ctx, watcher{
-		name:   "backend servers",
-		prefix: h.Decoder.ListingPrefix,
-		pace:   listingPace,
-		listed: func(now time.Time, l store.Listing) {
-			present := make(map[string]bool)
-			for _, e := range l.Entries {
-				if h.listed(now, e) {
-					present[h.Decoder.ListingID(e.Key)] = true
-				}
-			}
-			h.view.relisted(now, present)
-			h.listedOK.Store(true)
-		},
-		changed: func(now time.Time, c store.Change) {
-			for _, e := range c.Entries {
-				h.listed(now, e)
-			}
-			for _, key := range c.Deleted {
-				h.unlisted(h.Decoder.ListingID(key))
-			}
-		},
-	})
-}
-
 // listed takes in one entry and reports whether it names a backend server.
 func (h *Host) listed(now time.Time, e store.Entry) bool {
 	id := h.Decoder.ListingID(e.Key)
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -18,8 +18,6 @@
 	Validity = 10 * time.Second
 	// RenewEvery leaves most of the validity for an outage that begins at any moment.
 	RenewEvery = 2 * time.Second
-	// ObserveEvery is how often the host records are read; a dead host is noticed that much later.
-	ObserveEvery = 3 * time.Second
 	// stopEarly is the part of the validity that is not used, for orders that are on their way.
 	stopEarly = time.Second
 	// deposeMargin is waited for beyond the validity, for clocks of different rates.
@@ -27,7 +25,7 @@
 	// rankDelay staggers hosts, so that usually one of them acts.
 	rankDelay = 700 * time.Millisecond
 	// staleObservation starts the watch on other hosts anew after the store was out of reach.
-	staleObservation = 2*ObserveEvery + time.Second
+	staleObservation = 5 * time.Second
 	// turnMargin is waited for beyond the shortest time between the orders of two holders.
 	turnMargin = 500 * time.Millisecond
 )
@@ -126,7 +124,8 @@
 	return o.Revision, known && o.Record.Host == t.Self.Name
 }
 
-// Observed takes in all host records as a linearizable read that ended at the time returned them.
+// Observed takes in all host records as the store told them at the time. An old state does no harm: a deposal
+// names the revision that it builds on, so that it fails when the host has renewed since.
 func (t *Table) Observed(now time.Time, hosts map[string]Host) {
 	gap := now.Sub(t.ObservedAt) > staleObservation
 	for name, h := range hosts {
