caller: completions and calls of plain services go through the one loop of attempts

The loop of attempt decides about repeats for both edges; caller keeps what is its own: how a completion may go on, and what its caller is told.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"citronspread/attempt"
 	"citronspread/engine"
 	"citronspread/httponce"
 	"citronspread/model"
@@ -37,10 +38,8 @@
 	created     time.Time
 
 	progress engine.Progress
-	failed   []string // backend servers that failed it
-	moves    int      // how often it was given up for a faster replica
-	ran      bool     // an attempt may have run
-	attempts int      // that may have run
+	moves    int  // how often it was given up for a faster replica
+	ran      bool // an attempt may have run
 }
 
 // completeChat serves POST /v1/chat/completions.
@@ -100,115 +99,99 @@
 	return c, true
 }
 
-// run makes attempts until one gives the whole answer or no further one is allowed.
+// run sends the completion to backend servers until one gives the whole answer or no further one may be asked.
 func (s *Server) run(ctx context.Context, c *completion, answer answer) error {
-	s.Router.Budget.Request(time.Now())
-	for {
-		grant, err := s.Router.Acquire(ctx, c.request())
-		if err != nil {
-			return err
-		}
-		err = s.attempt(ctx, c, grant, answer)
-		if err == nil || c.attempts >= s.Limits.MaxAttempts || !s.mayRepeat(ctx, c, grant.Replica.Backend, answer, err) {
-			return err
-		}
-		s.Log.Info("attempt repeated", zap.String("Request", c.id), zap.String("Backend", grant.Replica.Backend),
-			zap.Int("Tokens", len(c.progress.Hashes)), zap.Error(err))
+	loop := attempt.Loop{Budget: s.Router.Budget, MaxRuns: s.Limits.MaxAttempts, Now: time.Now}
+	progress, err := loop.Run(ctx, &completionEdge{server: s, completion: c, answer: answer})
+	c.ran = progress.Runs > 0
+	return err
+}
+
+// completionEdge connects a completion with the loop of attempts. It implements attempt.Edge.
+type completionEdge struct {
+	server     *Server
+	completion *completion
+	answer     answer
+}
+
+// grantPlace is a place on a backend server. It implements attempt.Place.
+type grantPlace struct{ *routing.Grant }
+
+// Backend returns the name of the backend server.
+func (p grantPlace) Backend() string { return p.Replica.Backend }
+
+// Acquire waits for a replica.
+func (e *completionEdge) Acquire(ctx context.Context, p *attempt.Progress) (attempt.Place, error) {
+	grant, err := e.server.Router.Acquire(ctx, e.completion.request(p.Failed))
+	if err != nil {
+		return nil, err
 	}
+	return grantPlace{grant}, nil
 }
 
-// attempt sends the request once and passes its answer on.
-func (s *Server) attempt(ctx context.Context, c *completion, grant *routing.Grant, answer answer) error {
-	answer.admitted()
+// Send sends the request once and passes its answer on.
+func (e *completionEdge) Send(ctx context.Context, place attempt.Place, _ *attempt.Progress) attempt.Outcome {
+	s, c, grant := e.server, e.completion, place.(grantPlace).Grant
+	e.answer.admitted()
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	grant.OnRevoke(func() { cancel(errRevoked) })
-	stream, err := s.Streamer.Open(sending, s.call(c, grant, answer))
+	stream, err := s.Streamer.Open(sending, s.call(c, grant, e.answer))
 	if err == nil {
-		err = s.relay(stream, grant, answer)
+		err = s.relay(stream, grant, e.answer)
 		stream.Close()
 	}
-	if !surelyNotRun(err) {
-		c.ran = true
-		c.attempts++
-	}
-	grant.Done(time.Now(), outcomeOf(ctx, err))
-	return err
+	return attempt.Outcome{Result: resultOf(err), Routing: outcomeOf(ctx, err), Err: err}
 }
 
-func (s *Server) relay(stream *engine.Stream, grant *routing.Grant, answer answer) error {
-	for chunk, err := range stream.Chunks() {
-		if err != nil {
-			return err
-		}
-		if chunk.Token {
-			grant.Token(time.Now())
-		}
-		if err := answer.add(chunk); err != nil {
-			return err
-		}
+// Continuation says how a completion may go on.
+func (e *completionEdge) Continuation(_ attempt.Outcome, _ *attempt.Progress) attempt.Continuation {
+	switch {
+	case len(e.completion.progress.Hashes) > 0 && e.completion.question.exact():
+		return attempt.Resume
+	case e.answer.started():
+		return attempt.Never
 	}
-	return nil
+	return attempt.Restart
 }
 
-// mayRepeat decides whether another attempt follows a failed one.
-func (s *Server) mayRepeat(ctx context.Context, c *completion, backend string, answer answer, err error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if surelyNotRun(err) {
-		return true
-	}
-	var broken *engine.BrokenError
-	var mismatch *engine.MismatchError
-	var status *engine.StatusError
+// Repeating prepares the next attempt.
+func (e *completionEdge) Repeating(_ time.Time, backend string, o attempt.Outcome, continuation attempt.Continuation) {
+	s, c := e.server, e.completion
+	s.Log.Info("attempt repeated", zap.String("Request", c.id), zap.String("Backend", backend),
+		zap.Int("Tokens", len(c.progress.Hashes)), zap.Error(o.Err))
 	switch {
-	case errors.Is(err, engine.ErrGivenUp) || errors.Is(err, errBarred):
-		s.move(c, answer, backend)
-		return true
-	case errors.As(err, &broken):
-		c.failed = append(c.failed, broken.Backend)
-	case errors.As(err, &mismatch):
-		c.failed = append(c.failed, mismatch.Backend)
-	case errors.As(err, &status) && status.Status >= http.StatusInternalServerError:
-		c.failed = append(c.failed, status.Backend)
+	case o.Result == attempt.Moved:
+		c.moves++
+		s.Totals.Moved.Add(1)
+	case o.Result != attempt.MayHaveRun:
+		return
+	case continuation == attempt.Resume:
+		s.Totals.Resumed.Add(1)
 	default:
-		return false
+		s.Totals.Retried.Add(1)
 	}
-	return s.mayStartAgain(c, answer)
-}
-
-// move prepares the attempt on a faster replica, which the budget has been asked for already.
-func (s *Server) move(c *completion, answer answer, backend string) {
-	c.failed = append(c.failed, backend)
-	c.moves++
-	s.Totals.Moved.Add(1)
-	if len(c.progress.Hashes) > 0 && c.question.exact() {
+	if continuation == attempt.Resume {
 		c.progress.Finished = false
 		return
 	}
-	answer.reset()
+	e.answer.reset()
 	c.progress = engine.Progress{}
 }
 
-// mayStartAgain decides between a resumption and a retry from the start, and asks the budget.
-func (s *Server) mayStartAgain(c *completion, answer answer) bool {
-	now := time.Now()
-	if len(c.progress.Hashes) > 0 && c.question.exact() {
-		if !s.Router.Budget.Spend(now, routing.ExtraResume) {
-			return false
+func (s *Server) relay(stream *engine.Stream, grant *routing.Grant, answer answer) error {
+	for chunk, err := range stream.Chunks() {
+		if err != nil {
+			return err
+		}
+		if chunk.Token {
+			grant.Token(time.Now())
+		}
+		if err := answer.add(chunk); err != nil {
+			return err
 		}
-		c.progress.Finished = false
-		s.Totals.Resumed.Add(1)
-		return true
-	}
-	if answer.started() || !s.Router.Budget.Spend(now, routing.ExtraRetry) {
-		return false
 	}
-	answer.reset()
-	c.progress = engine.Progress{}
-	s.Totals.Retried.Add(1)
-	return true
+	return nil
 }
 
 // settle tells the caller how the request ended, unless it has the whole answer.
@@ -227,7 +210,7 @@
 }
 
 // request returns what the router needs to know for the next attempt.
-func (c *completion) request() routing.Request {
+func (c *completion) request(failed []string) routing.Request {
 	request := routing.Request{
 		ID:          c.id,
 		Target:      c.target,
@@ -237,7 +220,7 @@
 		Deadline:    c.terms.deadline,
 		MaxTokens:   c.question.maxTokens(),
 		Moves:       c.moves,
-		Avoid:       c.failed,
+		Avoid:       failed,
 	}
 	if delivered := len(c.progress.Hashes); delivered > 0 {
 		request.Delivered = delivered
@@ -264,6 +247,28 @@
 	}
 }
 
+// resultOf turns the error of an attempt into its result.
+func resultOf(err error) attempt.Result {
+	var unsent *httponce.UnsentError
+	var notRun *engine.NotRunError
+	var broken *engine.BrokenError
+	var mismatch *engine.MismatchError
+	var status *engine.StatusError
+	switch {
+	case err == nil:
+		return attempt.Whole
+	case errors.As(err, &unsent):
+		return attempt.Unsent
+	case errors.As(err, &notRun):
+		return attempt.NotRun
+	case errors.Is(err, engine.ErrGivenUp) || errors.Is(err, errBarred):
+		return attempt.Moved
+	case errors.As(err, &broken), errors.As(err, &mismatch), errors.As(err, &status) && status.Status >= http.StatusInternalServerError:
+		return attempt.MayHaveRun
+	}
+	return attempt.Final
+}
+
 // surelyNotRun reports whether the attempt surely did not run.
 func surelyNotRun(err error) bool {
 	var unsent *httponce.UnsentError
--- a/caller/services.go
+++ b/caller/services.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
 
+	"citronspread/attempt"
 	"citronspread/httponce"
 	"citronspread/routing"
 	"citronspread/service"
@@ -29,7 +32,6 @@
 	call       service.Call
 	idempotent bool
 	ran        bool
-	failed     []string // addresses that failed it
 }
 
 // callService serves /services/{service} and the paths below it.
@@ -79,33 +81,69 @@
 // send calls hosts of the service: a call that surely was not sent goes to another host,
 // one that may have run only when it is idempotent and within the budget.
 func (s *Server) send(ctx context.Context, c *serviceCall) (service.Answer, error) {
-	s.Router.Budget.Request(time.Now())
-	for {
-		site, err := s.Router.AcquireSite(time.Now(), c.service, c.failed)
-		if err != nil {
-			return service.Answer{}, err
-		}
-		c.call.Address = site.Endpoint.Address
-		answer, err := s.Services.Do(ctx, c.call, c.idempotent)
-		unsent := surelyNotRun(err)
-		c.ran = c.ran || err != nil && !unsent
-		site.Done(time.Now(), !unsent)
-		if err == nil {
-			return answer, nil
-		}
-		c.failed = append(c.failed, site.Endpoint.Address)
-		if ctx.Err() != nil || !unsent && !s.mayRetryService(c, err) {
-			return service.Answer{}, err
-		}
+	e := &serviceEdge{server: s, call: c}
+	loop := attempt.Loop{Budget: s.Router.Budget, MaxRuns: math.MaxInt, Now: time.Now}
+	progress, err := loop.Run(ctx, e)
+	c.ran = err != nil && progress.Runs > 0
+	return e.answer, err
+}
+
+// serviceEdge connects a call of a plain service with the loop of attempts. It implements attempt.Edge.
+type serviceEdge struct {
+	server *Server
+	call   *serviceCall
+	answer service.Answer
+}
+
+// sitePlace is a place on a host of a plain service. It implements attempt.Place.
+type sitePlace struct{ site *routing.Site }
+
+// Backend returns the address of the host.
+func (p sitePlace) Backend() string { return p.site.Endpoint.Address }
+
+// Done ends the call.
+func (p sitePlace) Done(now time.Time, outcome routing.Outcome) {
+	p.site.Done(now, outcome != routing.OutcomeUnreachable)
+}
+
+// Acquire chooses a host of the service.
+func (e *serviceEdge) Acquire(_ context.Context, p *attempt.Progress) (attempt.Place, error) {
+	site, err := e.server.Router.AcquireSite(time.Now(), e.call.service, p.Failed)
+	if err != nil {
+		return nil, err
 	}
+	return sitePlace{site}, nil
 }
 
-func (s *Server) mayRetryService(c *serviceCall, err error) bool {
+// Send calls the host once.
+func (e *serviceEdge) Send(ctx context.Context, place attempt.Place, _ *attempt.Progress) attempt.Outcome {
+	call := e.call.call
+	call.Address = place.Backend()
+	answer, err := e.server.Services.Do(ctx, call, e.call.idempotent)
 	var broken *service.BrokenError
-	if !c.idempotent || !errors.As(err, &broken) {
-		return false
+	switch {
+	case err == nil:
+		e.answer = answer
+		return attempt.Outcome{Result: attempt.Whole, Routing: routing.OutcomeWhole}
+	case surelyNotRun(err):
+		return attempt.Outcome{Result: attempt.Unsent, Routing: routing.OutcomeUnreachable, Err: err}
+	case errors.As(err, &broken):
+		return attempt.Outcome{Result: attempt.MayHaveRun, Routing: routing.OutcomeBad, Err: err}
 	}
-	return s.Router.Budget.Spend(time.Now(), routing.ExtraRetry)
+	return attempt.Outcome{Result: attempt.Final, Routing: routing.OutcomeBad, Err: err}
+}
+
+// Continuation lets idempotent calls run again.
+func (e *serviceEdge) Continuation(_ attempt.Outcome, _ *attempt.Progress) attempt.Continuation {
+	if e.call.idempotent {
+		return attempt.Restart
+	}
+	return attempt.Never
+}
+
+// Repeating logs a repeat.
+func (e *serviceEdge) Repeating(_ time.Time, backend string, o attempt.Outcome, _ attempt.Continuation) {
+	e.server.Log.Info("call repeated", zap.String("Service", e.call.service), zap.String("Host", backend), zap.Error(o.Err))
 }
 
 // failure turns the last error of a call into what its caller sees.
