--- a/residency/account.go
+++ b/residency/account.go
@@ -241,9 +241,8 @@
 	return false
 }
 
-// usedMB is the memory that is taken or may be taken by an order without an answer.
-// after is the sequence that the next order leads to.
-func (a *Account) usedMB(after int64) float64 {
+// usedMB is the memory that is taken.
+func (a *Account) usedMB() float64 {
 	total := 0.0
 	for _, r := range a.Models {
 		total += r.MB
@@ -251,37 +250,55 @@
 			total += adapter.MB
 		}
 	}
+	return total
+}
+
+// usedSlots is the number of adapters.
+func (a *Account) usedSlots() int {
+	total := 0
+	for _, r := range a.Models {
+		total += len(r.Adapters)
+	}
+	return total
+}
+
+// lateMB is what orders without an answer may still add once the next order has been accepted.
+// Those that name the present sequence are void then.
+func (a *Account) lateMB() float64 {
+	total := 0.0
 	for _, u := range a.unresolved {
-		if u.order.Expected >= after {
+		if u.order.Expected > a.Sequence {
 			total += u.mb
 		}
 	}
 	return total
 }
 
-// usedSlots is the number of adapters, with those that an order without an answer may add.
-func (a *Account) usedSlots(after int64) int {
+// lateSlots is the same for adapters.
+func (a *Account) lateSlots() int {
 	total := 0
-	for _, r := range a.Models {
-		total += len(r.Adapters)
-	}
 	for _, u := range a.unresolved {
-		if u.order.Kind == LoadAdapter && u.order.Expected >= after {
+		if u.order.Kind == LoadAdapter && u.order.Expected > a.Sequence {
 			total++
 		}
 	}
 	return total
 }
 
+// fits reports whether there is room for more, also when orders without an answer are carried out after it.
+func (a *Account) fits(mb float64, slots int) bool {
+	return a.usedMB()+a.lateMB()+mb <= a.Spec.WeightMB && a.usedSlots()+a.lateSlots()+slots <= a.Spec.AdapterSlots
+}
+
 // Check asserts that nothing is overcommitted.
 func (a *Account) Check() error {
 	if !a.Synced {
 		return nil
 	}
-	if used := a.usedMB(a.Sequence + 1); used > a.Spec.WeightMB {
+	if used := a.usedMB(); used > a.Spec.WeightMB {
 		return &InvariantError{Backend: a.Backend, Detail: fmt.Sprintf("%.0f MB of %.0f MB are taken", used, a.Spec.WeightMB)}
 	}
-	if used := a.usedSlots(a.Sequence + 1); used > a.Spec.AdapterSlots {
+	if used := a.usedSlots(); used > a.Spec.AdapterSlots {
 		return &InvariantError{Backend: a.Backend, Detail: fmt.Sprintf("%d adapters in %d slots", used, a.Spec.AdapterSlots)}
 	}
 	return nil
--- /dev/null
+++ b/residency/account_test.go
@@ -0,0 +1,238 @@
+package residency
+
+import (
+	"testing"
+	"time"
+
+	"citronspread/model"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testSpec() *model.EngineSpec {
+	spec := &model.EngineSpec{WeightMB: 230, AdapterSlots: 2, LoadsPerSecond: 3, Models: make(map[string]model.ModelSpec)}
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		spec.Models[name] = model.ModelSpec{
+			Name: name, MB: 72, AdapterMB: 1,
+			ColdLoad: 6 * time.Second, DiskLoad: 800 * time.Millisecond, MemoryLoad: 600 * time.Millisecond,
+		}
+	}
+	return spec
+}
+
+// synced returns an account that agrees with a report of these models.
+func synced(held ...string) *Account {
+	life := model.Life{ID: "i-1", Born: 7}
+	a := NewAccount(start, "i-1", life, testSpec())
+	h := model.Holdings{Life: life, OnDisk: []string{"d", "e"}}
+	for _, name := range held {
+		h.Models = append(h.Models, model.HeldModel{Name: name})
+	}
+	a.Observed(start, h)
+	return a
+}
+
+// next returns the next order, which must be of the kind.
+func next(t *testing.T, a *Account, now time.Time, kind Kind, name string) Order {
+	t.Helper()
+	step, ok := a.Next(now, true)
+	if !ok {
+		t.Fatalf("got no order, want %v %s", kind, name)
+	}
+	if step.Order.Kind != kind || step.Order.Model != name {
+		t.Fatalf("got %v %s, want %v %s", step.Order.Kind, step.Order.Model, kind, name)
+	}
+	a.Sent(*step.Order)
+	return *step.Order
+}
+
+func TestLoadMakesRoom(t *testing.T) {
+	a, now := synced("a", "b", "c"), start.Add(time.Minute)
+	a.Use(now.Add(-2*time.Second), "host", model.Usage{Key: model.ModelKey{Model: "a"}})
+	a.Use(now.Add(-3*time.Second), "host", model.Usage{Key: model.ModelKey{Model: "c"}})
+	a.Use(now.Add(-time.Second), "host", model.Usage{Key: model.ModelKey{Model: "b"}, Running: 1})
+	if got := a.Want(now, "d", ""); got.Ready {
+		t.Fatal("got a model ready that is not loaded")
+	}
+	o := next(t, a, now, Unload, "c")
+	if o.Expected != 0 {
+		t.Errorf("got expected %d, want 0", o.Expected)
+	}
+	a.Answered(now, o, Accepted)
+	if step, ok := a.Next(now, true); ok {
+		t.Fatalf("got order %v while one is under way", step.Order)
+	}
+	a.Observed(now, model.Holdings{Life: a.Life, Sequence: 1, Models: []model.HeldModel{{Name: "a"}, {Name: "b"}}})
+	o = next(t, a, now, Load, "d")
+	if o.Expected != 1 {
+		t.Errorf("got expected %d, want 1", o.Expected)
+	}
+}
+
+func TestRunningModelMakesRoomLast(t *testing.T) {
+	a, now := synced("a", "b", "c"), start.Add(time.Minute)
+	for i, name := range []string{"a", "b", "c"} {
+		a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: name}, Running: 3 - i})
+	}
+	a.Want(now, "d", "")
+	next(t, a, now, Unload, "c")
+}
+
+func TestUseExpires(t *testing.T) {
+	a := synced("a")
+	a.Use(start, "host", model.Usage{Key: model.ModelKey{Model: "a"}, Running: 2})
+	tests := []struct {
+		after time.Duration
+		want  int
+	}{{after: time.Second, want: 2}, {after: usageExpiry, want: 0}}
+	for _, tt := range tests {
+		if got := a.Models["a"].Running(start.Add(tt.after)); got != tt.want {
+			t.Errorf("after %v got %d running, want %d", tt.after, got, tt.want)
+		}
+	}
+}
+
+func TestAdapters(t *testing.T) {
+	a, now := synced("a"), start.Add(time.Minute)
+	for _, adapter := range []string{"x", "y"} {
+		a.Want(now, "a", adapter)
+		o := next(t, a, now, LoadAdapter, "a")
+		a.Answered(now, o, Accepted)
+	}
+	if got := a.Want(now, "a", "x"); got.Ready || got.Wait <= 0 {
+		t.Errorf("got %+v for an adapter on its way, want a wait", got)
+	}
+	now = now.Add(AdapterLoad)
+	if got := a.Want(now, "a", "x"); !got.Ready {
+		t.Errorf("got %+v, want ready", got)
+	}
+	now = now.Add(time.Second)
+	a.Want(now, "a", "x") // x was used last
+	a.Want(now, "a", "z")
+	o := next(t, a, now, UnloadAdapter, "a")
+	if o.Adapter != "y" {
+		t.Errorf("got %s unloaded, want the one used least recently", o.Adapter)
+	}
+	a.Answered(now, o, AlreadyHolds)
+	next(t, a, now, LoadAdapter, "a")
+}
+
+func TestAdapterInUseStays(t *testing.T) {
+	a, now := synced("a"), start.Add(time.Minute)
+	for _, adapter := range []string{"x", "y"} {
+		a.Want(now, "a", adapter)
+		a.Answered(now, next(t, a, now, LoadAdapter, "a"), Accepted)
+		a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: "a"}, Adapter: adapter, Running: 1})
+	}
+	now = now.Add(AdapterLoad)
+	a.Want(now, "a", "z")
+	if step, ok := a.Next(now, true); ok {
+		t.Errorf("got order %+v, want none while all adapters are in use", step.Order)
+	}
+}
+
+func TestColdLoadNeedsPermit(t *testing.T) {
+	a := synced("a")
+	a.Want(start, "b", "")
+	if _, ok := a.Next(start, false); ok {
+		t.Error("got a load from the weight store without a permit")
+	}
+	if !a.WantsFetch() {
+		t.Error("got no wish for a permit")
+	}
+	a.Want(start, "d", "")
+	step, ok := a.Next(start, false)
+	if !ok || step.Order.Model != "d" || step.Source != FromDisk {
+		t.Errorf("got %+v, want the load from disk", step)
+	}
+}
+
+func TestUnansweredOrder(t *testing.T) {
+	a := synced("a", "b")
+	a.Want(start, "d", "")
+	o := next(t, a, start, Load, "d")
+	a.Answered(start, o, Unanswered)
+	if _, ok := a.Next(start.Add(time.Second), true); ok {
+		t.Fatal("got an order before a report")
+	}
+	// The report shows that the order was not accepted. It may still be, unless another one is first.
+	a.Observed(start.Add(time.Second), model.Holdings{Life: a.Life, Models: []model.HeldModel{{Name: "a"}, {Name: "b"}}})
+	a.Want(start.Add(time.Second), "d", "")
+	again := next(t, a, start.Add(time.Second), Load, "d")
+	if again.Expected != o.Expected {
+		t.Errorf("got expected %d, want %d so that one of both is void", again.Expected, o.Expected)
+	}
+}
+
+// TestLateOrderInAnotherLife keeps room for an order that may reach a new life of the backend server.
+func TestLateOrderInAnotherLife(t *testing.T) {
+	a := synced("a", "b")
+	a.Sequence = 3
+	a.Want(start, "d", "")
+	o := next(t, a, start, Load, "d")
+	a.Answered(start, o, Unanswered)
+	life := model.Life{ID: "i-1", Born: 8}
+	a.Reborn(start, life)
+	a.Observed(start.Add(time.Second), model.Holdings{Life: life, OnDisk: []string{"a", "b", "c", "d"}})
+	now := start.Add(time.Second)
+	loads := 0
+	for range 3 {
+		for _, name := range []string{"a", "b", "c"} {
+			a.Want(now, name, "")
+		}
+		step, ok := a.Next(now, true)
+		if !ok || step.Order.Kind != Load {
+			break
+		}
+		loads++
+		a.Sent(*step.Order)
+		a.Answered(now, *step.Order, Accepted)
+		h := model.Holdings{Life: life, Sequence: a.Sequence}
+		for name := range a.Models {
+			h.Models = append(h.Models, model.HeldModel{Name: name})
+		}
+		a.Observed(now, h)
+		if err := a.Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if loads != 2 {
+		t.Errorf("got %d loads, want 2 beside the late one", loads)
+	}
+}
+
+func TestConflictIsSettledByReport(t *testing.T) {
+	a := synced("a")
+	a.Want(start, "d", "")
+	o := next(t, a, start, Load, "d")
+	a.Answered(start, o, Conflict)
+	if a.ReportDue(start) {
+		t.Error("got a report due at once, want one that is surely newer than the answer")
+	}
+	now := start.Add(reportLag)
+	if !a.ReportDue(now) {
+		t.Fatal("got no report due")
+	}
+	a.Observed(now, model.Holdings{Life: a.Life, Sequence: 1, Models: []model.HeldModel{{Name: "a"}, {Name: "d"}}})
+	if got := a.Want(now, "d", ""); !got.Ready {
+		t.Errorf("got %+v, want the model that an earlier order had loaded", got)
+	}
+}
+
+func TestOffers(t *testing.T) {
+	a, now := synced("a", "b"), start.Add(time.Minute)
+	spec := testSpec()
+	tests := []struct {
+		name string
+		want time.Duration
+	}{
+		{name: "a", want: 0},
+		{name: "d", want: spec.Models["d"].DiskLoad},
+		{name: "c", want: spec.Models["c"].ColdLoad},
+	}
+	for _, tt := range tests {
+		if got := a.Offer(now, tt.name); got != tt.want {
+			t.Errorf("got offer %v for %s, want %v", got, tt.name, tt.want)
+		}
+	}
+}
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -164,7 +164,7 @@
 			wait += queueShare
 		}
 	}
-	if a.usedMB(a.Sequence+1)+a.Spec.Models[name].MB <= a.Spec.WeightMB {
+	if a.fits(a.Spec.Models[name].MB, 0) {
 		return wait
 	}
 	if victim, idle := a.modelVictim(now); victim == "" || !idle {
@@ -216,13 +216,11 @@
 	if r == nil || r.State != Loaded || a.pendingAdapters(now) >= maxPendingAdapters {
 		return Step{}, false
 	}
-	mb := a.Spec.Models[w.model].AdapterMB
-	after := a.Sequence + 1
-	if a.usedSlots(after) < a.Spec.AdapterSlots && a.usedMB(after)+mb <= a.Spec.WeightMB {
+	if a.fits(a.Spec.Models[w.model].AdapterMB, 1) {
 		return Step{Order: a.order(LoadAdapter, w.model, w.adapter)}, true
 	}
 	name, adapter := a.adapterVictim(now)
-	if adapter == "" {
+	if adapter == "" || !a.fits(-a.Spec.Models[name].AdapterMB, -1) {
 		return Step{}, false
 	}
 	return Step{Order: a.order(UnloadAdapter, name, adapter)}, true
@@ -264,11 +262,11 @@
 	if source == FromStore && !mayFetch {
 		return Step{}, false
 	}
-	if a.usedMB(a.Sequence+1)+a.Spec.Models[w.model].MB <= a.Spec.WeightMB {
+	if a.fits(a.Spec.Models[w.model].MB, 0) {
 		return Step{Order: a.order(Load, w.model, ""), Source: source}, true
 	}
 	victim, idle := a.modelVictim(now)
-	if victim == "" || w.idle && !idle {
+	if victim == "" || w.idle && !idle || !a.fits(-a.Models[victim].MB, 0) {
 		return Step{}, false
 	}
 	return Step{Order: a.order(Unload, victim, "")}, true
