gateway, residency: busy models are loaded on further backend servers

The owner has a model placed once more when its backend server gets over two requests a second, where that costs no other model its place.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -77,7 +77,8 @@
 	claiming    bool
 	steppedAt   time.Time
 	usedAt      time.Time
-	prefetchAt  time.Time
+	spreadAt    time.Time
+	spread      map[model.ModelKey]time.Time // when each model was last spread
 }
 
 // Prepare builds what the edges need before Run.
@@ -88,6 +89,7 @@
 	h.owned = make(map[string]*ownedBackend)
 	h.asks = make(map[routing.Target]*ask)
 	h.lead = newLead()
+	h.spread = make(map[model.ModelKey]time.Time)
 	h.suspects = make(map[model.Fingerprint]model.Suspect)
 	self := tenure.HostRecord{Name: h.Name, Zone: h.Zone, PeerAddress: h.PeerAddress, Incarnation: uuid.NewString()}
 	h.table = tenure.NewTable(self, h.OrderTurn)
@@ -213,6 +215,7 @@
 	h.stepOwnership(now)
 	h.stepOwned(now)
 	h.stepUsage(now)
+	h.stepSpread(now)
 	h.publish(now)
 }
 
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -11,6 +11,7 @@
 	"citronspread/membership"
 	"citronspread/model"
 	"citronspread/peer"
+	"citronspread/residency"
 )
 
 // Times and limits of placing.
@@ -22,6 +23,10 @@
 	decisionLasting = 15 * time.Second
 	// otherZoneCost is what a backend server of another zone must save to be chosen.
 	otherZoneCost = 150 * time.Millisecond
+	// rateCost is what a request a second on a backend server counts for; about the time that reading its prompt takes.
+	rateCost = 100 * time.Millisecond
+	// spreadMost is the longest load that is worth it while nothing waits: from disk, without another model in the way.
+	spreadMost = 1500 * time.Millisecond
 	// maxAskedOwners bounds the owners that are asked for offers in a large fleet.
 	maxAskedOwners = 8
 	// decidingWait is told to those who ask while offers come in.
@@ -137,7 +142,10 @@
 	for range owners {
 		r := <-results
 		for _, offer := range r.offers {
-			c := offer.Wait
+			c := offer.Wait + time.Duration(offer.Rate*float64(rateCost))
+			if request.Spread && (offer.Wait > spreadMost || offer.Rate > residency.SpreadRate) {
+				continue
+			}
 			if zones[offer.Backend] != request.Zone {
 				c += otherZoneCost
 			}
@@ -222,7 +230,7 @@
 	for _, id := range sortedKeys(h.owned) {
 		a := h.owned[id].account
 		if h.view.backends[id].listing.Service == request.Service && a.Synced {
-			reply.Offers = append(reply.Offers, peer.Offer{Backend: id, Wait: a.Offer(now, request.Model)})
+			reply.Offers = append(reply.Offers, peer.Offer{Backend: id, Wait: a.Offer(now, request.Model), Rate: a.Rate(now)})
 		}
 	}
 	return reply
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -30,6 +30,7 @@
 	Model   string
 	Zone    string   // of the host whose requests wait
 	Exclude []string // backend servers that hold it already and are not enough
+	Spread  bool     // nothing waits for it; it is loaded only where that costs no other model its place
 }
 
 // PlaceReply tells where the model is or will be.
@@ -55,6 +56,7 @@
 type Offer struct {
 	Backend string
 	Wait    time.Duration
+	Rate    float64 // requests a second that it got lately
 }
 
 // HoldRequest asks the owner of a backend server to load a model or one of its adapters. It is repeated while requests wait.
--- a/residency/account.go
+++ b/residency/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,11 @@
 	AdapterLoad = 20 * time.Millisecond
 	// maxPendingAdapters may be on their way to one backend server.
 	maxPendingAdapters = 4
+	// rateDecay is the time over which requests are counted, a few reports of use.
+	rateDecay = 2 * time.Second
+	// SpreadRate is how many requests a second a backend server takes on before its models are loaded elsewhere as well.
+	// Reading a prompt of 1,500 tokens stops all streams for about 70 ms.
+	SpreadRate = 2.0
 	// missingReports without a model that was to be loaded count as a failed load.
 	missingReports = 3
 )
@@ -46,6 +52,8 @@
 	Adapters map[string]*ResidentAdapter
 	usage    map[string]usage // by entry host
 	missing  int              // reports in a row that do not list it
+	rate     float64          // requests a second, as of rateAt
+	rateAt   time.Time
 }
 
 // ResidentAdapter is an adapter on a backend server.
@@ -329,6 +337,8 @@
 		return
 	}
 	r.LastUsed = now
+	r.rate = r.Rate(now) + float64(u.Requests)/rateDecay.Seconds()
+	r.rateAt = now
 	if u.Adapter == "" {
 		r.usage[host] = usage{running: u.Running, at: now}
 		return
@@ -349,6 +359,35 @@
 	return total
 }
 
+// Rate returns the requests a second that the model got lately.
+func (r *Resident) Rate(now time.Time) float64 {
+	return r.rate * math.Exp(-now.Sub(r.rateAt).Seconds()/rateDecay.Seconds())
+}
+
+// Rate returns the requests a second that the backend server got lately.
+func (a *Account) Rate(now time.Time) float64 {
+	total := 0.0
+	for _, r := range a.Models {
+		total += r.Rate(now)
+	}
+	return total
+}
+
+// ToSpread returns the model that should be loaded elsewhere as well, because the backend server gets more requests
+// than it can begin without pauses in its streams.
+func (a *Account) ToSpread(now time.Time) (name string, found bool) {
+	if a.Rate(now) < SpreadRate {
+		return "", false
+	}
+	best := 0.0
+	for _, n := range sortedKeys(a.Models) {
+		if r := a.Models[n]; r.State == Loaded && r.Rate(now) > best {
+			name, best = n, r.Rate(now)
+		}
+	}
+	return name, best >= SpreadRate/2
+}
+
 // Running returns the requests that use the model, with or without an adapter.
 func (r *Resident) Running(now time.Time) int {
 	total := running(now, r.usage)
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -236,3 +236,28 @@
 		}
 	}
 }
+
+// TestBusyModelIsSpread plays one model that gets most requests beside one that gets few.
+func TestBusyModelIsSpread(t *testing.T) {
+	tests := []struct {
+		name      string
+		perSecond int
+		want      string
+	}{{name: "few requests", perSecond: 1, want: ""}, {name: "many requests", perSecond: 6, want: "a"}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, now := synced("a", "b"), start
+			for range 10 {
+				now = now.Add(time.Second)
+				a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: "a"}, Requests: tt.perSecond})
+				a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: "b"}, Requests: tt.perSecond / 4})
+			}
+			if got, _ := a.ToSpread(now); got != tt.want {
+				t.Errorf("got %q to be spread at a rate of %.1f, want %q", got, a.Rate(now), tt.want)
+			}
+			if got := a.Rate(now.Add(10 * rateDecay)); got > 0.1 {
+				t.Errorf("got a rate of %.2f long after the last request, want none", got)
+			}
+		})
+	}
+}
