logring, metrics, cli: log lines that never block, metrics, and explain

Lines are dropped by kind and counted when they come too fast; warnings, which tell of failed requests, are kept longest.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -108,6 +108,7 @@
 	a.kingpin.HelpFlag.Short('h')
 	a.add(a.kingpin, &serveCommand{})
 	a.add(a.kingpin, &gatewayCommand{})
+	a.add(a.kingpin, &explainCommand{})
 	a.add(a.kingpin, &checkCommand{})
 	records := a.kingpin.Command("record", "Work with operators' records in the platform's store.")
 	a.add(records, &recordPutCommand{})
--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"strings"
+	"testing"
+)
+
+const explainLog = `  -1.0 front-1 time=2026-10-10T05:44:09Z level=info event=order Host=front-2 Backend=i-1 Kind=Load Model=m0
+time=2026-10-10T05:44:10Z level=info event=granted Host=front-1 Request=q1 Backend=i-1 Model=m0
+time=2026-10-10T05:44:10.5Z level=info event=sent Host=front-1 Request=q2 Backend=i-1 Model=m0
+time=2026-10-10T05:44:11Z level=warn event="not served" Host=front-1 Request=q1 Status=503 error="a \"quoted\" reason"
+time=2026-10-10T05:44:11Z level=info event="backend server gone" Host=front-1 Backend=i-9
+time=2026-10-10T05:43:00Z level=info event=order Host=front-2 Backend=i-1 Kind=Unload Model=m0
+cut line without a ti
+time=yesterday event=sent Request=q1
+`
+
+func TestExplain(t *testing.T) {
+	lines, bad := parseLog(strings.NewReader(explainLog))
+	if bad != 2 {
+		t.Errorf("got %d unreadable lines, want 2", bad)
+	}
+	got := explain(lines, "q1")
+	want := []string{"order:", "granted:", "not served:"}
+	if len(got) != len(want) {
+		t.Fatalf("got %d lines %q, want %d", len(got), got, len(want))
+	}
+	for i := range want {
+		if !strings.Contains(got[i], want[i]) {
+			t.Errorf("got line %d %q, want %q", i, got[i], want[i])
+		}
+	}
+	if got := explain(lines, "q3"); got != nil {
+		t.Errorf("got %q for an unknown request, want nothing", got)
+	}
+}
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -18,6 +19,8 @@
 	"go.uber.org/zap"
 
 	"citronspread/gateway"
+	"citronspread/logring"
+	"citronspread/metrics"
 	"citronspread/platform"
 )
 
@@ -33,6 +36,10 @@
 	stopMargin = 800 * time.Millisecond
 	// settingsPoll finds settings that changed without a signal.
 	settingsPoll = time.Second
+	// summaryInterval is the time between two summaries of dropped log lines.
+	summaryInterval = 5 * time.Second
+	// logFlush bounds the wait for the last log lines to be written.
+	logFlush = 200 * time.Millisecond
 	// headerTimeout and headerBytes bound a request's head beyond what the desired state allows at any time.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
@@ -44,6 +51,7 @@
 	settings      string
 	level         string
 	parallelLoads int
+	metricsPort   int
 }
 
 func (c *gatewayCommand) register(parent parent) *kingpin.CmdClause {
@@ -51,6 +59,7 @@
 	clause.Flag("settings", "File of the platform's settings.").Envar(platform.SettingsVariable).Required().PlaceHolder("FILE").StringVar(&c.settings)
 	clause.Flag("log-level", "Debug, Info, Warn or Error.").Default("Info").StringVar(&c.level)
 	clause.Flag("parallel-loads", "Loads that the weight store carries at full speed.").Default("4").IntVar(&c.parallelLoads)
+	clause.Flag("metrics-port", "Port of /metrics and /state on the host's own address.").Default("9464").IntVar(&c.metricsPort)
 	return clause
 }
 
@@ -59,15 +68,18 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(c.level, out.stdout)
+	logger, ring, err := newRingLogger(c.level, out.stdout)
 	if err != nil {
 		return err
 	}
-	defer logger.Sync()
+	defer ring.Close(logFlush)
+	logger = logger.With(zap.String("Host", s.Name))
 	debug.SetGCPercent(collectionPercent)
 	host := newGatewayHost(s, logger, c.parallelLoads)
+	host.Metrics = metrics.New()
+	host.Metrics.Gauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(ring.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
-	err = c.runHost(ctx, s, host, logger)
+	err = c.runHost(ctx, s, host, logger, ring)
 	logger.Info("stopped", zap.String("Name", s.Name), zap.Error(err))
 	return err
 }
@@ -100,13 +112,17 @@
 }
 
 // runHost runs the host with its servers until ctx ends and every request is finished.
-func (c *gatewayCommand) runHost(ctx context.Context, s platform.Settings, host *gateway.Host, logger *zap.Logger) error {
-	ingress := &platform.Ingress{Desk: host.Desk, Backends: platform.NewBackends(), Log: logger, Now: host.Now}
+func (c *gatewayCommand) runHost(ctx context.Context, s platform.Settings, host *gateway.Host, logger *zap.Logger, ring *logring.Ring) error {
+	ingress := &platform.Ingress{Desk: host.Desk, Backends: platform.NewBackends(), Log: logger, Now: host.Now, Metrics: host.Metrics}
 	callers := &http.Server{Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
 	router := chi.NewRouter()
 	router.Get(platform.ReadyPath, platform.ReadyHandler(host.Ready))
 	ready := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 
+	figures := chi.NewRouter()
+	figures.Handle("/metrics", host.Metrics.Handler())
+	figures.Get("/state", host.ServeState)
+
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
@@ -116,6 +132,13 @@
 	if err := addHTTPServer(&group, s.ReadyAddress, ready); err != nil {
 		return err
 	}
+	metricsAddress, err := hostPort(s.PeerAddress, c.metricsPort)
+	if err != nil {
+		return err
+	}
+	if err := addHTTPServer(&group, metricsAddress, &http.Server{Handler: figures, ReadHeaderTimeout: headerTimeout}); err != nil {
+		return err
+	}
 	group.Add(func() error { return host.Run(background) }, func(error) { cancel() })
 	group.Add(func() error {
 		select {
@@ -126,6 +149,7 @@
 		}
 		return nil
 	}, func(error) { cancel() })
+	group.Add(func() error { return summarizeLog(background, ring, logger) }, func(error) { cancel() })
 	group.Add(func() error { return c.watchSettings(background, logger) }, func(error) { cancel() })
 	return group.Run()
 }
@@ -159,6 +183,29 @@
 	}
 }
 
+// hostPort returns the address of another port on the host of an address.
+func hostPort(address string, port int) (string, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", errors.Wrap(err, "cli: address")
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port)), nil
+}
+
+// summarizeLog logs what was dropped from the log.
+func summarizeLog(ctx context.Context, ring *logring.Ring, logger *zap.Logger) error {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			ring.Summarize(logger)
+		}
+	}
+}
+
 // watchSettings logs changes of the settings file. What a process listens on and its place never change while it runs.
 func (c *gatewayCommand) watchSettings(ctx context.Context, logger *zap.Logger) error {
 	hangUps := make(chan os.Signal, 1)
--- a/cli/log.go
+++ b/cli/log.go
@@ -8,6 +8,8 @@
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"citronspread/logring"
 )
 
 // newLogger returns a logger of one line of key=value pairs for each event.
@@ -16,13 +18,27 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cli: log level")
 	}
+	core := zapcore.NewCore(newEncoder(), zapcore.Lock(zapcore.AddSync(w)), parsed)
+	return zap.New(&shortErrorCore{Core: core}), nil
+}
+
+// newRingLogger returns a logger of the same lines that never blocks, and the ring to be closed at the end.
+func newRingLogger(level string, w io.Writer) (*zap.Logger, *logring.Ring, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "cli: log level")
+	}
+	ring := logring.New(w)
+	return zap.New(&shortErrorCore{Core: ring.Core(newEncoder(), parsed)}), ring, nil
+}
+
+func newEncoder() zapcore.Encoder {
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.MessageKey = "event"
 	config.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed)
-	return zap.New(&shortErrorCore{Core: core}), nil
+	return zaplogfmt.NewEncoder(config)
 }
 
 // shortErrorCore logs errors without their stack traces, so that an event stays on one line.
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"citronspread/attempt"
 	"citronspread/model"
 	"citronspread/routing"
@@ -119,6 +121,10 @@
 	if err != nil {
 		return nil, err
 	}
+	d.host.Metrics.Waited(grant.Waited)
+	d.host.Log.Info("granted", zap.String("Request", q.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone),
+		zap.String("Model", q.Model), zap.String("Adapter", q.Adapter), zap.Duration("Waited", grant.Waited),
+		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed))
 	return &Place{
 		Address:  grant.Replica.Address,
 		Life:     model.Life{ID: grant.Replica.Backend},
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"citronspread/metrics"
 	"citronspread/model"
 	"citronspread/peer"
 	"citronspread/routing"
@@ -40,6 +41,7 @@
 	Orders         Orders
 	Decoder        Decoder
 	Log            *zap.Logger
+	Metrics        *metrics.Metrics
 	Now            func() time.Time
 	OrderTurn      time.Duration // shortest time between the orders of two holders
 	RetryRatio     float64       // of the retry budget of all entry hosts
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -107,6 +107,7 @@
 			answer, err = h.Orders.Order(ctx, listing.Address, listing.Life, o)
 		}
 		took := h.Now().Sub(now)
+		h.Metrics.Ordered(o.Kind.String(), answer.String())
 		h.post(func(now time.Time) {
 			h.Log.Info("order", zap.String("Backend", id), zap.Stringer("Kind", o.Kind), zap.String("Model", o.Model), zap.String("Adapter", o.Adapter),
 				zap.Int64("Expected", o.Expected), zap.Int64("Term", o.Term), zap.Int("Source", int(source)), zap.Stringer("Answer", answer), zap.Duration("Took", took), zap.Error(err))
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"citronspread/model"
+	"citronspread/residency"
+	"citronspread/routing"
+)
+
+// stateTimeout bounds the wait for the control thread.
+const stateTimeout = time.Second
+
+// State is the dump of an entry host.
+type State struct {
+	Name       string
+	Version    int64 // of the desired state in force
+	Ready      bool
+	Registered bool
+	MayOrder   bool
+	Hosts      map[string]time.Duration // how long each host record has been unchanged
+	Owners     map[string]string        // owner of each backend server
+	Owned      map[string]*residency.Account
+	Backends   map[string]model.Listing
+	Router     routing.State
+}
+
+// ServeState serves the dump as JSON.
+func (h *Host) ServeState(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), stateTimeout)
+	defer cancel()
+	body, err := query(ctx, h, func(now time.Time) []byte {
+		encoded, err := json.MarshalIndent(h.state(now), "", "  ")
+		if err != nil {
+			return []byte(err.Error())
+		}
+		return encoded
+	})
+	if err != nil {
+		http.Error(w, "the control thread does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; there is nobody else to tell.
+	_, _ = w.Write(body)
+}
+
+func (h *Host) state(now time.Time) State {
+	s := State{
+		Name: h.Name, Ready: h.Ready(), Registered: h.registered, MayOrder: h.table.MayOrder(now),
+		Hosts: make(map[string]time.Duration), Owners: make(map[string]string),
+		Owned: make(map[string]*residency.Account), Backends: make(map[string]model.Listing), Router: h.router.State(now),
+	}
+	if table := h.routes.Load(); table != nil {
+		s.Version = table.state.Version
+	}
+	for name, host := range h.table.Hosts {
+		s.Hosts[name] = now.Sub(host.Since)
+	}
+	for id, owner := range h.table.Owners {
+		s.Owners[id] = owner.Record.Host
+	}
+	for id, b := range h.owned {
+		s.Owned[id] = b.account
+	}
+	for id, b := range h.view.backends {
+		s.Backends[id] = b.listing
+	}
+	return s
+}
--- /dev/null
+++ b/logring/logring_test.go
@@ -0,0 +1,90 @@
+package logring
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// blockedWriter stops to read until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.Write(p)
+}
+
+func (w *blockedWriter) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.String()
+}
+
+func newTestLogger(w *blockedWriter) (*Ring, *zap.Logger) {
+	ring := New(w)
+	config := zap.NewProductionEncoderConfig()
+	config.MessageKey = "event"
+	return ring, zap.New(ring.Core(zaplogfmt.NewEncoder(config), zapcore.InfoLevel))
+}
+
+// TestBlockedOutput logs much more than the ring holds while nobody reads, and checks that it does not wait
+// and that the lines about failures are there in the end.
+func TestBlockedOutput(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	ring, log := newTestLogger(w)
+	begun := time.Now()
+	for i := range 3 * maxLines {
+		log.Info("sent", zap.Int("N", i))
+		if i%100 == 0 {
+			log.Warn("not served", zap.Int("N", i))
+		}
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("got %v for logging to a blocked output", took)
+	}
+	if ring.Dropped() == 0 {
+		t.Error("got no dropped lines")
+	}
+	ring.Summarize(log)
+	close(w.release)
+	ring.Close(5 * time.Second)
+	if got, want := strings.Count(w.text(), `event="not served"`), (3*maxLines+99)/100; got != want {
+		t.Errorf("got %d lines about failures, want %d", got, want)
+	}
+	if !strings.Contains(w.text(), "lines dropped") {
+		t.Error("got no line about what was dropped")
+	}
+}
+
+func TestLinesAreWhole(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	ring, log := newTestLogger(w)
+	log.With(zap.String("Host", "h")).Info("started", zap.String("Zone", "a b"))
+	ring.Close(time.Second)
+	if got := w.text(); !strings.Contains(got, `event=started Host=h Zone="a b"`) || !strings.HasSuffix(got, "\n") {
+		t.Errorf("got %q", got)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	ring, log := newTestLogger(w)
+	defer ring.Close(time.Second)
+	for b.Loop() {
+		log.Info("sent", zap.String("Request", "9c41d07be2a35f68"), zap.String("Backend", "i-7f3a91c2"), zap.Duration("Took", time.Millisecond), zap.Int("Status", 200))
+	}
+}
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -26,9 +26,9 @@
 	Host          string
 	Prefix        string // begins and ends with a slash
 	Kind          RouteKind
-	Timeout       time.Duration // the longest time that a caller is kept waiting
-	LatencyTarget time.Duration // of a stream: up to its first event
-	GapTarget     time.Duration // the longest pause between events of a stream that is in time
+	Timeout       time.Duration  // the longest time that a caller is kept waiting
+	LatencyTarget time.Duration  // of a stream: up to its first event
+	GapTarget     time.Duration  // the longest pause between events of a stream that is in time
 	Priority      int            // 0 is the most urgent
 	Shares        []ServiceShare // at least one
 	MaxAttempts   int            // backend servers that one request may be sent to
--- a/routing/request.go
+++ b/routing/request.go
@@ -23,10 +23,10 @@
 	Deadline    time.Time
 	StartBy     time.Time // the caller leaves when nothing has come by then, zero for no such time
 	MaxTokens   int       // 0 when the caller stated none
-	Delivered   int      // tokens of earlier attempts that the caller keeps
-	Remaining   int      // tokens that a resumption still expects, 0 for a new request
-	Moves       int      // how often a faster replica took the answer over
-	Avoid       []string // backend servers that failed this request
+	Delivered   int       // tokens of earlier attempts that the caller keeps
+	Remaining   int       // tokens that a resumption still expects, 0 for a new request
+	Moves       int       // how often a faster replica took the answer over
+	Avoid       []string  // backend servers that failed this request
 }
 
 // avoids reports whether the request has failed on the backend server.
