gateway: one host of a zone watches the store and passes its changes on

A host that is not fresh, or does not answer, is passed over for 5 s and the store asked instead, so that no follower is later than a watch.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -62,6 +62,8 @@
 	ctx      context.Context
 	wait     sync.WaitGroup
 	peers    *peer.Client
+	history  *history
+	relay    atomic.Pointer[string] // peer address of the host that passes the store's changes on, empty for none
 
 	// The control thread alone uses what follows.
 	view        *view
@@ -79,6 +81,7 @@
 	claiming    bool
 	steppedAt   time.Time
 	usedAt      time.Time
+	avoided     map[string]time.Time // relays that did not answer, by address
 	spreadAt    time.Time
 	spread      map[model.ModelKey]time.Time // when each model was last spread
 }
@@ -87,6 +90,8 @@
 func (h *Host) Prepare() {
 	h.Desk = &Desk{host: h, budgets: make(map[string]*routing.Budget)}
 	h.events = make(chan func(time.Time), eventCapacity)
+	h.history = newHistory()
+	h.avoided = make(map[string]time.Time)
 	h.view = newView(h.Zone)
 	h.owned = make(map[string]*ownedBackend)
 	h.asks = make(map[routing.Target]*ask)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,6 +47,11 @@
 	return &peer.Empty{}, nil
 }
 
+// Follow passes the store's changes on.
+func (f *fleetHandler) Follow(ctx context.Context, request *peer.FollowRequest) (*peer.FollowReply, error) {
+	return f.host.serveFollow(ctx, request), nil
+}
+
 // used takes in the use of owned backend servers.
 func (h *Host) used(now time.Time, from string, usages []model.Usage) {
 	for _, u := range usages {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -27,17 +27,17 @@
 	retryMost  = 500 * time.Millisecond
 )
 
-// watchStore follows everything in the store with one watch, until ctx ends.
+// watchStore follows everything in the store with one watch, or by way of the zone's relay, until ctx ends.
 func (h *Host) watchStore(ctx context.Context) error {
 	revision, pause, isLost := int64(0), retryFirst, false
 	for ctx.Err() == nil {
-		next, err := h.watchOnce(ctx, revision)
+		next, pace, err := h.watchOnce(ctx, revision)
 		if err == nil {
 			if isLost {
 				h.Log.Info("store regained", zap.Int64("Revision", next))
 			}
 			revision, pause, isLost = next, retryFirst, false
-			sleep(ctx, watchPace)
+			sleep(ctx, pace)
 			continue
 		}
 		var history *store.HistoryLostError
@@ -56,21 +56,27 @@
 	return ctx.Err()
 }
 
-func (h *Host) watchOnce(ctx context.Context, revision int64) (int64, error) {
+// watchOnce reads the whole store, or waits for what changed after the revision: from the zone's relay, else from the store.
+func (h *Host) watchOnce(ctx context.Context, revision int64) (next int64, pace time.Duration, err error) {
 	if revision == 0 {
 		listing, err := h.Store.List(ctx, "")
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
+		h.history.reset(h.Now(), listing.Revision)
 		h.post(func(now time.Time) { h.storeRead(now, listing) })
-		return listing.Revision, nil
+		return listing.Revision, watchPace, nil
 	}
-	change, err := h.Store.Watch(ctx, "", revision, watchWait)
-	if err != nil {
-		return 0, err
+	change, followed := h.follow(ctx, revision)
+	if !followed {
+		if change, err = h.Store.Watch(ctx, "", revision, watchWait); err != nil {
+			return 0, 0, err
+		}
+		pace = watchPace
 	}
+	h.history.add(h.Now(), change, !followed)
 	h.post(func(now time.Time) { h.storeChanged(now, change) })
-	return change.Revision, nil
+	return change.Revision, pace, nil
 }
 
 // storeRead takes in the whole content of the store.
@@ -95,6 +101,7 @@
 	h.table.Observed(now, hosts)
 	h.table.Owners = owners
 	h.noteHosts(now)
+	h.chooseRelay(now)
 }
 
 // storeChanged takes in changes of the store.
@@ -124,6 +131,7 @@
 	}
 	h.table.Observed(now, hosts)
 	h.noteHosts(now)
+	h.chooseRelay(now)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronspread/model"
+	"citronspread/store"
 )
 
 // FleetHandler answers the calls of other entry hosts on the users' platform.
@@ -14,6 +15,7 @@
 	Hold(ctx context.Context, request *HoldRequest) (*HoldReply, error)
 	Use(ctx context.Context, request *UsageRequest) (*Empty, error)
 	Suspect(ctx context.Context, request *SuspectRequest) (*Empty, error)
+	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 }
 
 var fleetMethods = []methodEntry{
@@ -22,6 +24,7 @@
 	unary("/Fleet/Hold", FleetHandler.Hold),
 	unary("/Fleet/Use", FleetHandler.Use),
 	unary("/Fleet/Suspect", FleetHandler.Suspect),
+	unary("/Fleet/Follow", FleetHandler.Follow),
 }
 
 // PlaceRequest asks the lead of a model to have it loaded somewhere.
@@ -79,6 +82,21 @@
 	Suspect model.Suspect
 }
 
+// FollowRequest asks a host of the same zone for the changes of the store.
+type FollowRequest struct {
+	After int64 // revision
+	Wait  time.Duration
+}
+
+// FollowReply holds the changes of the store.
+type FollowReply struct {
+	Fresh    bool // the store answered the host a short while ago
+	Lost     bool // the changes are not all kept any more
+	Revision int64
+	Entries  []store.Entry
+	Deleted  []string
+}
+
 // Place asks the lead of a model to have it loaded.
 func (c *Client) Place(ctx context.Context, address string, request *PlaceRequest) (*PlaceReply, error) {
 	return invoke[PlaceReply](ctx, c, address, "/Fleet/Place", request)
@@ -105,3 +123,8 @@
 	_, err := invoke[Empty](ctx, c, address, "/Fleet/Suspect", request)
 	return err
 }
+
+// Follow asks a host of the same zone for the changes of the store.
+func (c *Client) Follow(ctx context.Context, address string, request *FollowRequest) (*FollowReply, error) {
+	return invoke[FollowReply](ctx, c, address, "/Fleet/Follow", request)
+}
