ledger, caller, entryhost: the repair of a store that came back with older data goes

The users' platform loses nothing that it has acknowledged, so nothing is left to repair: salvaged ownership and slots, doubtful reads, claims written again, records written back, epochs of the store's revision, and the stand-in's and soak's fault. A record whose term falls is an asserted invariant now. The walks of the ledger lose one step and its row of weights, and judge all their checks at all times: the exception for a disturbed store is gone from each.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -55,11 +55,10 @@
 
 // Claims makes sure that a call with an idempotency key is sent by one entry host only.
 type Claims struct {
-	Store     ClaimStore
-	Leases    LeaseStore    // nil when claims are kept for good
-	Revisions Revisions     // nil when the store never comes back with older data
-	WaitFor   time.Duration // longest wait for a call in progress elsewhere
-	Deadline  time.Duration // of the store's calls for one claim
+	Store    ClaimStore
+	Leases   LeaseStore    // nil when claims are kept for good
+	WaitFor  time.Duration // longest wait for a call in progress elsewhere
+	Deadline time.Duration // of the store's calls for one claim
 
 	once       sync.Once
 	unreleased chan release
@@ -95,10 +94,6 @@
 	if known, found := c.recent.recall(key); found {
 		return nil, &claimTakenError{Current: known}
 	}
-	if c.isPaused(now) {
-		return nil, &claimUnavailableError{Err: errRestored}
-	}
-	floor := c.floor()
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
 	defer cancel()
 	held := &claim{key: key, wire: claimWire{
@@ -113,13 +108,13 @@
 	for try := 1; ; try++ {
 		held.revision, err = c.write(ctx, held, value, revision)
 		if err == nil {
-			return c.confirm(held, floor)
+			return held, nil
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
 			taken, free, err := held.settle(conflict.Current)
 			if taken != nil {
-				return c.confirm(taken, floor)
+				return taken, nil
 			}
 			if !free {
 				return nil, err
--- a/entryhost/callerside.go
+++ b/entryhost/callerside.go
@@ -36,7 +36,7 @@
 		Router:   h.router,
 		Streamer: &engine.Streamer{Client: client, StallTimeout: stallTimeout},
 		Services: service.NewClient(idleConnections, serviceAnswerBytes),
-		Claims:   &caller.Claims{Store: h.Store, Leases: h.Store, Revisions: h.edge.revisions, WaitFor: claimWait, Deadline: claimDeadline},
+		Claims:   &caller.Claims{Store: h.Store, Leases: h.Store, WaitFor: claimWait, Deadline: claimDeadline},
 		Log:      h.Log,
 		Limits:   h.Traffic.Limits,
 	}
--- a/entryhost/edge.go
+++ b/entryhost/edge.go
@@ -31,7 +31,6 @@
 	dial     func(host model.Host) Engine
 	log      *zap.Logger
 	metrics  *metrics
-	restored func(ctx context.Context) error // writes again what the store may have lost
 	events   chan<- event
 	self     model.Peer
 	ctx      context.Context
@@ -40,10 +39,8 @@
 	engines  map[string]Engine // by backend server
 	engineAt map[string]string // the address that the engine was dialled at
 
-	revisions    *revisions
 	storeTimeout time.Duration // of one call
 	seeds        []string      // peer addresses that are asked first
-	lastRevision int64         // of the store, as the thread that watches it last saw
 }
 
 // spawn runs work on a thread of its own that ends with the host.
@@ -96,7 +93,6 @@
 		ctx, cancel := context.WithTimeout(ctx, e.storeTimeout)
 		defer cancel()
 		revision, err := e.store.CompareAndSwap(ctx, action.Key, action.Value, action.Revision)
-		e.revisions.Saw(revision)
 		entry := store.Entry{Key: action.Key, Value: action.Value, Revision: revision}
 		e.post(e.ctx, ledgerEvent{storeAnswer(action.Token, action.Key, ledger.StoreApplied, entry, err)})
 	})
@@ -203,18 +199,6 @@
 	})
 }
 
-// writeClaimsAgain writes the claims again that a restored store may have lost.
-func (e *edge) writeClaimsAgain() {
-	if e.restored == nil {
-		return
-	}
-	e.spawn(func(ctx context.Context) {
-		if err := e.restored(ctx); err != nil {
-			e.log.Warn("claims not written again", zap.Error(err))
-		}
-	})
-}
-
 // push passes items on to peers and merges what they return.
 func (e *edge) push(targets []model.Peer, items []gossip.Item) {
 	for _, target := range targets {
--- a/entryhost/exchange.go
+++ b/entryhost/exchange.go
@@ -122,8 +122,7 @@
 
 // startExchange compares soft state with one peer.
 func (c *control) startExchange(target model.Peer) {
-	epoch, revision := c.edge.revisions.current()
-	request := &peer.ExchangeRequest{Epoch: epoch, Revision: revision, Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
+	request := &peer.ExchangeRequest{Zone: c.self.Zone, Beats: c.members.BeatDigest(), Digest: c.table.Digest()}
 	e := c.edge
 	e.spawn(func(ctx context.Context) {
 		reply, err := e.peers.Exchange(ctx, target.Address, request)
@@ -143,7 +142,6 @@
 
 func (e exchangeReplied) apply(c *control, now time.Time) {
 	c.members.Hear(now, e.reply.Beats)
-	c.edge.revisions.heard(now, e.reply.Epoch, e.reply.Revision)
 	var items []gossip.Item
 	var want []gossip.ItemID
 	if e.reply.Digest != nil {
@@ -185,10 +183,6 @@
 		switch item.ID.Kind {
 		case gossip.KindBackend, gossip.KindCheckpoints:
 			c.backends.isStale = true
-		case gossip.KindRestore:
-			c.metrics.restores.Add(1)
-			c.edge.revisions.restart(now, item.Rank.Major)
-			c.edge.writeClaimsAgain()
 		case gossip.KindHost:
 			c.introduce(now, item)
 		case gossip.KindConfig:
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -128,13 +128,10 @@
 		engines:  make(map[string]Engine),
 		engineAt: make(map[string]string),
 
-		revisions:    &revisions{},
 		storeTimeout: h.StoreTimeout,
 		seeds:        h.Policy.Seeds,
 	}
-	h.edge.revisions.edge = h.edge
 	h.callers = h.newCallerServer()
-	h.edge.restored = h.callers.Claims.Restored
 	h.control = h.newControl(self)
 	return nil
 }
--- a/entryhost/metrics.go
+++ b/entryhost/metrics.go
@@ -25,7 +25,6 @@
 	invalidRecords   atomic.Int64
 	repairedRecords  atomic.Int64
 	hostListFailures atomic.Int64
-	restores         atomic.Int64
 	droppedWakes     atomic.Int64
 }
 
@@ -51,7 +50,6 @@
 		{"InvalidRecords", &m.invalidRecords},
 		{"RepairedRecords", &m.repairedRecords},
 		{"HostListFailures", &m.hostListFailures},
-		{"StoreRestores", &m.restores},
 		{"DroppedWakes", &m.droppedWakes},
 	}
 }
--- a/entryhost/peerhandler.go
+++ b/entryhost/peerhandler.go
@@ -60,8 +60,6 @@
 
 func (e exchangeAsked) apply(c *control, now time.Time) {
 	var reply peer.ExchangeReply
-	c.edge.revisions.heard(now, e.request.Epoch, e.request.Revision)
-	reply.Epoch, reply.Revision = c.edge.revisions.current()
 	if digest := c.table.Digest(); digest != e.request.Digest {
 		reply.Digest = &digest
 		reply.Summaries = c.table.Summaries(e.request.Digest)
--- a/faults/judge.go
+++ b/faults/judge.go
@@ -144,7 +144,7 @@
 
 func delaysLowering(d disturbance) bool {
 	switch d.kind {
-	case faultStoreDown, faultStoreSlow, faultStoreRestore, faultCutZone, faultFreezeHost, faultKillHost:
+	case faultStoreDown, faultStoreSlow, faultCutZone, faultFreezeHost, faultKillHost:
 		return true
 	}
 	return false
--- a/faults/schedule.go
+++ b/faults/schedule.go
@@ -20,7 +20,6 @@
 	faultStoreDown     faultKind = "store down"
 	faultStoreSlow     faultKind = "store slow"
 	faultStoreLose     faultKind = "store loses answers"
-	faultStoreRestore  faultKind = "store restored with older data"
 	faultCutZone       faultKind = "zone cut off"
 	faultEngineCrash   faultKind = "engine crashes"
 	faultEngineFreeze  faultKind = "engine freezes"
@@ -76,7 +75,6 @@
 		{faultStoreDown, 3, 1, time.Second, 8 * time.Second},
 		{faultStoreSlow, 2, 1, time.Second, 6 * time.Second},
 		{faultStoreLose, 3, 1, time.Second, 3 * time.Second},
-		{faultStoreRestore, 3, 1, 3 * time.Second, 8 * time.Second},
 		{faultCutZone, 3, zones, 2 * time.Second, 8 * time.Second},
 		{faultEngineCrash, 3, engines, time.Second, 2 * time.Second},
 		{faultEngineFreeze, 2, engines, time.Second, 4 * time.Second},
--- a/faults/slots.go
+++ b/faults/slots.go
@@ -61,18 +61,9 @@
 	}
 }
 
-// judgeSlots checks each load, up to the first restore of the store, against the slots in use.
+// judgeSlots checks each load against the slots in use.
 func (r *Run) judgeSlots() {
-	until := time.Now()
-	for _, d := range r.disturbances.between(time.Time{}, until, isFault("", faultStoreRestore)) {
-		if d.begin.Before(until) {
-			until = d.begin
-		}
-	}
 	r.eachLoad(func(event standin.CensusEvent, loaded int) {
-		if event.At.After(until) {
-			return
-		}
 		used := r.slots.usedAt(event.Key, event.At)
 		r.tally.Check(ReplicasAsDecided, loaded <= used, "%s: %d loaded at %s on %s, %d slots in use",
 			event.Key, loaded, event.At.Format(time.TimeOnly), event.Backend, used)
--- a/faults/watch.go
+++ b/faults/watch.go
@@ -126,7 +126,7 @@
 		return d.target == h.name
 	case faultCutZone:
 		return d.target == h.zone
-	case faultStoreDown, faultStoreSlow, faultStoreRestore:
+	case faultStoreDown, faultStoreSlow:
 		return d.begin.Before(accepted.Add(spreadTime))
 	}
 	return false
--- a/gossip/item.go
+++ b/gossip/item.go
@@ -20,7 +20,6 @@
 	KindSuspect                     // a request that was running when a backend server died
 	KindDemand                      // what a zone loads from the weight store
 	KindHostList                    // the platform's host list, sent on request alone
-	KindRestore                     // the platform's store came back with older data
 	KindCheckpoints                 // where a backend server finds checkpoints, by its owner
 )
 
--- a/ledger/backend.go
+++ b/ledger/backend.go
@@ -28,22 +28,18 @@
 
 // backend is what a Host knows of one backend server. The maps are emptied when its owner or term changes.
 type backend struct {
-	name        string
-	cell        cell
-	record      model.BackendRecord
-	assignment  Assignment
-	assigned    bool                 // the assignment is current
-	goneAt      time.Time            // since when it has not been in the host list, zero when it is
-	confirmedAt time.Time            // when the store last confirmed this host as the owner, by a write
-	salvagedAt  time.Time            // when the owner last took it over again from a restored store
-	salvaging   bool                 // the take-over from a restored store is recorded, not confirmed
-	salvage     *model.BackendRecord // what this host owned before the store came back with older data
-	evictTerm   int64                // the term to raise to, because a slot has been without a reservation for long; 0 for none
-	orphan      bool                 // it holds a slot and is not in the host list
-	usedAt      time.Time
-	waitFor     model.Incarnation // the live owner that is to hand over
-	waitAt      time.Time         // since when
-	missingAt   time.Time         // since when the owner has not been listed, zero when it is
+	name       string
+	cell       cell
+	record     model.BackendRecord
+	assignment Assignment
+	assigned   bool      // the assignment is current
+	goneAt     time.Time // since when it has not been in the host list, zero when it is
+	evictTerm  int64     // the term to raise to, because a slot has been without a reservation for long; 0 for none
+	orphan     bool      // it holds a slot and is not in the host list
+	usedAt     time.Time
+	waitFor    model.Incarnation // the live owner that is to hand over
+	waitAt     time.Time         // since when
+	missingAt  time.Time         // since when the owner has not been listed, zero when it is
 
 	epoch     int64 // raised with each change of the record
 	observe   observeCall
@@ -102,7 +98,7 @@
 
 // owns reports whether the known record names this host as the owner.
 func (h *Host) owns(b *backend) bool {
-	return b.cell.known && b.record.Owner == h.Incarnation && b.salvage == nil
+	return b.cell.known && b.record.Owner == h.Incarnation
 }
 
 // fresh reports whether the latest observation was made under the known record.
@@ -120,14 +116,10 @@
 		}
 	}
 	if record.Term < b.record.Term {
-		b.cell.restored = true // terms only rise, unless the store came back with older data
-		h.noteRestored(b)
+		h.violate("terms rise", "%s: from %d to %d", b.cell.key, b.record.Term, record.Term)
 	}
 	old := b.record
 	b.record = record
-	if b.salvage != nil && record.Owner == h.Incarnation && record.Term > b.salvage.Term {
-		b.salvage, b.salvaging = nil, true
-	}
 	b.evictTerm = 0
 	b.orphan = b.orphan && (old.Owner != h.Incarnation || record.Owner != "")
 	b.epoch++
@@ -184,8 +176,6 @@
 func (h *Host) reconcileBackend(now time.Time, b *backend) {
 	b.cell.expire(now)
 	switch {
-	case b.salvage != nil:
-		h.salvageBackend(now, b)
 	case h.owns(b):
 		h.workBackend(now, b)
 	default:
--- a/ledger/cell.go
+++ b/ledger/cell.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of calls to the store.
@@ -12,7 +10,6 @@
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 3 * time.Second
 	noRevision   = int64(-1)
-	olderReads   = 2 // reads of an older revision, one after another, after which a write asks the store for certain
 )
 
 // cell is what a Host knows of one record of the store. It has at most one call under way.
@@ -31,9 +28,6 @@
 	retryAt     time.Time
 	failures    int
 	touchWanted bool
-	older       int    // reads of an older revision, one after another
-	restored    bool   // the store came back with older data; the Host clears it
-	sum         uint64 // hash of the content
 }
 
 func newCell(key string) cell {
@@ -47,12 +41,9 @@
 
 // idle reports whether a write may be proposed.
 func (c *cell) idle(now time.Time) bool {
-	return c.known && c.token == 0 && (!c.readWanted || c.isDoubtful()) && !now.Before(c.retryAt)
+	return c.known && c.token == 0 && !c.readWanted && !now.Before(c.retryAt)
 }
 
-// isDoubtful reports whether the store may have come back with older data, which only a write can tell.
-func (c *cell) isDoubtful() bool { return c.older >= olderReads }
-
 // expire gives up a call that has had no answer for too long.
 func (c *cell) expire(now time.Time) {
 	if c.token != 0 && now.Sub(c.askedAt) >= storeTimeout {
@@ -80,15 +71,12 @@
 }
 
 func (c *cell) end() {
-	if c.writing {
-		c.older = 0
-	}
 	c.token, c.writing, c.proposal = 0, false, nil
 }
 
 // read asks for the record if that is wanted and possible.
 func (c *cell) read(now time.Time, token func() int64) []Action {
-	if !c.readWanted || c.isDoubtful() || c.token != 0 || now.Before(c.retryAt) {
+	if !c.readWanted || c.token != 0 || now.Before(c.retryAt) {
 		return nil
 	}
 	c.token, c.askedAt = token(), now
@@ -115,12 +103,7 @@
 		c.failures = 0
 		return proposal, c.advance(now, a.Revision, proposal)
 	case StoreConflict:
-		restored := c.isRestored(a)
 		c.end()
-		if restored {
-			c.goBack(now, a)
-			return a.Value, true
-		}
 		if a.Value == nil || a.Revision <= c.revision {
 			c.readWanted = true
 			c.backOff(now)
@@ -145,37 +128,19 @@
 		revision = 0
 	}
 	if revision < c.revision {
-		c.older++
 		c.backOff(now)
-		c.touchWanted = c.touchWanted || c.isDoubtful()
 		return nil, false
 	}
-	if c.known && revision == c.revision && xxhash.Sum64(a.Value) != c.sum {
-		c.goBack(now, a)
-		return a.Value, true
-	}
 	news = !c.known || revision != c.revision
 	c.advance(now, revision, a.Value)
 	c.touchWanted = c.wroteAt >= revision
 	return a.Value, news
 }
 
-// isRestored reports whether a conflict shows that the store came back with older data.
-func (c *cell) isRestored(a StoreAnswered) bool {
-	absent := a.Value == nil && a.Revision == 0 && c.isDoubtful()
-	return a.Revision < c.revision && (a.Value != nil || absent)
-}
-
-// goBack takes over the older content of a store that was restored. No earlier write can take effect any more.
-func (c *cell) goBack(now time.Time, a StoreAnswered) {
-	c.advance(now, a.Revision, a.Value)
-	c.wroteAt, c.restored = noRevision, true
-}
-
 // advance moves to a newer revision.
 func (c *cell) advance(now time.Time, revision int64, content []byte) bool {
-	c.known, c.revision, c.readAt, c.sum = true, revision, now, xxhash.Sum64(content)
-	c.readWanted, c.touchWanted, c.older = false, false, 0
+	c.known, c.revision, c.readAt = true, revision, now
+	c.readWanted, c.touchWanted = false, false
 	c.failures = 0
 	return true
 }
--- a/ledger/host.go
+++ b/ledger/host.go
@@ -188,9 +188,7 @@
 			continue
 		}
 		if content, news := b.cell.answer(now, e); news {
-			h.noteRestored(b)
 			h.adoptBackend(now, b, content)
-			h.noteConfirmed(now, b, e)
 		}
 		return
 	}
@@ -199,9 +197,6 @@
 			continue
 		}
 		if content, news := m.cell.answer(now, e); news {
-			if m.cell.restored {
-				m.cell.restored, m.restoredAt = false, now
-			}
 			h.adoptModel(m, content)
 		}
 		return
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,8 +8,6 @@
 
 // ExchangeRequest starts a comparison of soft state.
 type ExchangeRequest struct {
-	Epoch    int64             // when the store was last restored, as far as the caller knows
-	Revision int64             // the highest revision of the store since then
 	Zone     string            // of the caller
 	Beats    []membership.Beat `cbor:",omitempty"` // counters alone, from hosts of the same zone
 	Digest   gossip.Digest
@@ -17,8 +15,6 @@
 
 // ExchangeReply tells what the answering host holds otherwise.
 type ExchangeReply struct {
-	Epoch     int64
-	Revision  int64
 	Beats     []membership.Beat   `cbor:",omitempty"` // those that are newer than the caller's
 	Wanted    []membership.BeatID `cbor:",omitempty"` // those of which the caller has newer ones
 	Digest    *gossip.Digest      `cbor:",omitempty"` // nil when it is the caller's
