--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -228,8 +228,8 @@
 		return reply
 	}
 	for _, id := range sortedKeys(h.owned) {
-		a := h.owned[id].account
-		if h.view.backends[id].listing.Service == request.Service && a.Synced {
+		a, view := h.owned[id].account, h.view.backends[id]
+		if view != nil && view.listing.Service == request.Service && a.Synced {
 			reply.Offers = append(reply.Offers, peer.Offer{Backend: id, Wait: a.Offer(now, request.Model), Rate: a.Rate(now)})
 		}
 	}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -34,12 +34,20 @@
 }
 
 // own returns the account of an owned backend server and starts one where there is none.
+// It returns nil when the backend server left the list meanwhile, or takes no orders any more.
 func (h *Host) own(now time.Time, id string) *ownedBackend {
 	if b := h.owned[id]; b != nil {
 		return b
 	}
-	listing := h.view.backends[id].listing
+	view := h.view.backends[id]
+	if view == nil {
+		return nil
+	}
+	listing := view.listing
 	spec := h.routes.Load().state.Services[listing.Service].Engine
+	if spec == nil {
+		return nil
+	}
 	b := &ownedBackend{account: residency.NewAccount(now, id, listing.Life, spec)}
 	h.owned[id] = b
 	return b
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -268,7 +268,9 @@
 	}
 	for _, c := range claims {
 		h.table.Owners[c.Backend] = tenure.Owner{Record: record, Revision: revision}
-		h.own(now, c.Backend).account.NotBefore(h.table.FirstOrderAt(now, c))
+		if b := h.own(now, c.Backend); b != nil {
+			b.account.NotBefore(h.table.FirstOrderAt(now, c))
+		}
 		h.Log.Info("claimed", zap.String("Backend", c.Backend), zap.String("Previous", c.Previous), zap.Int64("Term", revision))
 	}
 }
