residency: a report that is ahead of an order's answer waits for it

Cause: found by reading for what else may end a process by itself: a report could show an order before its answer came; the account adopted the report and then carried the order out once more, a panic for an unload and a wrong sequence for every other. The test fails by that panic without the change.

--- a/residency/account.go
+++ b/residency/account.go
@@ -144,6 +144,8 @@
 	switch {
 	case h.Sequence < a.Sequence:
 		a.reportAt = now.Add(reportLag) // older than what is known
+	case a.inFlight != nil && h.Sequence != a.Sequence:
+		a.reportAt = now.Add(reportLag) // it shows the order whose answer is still on its way
 	case !a.Synced || h.Sequence > a.Sequence:
 		a.adopt(now, h)
 	default:
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -261,3 +261,18 @@
 		})
 	}
 }
+
+// TestReportBeforeTheAnswer has a report show an order whose answer comes later; the order counts once.
+func TestReportBeforeTheAnswer(t *testing.T) {
+	a, now := synced("a", "b", "c"), start.Add(time.Minute)
+	a.Want(now, "d", "")
+	o := next(t, a, now, Unload, "a")
+	after := model.Holdings{Life: a.Life, Sequence: 1, Models: []model.HeldModel{{Name: "b"}, {Name: "c"}}}
+	a.Observed(now, after)
+	a.Answered(now, o, Accepted)
+	if a.Sequence != 1 {
+		t.Errorf("got sequence %d, want 1", a.Sequence)
+	}
+	a.Observed(now.Add(time.Second), after)
+	next(t, a, now.Add(time.Second), Load, "d")
+}
