residency, gateway: adapters wait for model orders, and are asked for elsewhere when that takes long

Ruled out: a sequence that differs, since the same number was accepted a moment later. The oracle of the walks refuses such orders as well.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -18,6 +18,8 @@
 	askLasting = 1200 * time.Millisecond
 	// askPauseMost bounds the pause between two questions, so that an early success is noticed.
 	askPauseMost = 250 * time.Millisecond
+	// holdElsewhere is the wait for an adapter from which another backend server is asked; a load from memory takes longer.
+	holdElsewhere = 300 * time.Millisecond
 	// failurePause is waited for after a question that failed.
 	failurePause = 100 * time.Millisecond
 )
@@ -125,10 +127,15 @@
 			h.viewChanged = true
 		case reply.Reason != "":
 			a.refused[p.hold.Backend] = now
+		case reply.Wait > holdElsewhere:
+			a.refused[p.hold.Backend] = now // another one that holds the model may be sooner
 		default:
 			h.router.Expect(a.target, now.Add(reply.Wait))
 		}
 	})
+	if reply.Wait > holdElsewhere {
+		return 0
+	}
 	return min(reply.Wait, askPauseMost)
 }
 
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -276,3 +276,33 @@
 	a.Observed(now.Add(time.Second), after)
 	next(t, a, now.Add(time.Second), Load, "d")
 }
+
+// TestAdaptersWaitForModelOrders plays requests with adapters that come while a model is being loaded: the backend
+// server would refuse the orders, and the account would have to be synced anew each time.
+func TestAdaptersWaitForModelOrders(t *testing.T) {
+	a, now := synced("a"), start.Add(time.Minute)
+	a.Want(now, "d", "")
+	o := next(t, a, now, Load, "d")
+	a.Answered(now, o, Accepted)
+	got := a.Want(now, "a", "x")
+	if got.Ready || got.Wait < testSpec().Models["d"].DiskLoad {
+		t.Errorf("got %+v for an adapter, want the wait for the load", got)
+	}
+	if step, ok := a.Next(now, true); ok {
+		t.Errorf("got order %+v while a model is being loaded", step.Order)
+	}
+	now = now.Add(time.Second)
+	a.Observed(now, model.Holdings{Life: a.Life, Sequence: 1, Models: []model.HeldModel{{Name: "a"}, {Name: "d"}}})
+	next(t, a, now, LoadAdapter, "a")
+}
+
+// TestOffersSpareAdapters has a load offered dearer where requests with adapters would wait for it.
+func TestOffersSpareAdapters(t *testing.T) {
+	a, now := synced("a"), start.Add(time.Minute)
+	before := a.Offer(now, "d")
+	a.Want(now, "a", "x")
+	a.Answered(now, next(t, a, now, LoadAdapter, "a"), Accepted)
+	if got := a.Offer(now, "d"); got <= before {
+		t.Errorf("got offer %v beside adapters in use, want more than %v", got, before)
+	}
+}
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -13,7 +13,9 @@
 	// conflictPause is the time until a refused order may be tried again.
 	conflictPause = 100 * time.Millisecond
 	// busyVictimWait is the expected time until the runs of a model that has to make way have ended.
-	busyVictimWait = 2500 * time.Millisecond
+	busyVictimWait = 3500 * time.Millisecond
+	// adapterUse is how recently an adapter must have been used for its backend server to be expected to need others.
+	adapterUse = 3 * time.Second
 	// queueShare is the expected time that each want ahead takes.
 	queueShare = 900 * time.Millisecond
 )
@@ -52,11 +54,11 @@
 	for _, w := range a.wants {
 		if w.model == name && w.adapter == adapter {
 			w.until, w.idle = now.Add(wantExpiry), false
-			return Status{Wait: a.Offer(now, name)}
+			return Status{Wait: a.expected(now, name, adapter)}
 		}
 	}
 	a.wants = append(a.wants, &want{model: name, adapter: adapter, since: now, until: now.Add(wantExpiry)})
-	return Status{Wait: a.Offer(now, name)}
+	return Status{Wait: a.expected(now, name, adapter)}
 }
 
 // Peek tells how far a want is without renewing it.
@@ -64,7 +66,38 @@
 	if status, settled := a.status(now, name, adapter); settled {
 		return status
 	}
-	return Status{Wait: a.Offer(now, name)}
+	return Status{Wait: a.expected(now, name, adapter)}
+}
+
+// expected returns the expected time until a want is met.
+func (a *Account) expected(now time.Time, name, adapter string) time.Duration {
+	if adapter == "" {
+		return a.Offer(now, name)
+	}
+	return a.underWay(now) + AdapterLoad
+}
+
+// underWay returns the expected time until the model orders under way have ended. No other order is taken until then.
+func (a *Account) underWay(now time.Time) time.Duration {
+	var wait time.Duration
+	for _, r := range a.Models {
+		if r.State != Loaded {
+			wait = max(wait, reportLag/3, r.Expected.Sub(now))
+		}
+	}
+	return wait
+}
+
+// usesAdapters reports whether requests with adapters come to the backend server, which wait while a model is loaded.
+func (a *Account) usesAdapters(now time.Time) bool {
+	for _, r := range a.Models {
+		for _, adapter := range r.Adapters {
+			if now.Sub(adapter.LastUsed) < adapterUse {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Lacks reports whether the model is surely not loaded here and nobody waits for it.
@@ -154,11 +187,10 @@
 	if held := a.notBefore.Sub(now); held > 0 {
 		wait += held
 	}
-	for _, r := range a.Models {
-		if r.State != Loaded {
-			wait += max(reportLag/3, r.Expected.Sub(now))
-		}
+	if a.usesAdapters(now) {
+		wait += a.LoadTime(name)
 	}
+	wait += a.underWay(now)
 	for _, w := range a.wants {
 		if w.adapter == "" && w.model != name && !w.idle {
 			wait += queueShare
@@ -177,7 +209,7 @@
 func (a *Account) Next(now time.Time, mayFetch bool) (Step, bool) {
 	a.wants = slices.DeleteFunc(a.wants, func(w *want) bool { return now.After(w.until) || a.isMet(w) })
 	a.dropResolved(now)
-	if !a.Synced || a.inFlight != nil || now.Before(a.notBefore) {
+	if !a.Synced || a.inFlight != nil || now.Before(a.notBefore) || a.orderUnderWay() {
 		return Step{}, false
 	}
 	for _, w := range a.wants {
@@ -188,9 +220,6 @@
 			return step, true
 		}
 	}
-	if a.orderUnderWay() {
-		return Step{}, false
-	}
 	for _, w := range a.wants {
 		if a.Models[w.model] != nil {
 			continue
--- a/residency/fuzz_test.go
+++ b/residency/fuzz_test.go
@@ -33,7 +33,7 @@
 }
 
 func (e *engineOracle) order(t *rapid.T, now time.Time, o Order) Answer {
-	if now.Before(e.busyTill) && (o.Kind == Load || o.Kind == Unload) || o.Expected != e.sequence {
+	if now.Before(e.busyTill) || o.Expected != e.sequence {
 		return Conflict
 	}
 	held, loaded := e.models[o.Model]
