--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -8,7 +8,6 @@
 
 	"citronspread/model"
 	"citronspread/peer"
-	"citronspread/residency"
 )
 
 const (
@@ -16,10 +15,6 @@
 	spreadInterval = 500 * time.Millisecond
 	// spreadPause follows a spread of a model, until its new replica has taken its part of the requests.
 	spreadPause = 3 * time.Second
-	// overloadFactor is the multiple of the rate to spread at from which other models have to make way.
-	overloadFactor = 2
-	// urgentPause is the time between two spreads of a model then, about that of a load from disk.
-	urgentPause = time.Second
 )
 
 // stepSpread has busy models loaded on further backend servers. It answers the load of a few models that get most
@@ -35,22 +30,17 @@
 		if !found || view == nil {
 			continue
 		}
-		key, pause := modelKey(view.listing.Service, name), spreadPause
-		isUrgent := h.owned[id].account.Rate(now) >= overloadFactor*residency.SpreadRate
-		if isUrgent {
-			pause = urgentPause
-		}
-		if now.Sub(h.spread[key]) < pause {
+		key := modelKey(view.listing.Service, name)
+		if now.Sub(h.spread[key]) < spreadPause {
 			continue
 		}
 		h.spread[key] = now
-		h.spreadModel(now, key, view.listing.Zone, isUrgent)
+		h.spreadModel(now, key, view.listing.Zone)
 	}
 }
 
-// spreadModel has a model placed once more. An urgent one is placed like one that requests wait for.
-func (h *Host) spreadModel(now time.Time, key model.ModelKey, zone string, isUrgent bool) {
-	request := &peer.PlaceRequest{Service: key.Version, Model: key.Model, Zone: zone, Spread: !isUrgent}
+func (h *Host) spreadModel(now time.Time, key model.ModelKey, zone string) {
+	request := &peer.PlaceRequest{Service: key.Version, Model: key.Model, Zone: zone, Spread: true}
 	for _, b := range h.view.holders(now, key.Version, key.Model) {
 		request.Exclude = append(request.Exclude, b.listing.Life.ID)
 	}
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -69,11 +69,10 @@
 	}
 }
 
-// TestRunningModelMakesRoomLast has models of different demand run; the one with the least has to make way.
 func TestRunningModelMakesRoomLast(t *testing.T) {
 	a, now := synced("a", "b", "c"), start.Add(time.Minute)
 	for i, name := range []string{"a", "b", "c"} {
-		a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: name}, Running: 1, Requests: 3 - i})
+		a.Use(now, "host", model.Usage{Key: model.ModelKey{Model: name}, Running: 3 - i})
 	}
 	a.Want(now, "d", "")
 	next(t, a, now, Unload, "c")
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -301,13 +301,12 @@
 	return Step{Order: a.order(Unload, victim, "")}, true
 }
 
-// modelVictim returns the model to unload: an idle one that was used least recently, else the one with the fewest requests.
+// modelVictim returns the model to unload: an idle one that was used least recently, else the one with the fewest runs.
 func (a *Account) modelVictim(now time.Time) (victim string, idle bool) {
 	type candidate struct {
-		name string
-		idle bool
-		rate float64
-		used time.Time
+		name    string
+		running int
+		used    time.Time
 	}
 	var candidates []candidate
 	for _, name := range sortedKeys(a.Models) {
@@ -316,23 +315,15 @@
 		if r.State != Loaded || settling || a.hasWant(name) {
 			continue
 		}
-		candidates = append(candidates, candidate{name: name, idle: r.Running(now) == 0, rate: r.Rate(now), used: r.LastUsed})
+		candidates = append(candidates, candidate{name: name, running: r.Running(now), used: r.LastUsed})
 	}
 	if len(candidates) == 0 {
 		return "", false
 	}
 	best := slices.MinFunc(candidates, func(x, y candidate) int {
-		switch {
-		case x.idle && y.idle:
-			return x.used.Compare(y.used)
-		case x.idle:
-			return -1
-		case y.idle:
-			return 1
-		}
-		return cmp.Compare(x.rate, y.rate)
+		return cmp.Or(cmp.Compare(x.running, y.running), x.used.Compare(y.used))
 	})
-	return best.name, best.idle
+	return best.name, best.running == 0
 }
 
 func (a *Account) isWanted(name, adapter string) bool {
