--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -113,9 +113,11 @@
 		Fingerprint: q.Fingerprint,
 		Priority:    max(0, mostPriority-priorityStep*q.Route.Priority),
 		Deadline:    q.Deadline,
-		StartBy:     startBy(q),
+		StartBy:     startBy(d.host.Now(), q, p),
 		MaxTokens:   q.MaxTokens,
 		Avoid:       p.Failed,
+		Moves:       p.Moves,
+		Budget:      d.budget(q.Service),
 	}
 	grant, err := d.host.router.Acquire(ctx, request)
 	if err != nil {
@@ -133,13 +135,17 @@
 	}, nil
 }
 
-// startBy returns when the caller of a stream leaves if nothing has come.
-func startBy(q Question) time.Time {
+// startBy returns when the caller of a stream leaves if nothing comes: counted from its request, or from now on
+// when it has a part of the answer already.
+func startBy(now time.Time, q Question, p *attempt.Progress) time.Time {
 	if q.Route.Kind != model.RouteStream {
 		return time.Time{}
 	}
-	patience := max(leastPatience, patienceTargets*q.Route.LatencyTarget, patienceGaps*q.Route.GapTarget)
-	return q.Arrived.Add(patience - startMargin)
+	patience := max(leastPatience, patienceTargets*q.Route.LatencyTarget, patienceGaps*q.Route.GapTarget) - startMargin
+	if p.Resuming {
+		return now.Add(patience)
+	}
+	return q.Arrived.Add(patience)
 }
 
 func (d *Desk) acquireSite(q Question, p *attempt.Progress) (*Place, error) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// ShouldMove reports whether another backend server would answer a silent request much sooner.
+func (p *Place) ShouldMove(now time.Time) bool {
+	return p.grant != nil && p.grant.ShouldMove(now)
+}
+
 // OnRevoke sets what is called when the attempt must be given up.
 func (p *Place) OnRevoke(stop func()) {
 	if p.grant != nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,9 +8,9 @@
 
 // ExchangeRequest starts a comparison of soft state.
 type ExchangeRequest struct {
-	Zone     string            // of the caller
-	Beats    []membership.Beat `cbor:",omitempty"` // counters alone, from hosts of the same zone
-	Digest   gossip.Digest
+	Zone   string            // of the caller
+	Beats  []membership.Beat `cbor:",omitempty"` // counters alone, from hosts of the same zone
+	Digest gossip.Digest
 }
 
 // ExchangeReply tells what the answering host holds otherwise.
--- a/routing/move.go
+++ b/routing/move.go
@@ -19,7 +19,11 @@
 	if !found || rest < time.Duration(r.Policy.MoveFactor*float64(other)) || rest-other < r.Policy.MoveGain {
 		return false
 	}
-	return r.Budget.Spend(now, ExtraHedge)
+	budget := r.Budget
+	if g.ticket.Budget != nil {
+		budget = g.ticket.Budget
+	}
+	return budget.Spend(now, ExtraHedge)
 }
 
 // remaining returns how many tokens the attempt is expected to bring yet.
