--- a/routing/move.go
+++ b/routing/move.go
@@ -26,6 +26,13 @@
 	return budget.Spend(now, ExtraHedge)
 }
 
+// IsBackendSilent reports whether no stream of this router on the backend server has brought a token for so long.
+func (g *Grant) IsBackendSilent(now time.Time, silence time.Duration) bool {
+	g.router.mu.Lock()
+	defer g.router.mu.Unlock()
+	return g.router.fleet.get(g.Replica.Backend).isSilent(now, silence)
+}
+
 // remaining returns how many tokens the attempt is expected to bring yet.
 func (g *Grant) remaining() int {
 	return max(1, g.router.estimates.expectedTokens(&g.ticket.Request)-g.tokens)
