--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -75,7 +75,6 @@
 	Runs     int      // sends that may have run
 	Arrivals int      // sends of which a byte may have reached a backend server
 	Refusals int      // sends that backend servers refused
-	Moves    int      // sends given up for a faster backend server
 	Resuming bool     // the caller has a part of the answer, and the next send goes on after it
 	Failed   []string // backend servers that failed the request
 }
@@ -119,9 +118,6 @@
 		return
 	case NotRun, WrongServer:
 		p.Refusals++
-	case Moved:
-		p.Moves++
-		p.Runs++
 	default:
 		p.Runs++
 	}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -116,8 +116,6 @@
 		StartBy:     startBy(d.host.Now(), q, p),
 		MaxTokens:   q.MaxTokens,
 		Avoid:       p.Failed,
-		Moves:       p.Moves,
-		Budget:      d.budget(q.Service),
 	}
 	grant, err := d.host.router.Acquire(ctx, request)
 	if err != nil {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -104,7 +104,7 @@
 	policy.StaleAfter = 24 * time.Hour // what is listed is valid until it is removed
 	policy.ColdStart = 700 * time.Millisecond
 	policy.AdapterStart = 30 * time.Millisecond
-	policy.MaxMoves = 1
+	policy.MoveFactor = 0 // moved prompts are read anew, which slows others down more than it gains
 	h.router = &routing.Router{
 		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, Waker: h, Budget: &routing.Budget{},
 		Suspects: &routing.Suspects{
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -7,9 +7,6 @@
 	"citronspread/routing"
 )
 
-// darkAfter is the silence on all streams of a backend server after which it counts as dark.
-const darkAfter = time.Second
-
 // Place is the right to send a request to one backend server. It implements attempt.Place.
 type Place struct {
 	Address  string
@@ -44,12 +41,6 @@
 	}
 }
 
-// ShouldMove reports whether the backend server brings nothing to any request of this host, and another one would
-// answer much sooner. A pause of one stream alone is no reason: moved prompts are read anew and slow others down.
-func (p *Place) ShouldMove(now time.Time) bool {
-	return p.grant != nil && p.grant.IsBackendSilent(now, darkAfter) && p.grant.ShouldMove(now)
-}
-
 // OnRevoke sets what is called when the attempt must be given up.
 func (p *Place) OnRevoke(stop func()) {
 	if p.grant != nil {
--- a/routing/move.go
+++ b/routing/move.go
@@ -19,18 +19,7 @@
 	if !found || rest < time.Duration(r.Policy.MoveFactor*float64(other)) || rest-other < r.Policy.MoveGain {
 		return false
 	}
-	budget := r.Budget
-	if g.ticket.Budget != nil {
-		budget = g.ticket.Budget
-	}
-	return budget.Spend(now, ExtraHedge)
-}
-
-// IsBackendSilent reports whether no stream of this router on the backend server has brought a token for so long.
-func (g *Grant) IsBackendSilent(now time.Time, silence time.Duration) bool {
-	g.router.mu.Lock()
-	defer g.router.mu.Unlock()
-	return g.router.fleet.get(g.Replica.Backend).isSilent(now, silence)
+	return r.Budget.Spend(now, ExtraHedge)
 }
 
 // remaining returns how many tokens the attempt is expected to bring yet.
--- a/routing/request.go
+++ b/routing/request.go
@@ -27,7 +27,6 @@
 	Remaining   int       // tokens that a resumption still expects, 0 for a new request
 	Moves       int       // how often a faster replica took the answer over
 	Avoid       []string  // backend servers that failed this request
-	Budget      *Budget   // pays for a move, the router's own where it is nil
 }
 
 // avoids reports whether the request has failed on the backend server.
