--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -93,7 +93,7 @@
 				return
 			}
 			h.registered, h.steppedAt = true, now
-			if h.version == 0 {
+			if h.claimAt.IsZero() {
 				h.claimAt = now.Add(firstClaims)
 			}
 			h.table.Owners = owners
