--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -229,7 +229,7 @@
 	}
 	for _, id := range sortedKeys(h.owned) {
 		a, view := h.owned[id].account, h.view.backends[id]
-		if view != nil && view.listing.Service == request.Service && a.Synced {
+		if view != nil && view.listing.Service == request.Service && a.Synced && !a.Failing {
 			reply.Offers = append(reply.Offers, peer.Offer{Backend: id, Wait: a.Offer(now, request.Model), Rate: a.Rate(now)})
 		}
 	}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -144,6 +144,7 @@
 			b.reporting = false
 			if err != nil {
 				h.Log.Info("no report", zap.String("Backend", id), zap.Error(err))
+				b.account.Unreported()
 				return
 			}
 			b.account.Observed(now, holdings)
--- a/residency/account.go
+++ b/residency/account.go
@@ -86,6 +86,7 @@
 	unresolved []unresolved
 	reportAt   time.Time // when the next report is due, zero for none
 	notBefore  time.Time // no order before
+	Failing    bool      // it did not answer the latest call, or another life did
 	Loads      int       // from the weight store
 }
 
@@ -135,9 +136,12 @@
 	a.reportAt = now.Add(reportLag)
 }
 
+// Unreported notes that a report was asked for and did not come.
+func (a *Account) Unreported() { a.Failing = true }
+
 // Observed takes in a report.
 func (a *Account) Observed(now time.Time, h model.Holdings) {
-	a.reportAt = time.Time{}
+	a.reportAt, a.Failing = time.Time{}, false
 	if h.Life.Born != a.Life.Born && h.Life.Born != 0 && a.Life.Born != 0 {
 		a.Reborn(now, h.Life)
 	}
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -306,3 +306,23 @@
 		t.Errorf("got offer %v beside adapters in use, want more than %v", got, before)
 	}
 }
+
+// TestUnreachableBackendIsLeft plays an order to a backend server that is gone: those who wait are told at once, so
+// that they ask another one, until a report comes again.
+func TestUnreachableBackendIsLeft(t *testing.T) {
+	for _, answer := range []Answer{Unsent, Unanswered, OtherLife} {
+		a, now := synced("a"), start.Add(time.Minute)
+		a.Want(now, "d", "")
+		a.Answered(now, next(t, a, now, Load, "d"), answer)
+		if got := a.Want(now, "e", ""); got.Reason == "" {
+			t.Errorf("after %v got %+v, want a reason to ask elsewhere", answer, got)
+		}
+		if !a.ReportDue(now.Add(reportLag)) {
+			t.Errorf("after %v got no report due, want it to be asked again", answer)
+		}
+		a.Observed(now.Add(time.Second), model.Holdings{Life: a.Life, Models: []model.HeldModel{{Name: "a"}}})
+		if got := a.Want(now.Add(time.Second), "e", ""); got.Reason != "" {
+			t.Errorf("after %v and a report got reason %q, want none", answer, got.Reason)
+		}
+	}
+}
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -51,6 +51,9 @@
 	if status, settled := a.status(now, name, adapter); settled {
 		return status
 	}
+	if a.Failing {
+		return Status{Reason: "the backend server does not answer"}
+	}
 	for _, w := range a.wants {
 		if w.model == name && w.adapter == adapter {
 			w.until, w.idle = now.Add(wantExpiry), false
@@ -350,6 +353,7 @@
 		return // the backend server was reborn meanwhile, which kept the order as unresolved
 	}
 	a.inFlight = nil
+	a.Failing = answer == Unsent || answer == Unanswered || answer == OtherLife
 	switch answer {
 	case Accepted:
 		a.carryOut(now, o)
@@ -358,8 +362,6 @@
 		}
 	case AlreadyHolds:
 		a.alreadyHolds(now, o)
-	case Unsent:
-		a.NotBefore(now.Add(conflictPause))
 	case Unanswered:
 		a.unresolve(now, o)
 		a.resync(now)
