gateway, cli: a host that stops turns waiting requests away

After the balancer's lag those who wait are refused, not run, so that their callers ask another host.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -144,7 +144,7 @@
 		select {
 		case <-ctx.Done():
 			host.Stop()
-			finishRequests(s.GracePeriod-stopMargin, ingress, callers, logger)
+			finishRequests(s.GracePeriod-stopMargin, host, ingress, callers, logger)
 		case <-background.Done():
 		}
 		return nil
@@ -173,11 +173,13 @@
 	return nil
 }
 
-// finishRequests serves on until the platform sends no more clients, then takes no new request and finishes the others.
-func finishRequests(most time.Duration, ingress *platform.Ingress, callers *http.Server, logger *zap.Logger) {
+// finishRequests serves on until the platform sends no more clients, then takes no new request, turns those away
+// that wait for a place, and finishes the others.
+func finishRequests(most time.Duration, host *gateway.Host, ingress *platform.Ingress, callers *http.Server, logger *zap.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	time.Sleep(balancerLag)
+	host.TurnAway()
 	if err := callers.Shutdown(ctx); err != nil {
 		logger.Warn("requests cut by the stop", zap.Int64("Open", ingress.Open()), zap.Error(err))
 	}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -106,6 +106,9 @@
 	if q.Model == "" {
 		return d.acquireSite(q, p)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.host.leaving, cancel)()
 	request := routing.Request{
 		ID:          q.ID,
 		Target:      targetOf(q),
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -61,6 +61,8 @@
 	events   chan func(now time.Time)
 	ctx      context.Context
 	wait     sync.WaitGroup
+	leaving  context.Context // ends when those who still wait have to go to another host
+	turnAway context.CancelFunc
 	peers    *peer.Client
 	history  *history
 	relay    atomic.Pointer[string] // peer address of the host that passes the store's changes on, empty for none
@@ -89,6 +91,7 @@
 // Prepare builds what the edges need before Run.
 func (h *Host) Prepare() {
 	h.Desk = &Desk{host: h, budgets: make(map[string]*routing.Budget)}
+	h.leaving, h.turnAway = context.WithCancel(context.Background())
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
 	h.avoided = make(map[string]time.Time)
@@ -158,6 +161,9 @@
 	h.post(func(now time.Time) { h.leave(now) })
 }
 
+// TurnAway refuses all requests that wait for a place, now and from now on, so that their callers ask another host.
+func (h *Host) TurnAway() { h.turnAway() }
+
 // post hands an event to the control thread.
 func (h *Host) post(event func(now time.Time)) {
 	select {
