--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -75,8 +75,9 @@
 	defer ring.Close(logFlush)
 	logger = logger.With(zap.String("Host", s.Name))
 	debug.SetGCPercent(collectionPercent)
-	host := newGatewayHost(s, logger, c.parallelLoads)
-	host.Metrics = metrics.New()
+	store := platform.NewStore(s.StoreAddress)
+	host := newGatewayHost(s, store, logger, c.parallelLoads)
+	host.Metrics.Gauge("citronspread_store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(store.Calls.Load()) })
 	host.Metrics.Gauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(ring.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
 	err = c.runHost(ctx, s, host, logger, ring)
@@ -84,12 +85,13 @@
 	return err
 }
 
-func newGatewayHost(s platform.Settings, logger *zap.Logger, parallelLoads int) *gateway.Host {
+func newGatewayHost(s platform.Settings, store *platform.Store, logger *zap.Logger, parallelLoads int) *gateway.Host {
 	host := &gateway.Host{
 		Name:        s.Name,
 		Zone:        s.Zone,
 		PeerAddress: s.PeerAddress,
-		Store:       platform.NewStore(s.StoreAddress),
+		Store:       store,
+		Metrics:     metrics.New(),
 		Orders:      platform.NewControl(),
 		Decoder: gateway.Decoder{
 			ConfigurationKey:    platform.ConfigurationKey,
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -209,7 +210,7 @@
 		score[address] = max(score[address], s)
 	}
 	var owners []ownerOffers
-	for _, address := range sortedKeys(byAddress) {
+	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
 		owners = append(owners, *byAddress[address])
 	}
 	slices.SortStableFunc(owners, func(a, b ownerOffers) int {
@@ -227,7 +228,7 @@
 	if !h.table.MayOrder(now) {
 		return reply
 	}
-	for _, id := range sortedKeys(h.owned) {
+	for _, id := range slices.Sorted(maps.Keys(h.owned)) {
 		a, view := h.owned[id].account, h.view.backends[id]
 		if view != nil && view.listing.Service == request.Service && a.Synced && !a.Failing {
 			reply.Offers = append(reply.Offers, peer.Offer{Backend: id, Wait: a.Offer(now, request.Model), Rate: a.Rate(now)})
--- a/gateway/question.go
+++ b/gateway/question.go
@@ -13,7 +13,6 @@
 	Service     string
 	Model       string // empty for a plain service
 	Adapter     string
-	Prompt      int // tokens
 	MaxTokens   int // 0 when the caller stated none
 	Arrived     time.Time
 	Deadline    time.Time
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,7 +26,7 @@
 		return
 	}
 	h.spreadAt = now
-	for _, id := range sortedKeys(h.owned) {
+	for _, id := range slices.Sorted(maps.Keys(h.owned)) {
 		name, found := h.owned[id].account.ToSpread(now)
 		view := h.view.backends[id]
 		if !found || view == nil {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -170,18 +171,18 @@
 func (v *view) snapshot(now time.Time, version int64, state model.DesiredState, routers int, suspects []model.Suspect) *model.Snapshot {
 	s := &model.Snapshot{Version: version, Complete: true, Zone: v.zone, Routers: routers, Suspects: suspects}
 	at := make(map[model.ModelKey]int)
-	for _, name := range sortedKeys(state.Services) {
+	for _, name := range slices.Sorted(maps.Keys(state.Services)) {
 		spec := state.Services[name]
 		if spec.Engine == nil {
 			continue
 		}
-		for _, m := range sortedKeys(spec.Engine.Models) {
+		for _, m := range slices.Sorted(maps.Keys(spec.Engine.Models)) {
 			key := modelKey(name, m)
 			at[key] = len(s.Models)
 			s.Models = append(s.Models, model.RoutedModel{Declaration: model.ModelDeclaration{Key: key}, Service: name})
 		}
 	}
-	for _, id := range sortedKeys(v.backends) {
+	for _, id := range slices.Sorted(maps.Keys(v.backends)) {
 		b := v.backends[id]
 		if spec := state.Services[b.listing.Service]; spec.Engine == nil {
 			s.Services = append(s.Services, model.ServiceEndpoint{
@@ -205,7 +206,7 @@
 		Zone:      b.listing.Zone,
 		Address:   b.listing.Address,
 		Service:   b.listing.Service,
-		Adapters:  sortedKeys(b.adapters[name]),
+		Adapters:  slices.Sorted(maps.Keys(b.adapters[name])),
 		Capacity:  b.listing.Slots,
 		Draining:  b.listing.Draining,
 		UpdatedAt: b.changedAt,
@@ -220,12 +221,3 @@
 func targetOf(q Question) routing.Target {
 	return routing.Target{Key: modelKey(q.Service, q.Model), Adapter: q.Adapter}
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -82,18 +82,17 @@
 
 // Listing is what a backend server says of itself in the platform's list.
 type Listing struct {
-	Life      Life
-	Service   string
-	Address   string // IP:port
-	Zone      string
-	Slots     int
-	Draining  bool
-	Models    []string
-	InMemory  []string // models whose weights are cached in the host's memory
-	OnDisk    []string // models whose weights are cached on the host's disk
-	Sequence  int64    // orders accepted in this life
-	Revision  int64    // of the entry in the store
-	RemovedAt time.Time
+	Life     Life
+	Service  string
+	Address  string // IP:port
+	Zone     string
+	Slots    int
+	Draining bool
+	Models   []string
+	InMemory []string // models whose weights are cached in the host's memory
+	OnDisk   []string // models whose weights are cached on the host's disk
+	Sequence int64    // orders accepted in this life
+	Revision int64    // of the entry in the store
 }
 
 // Holdings is what a backend server reports that it holds.
--- a/residency/account.go
+++ b/residency/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -87,7 +88,6 @@
 	reportAt   time.Time // when the next report is due, zero for none
 	notBefore  time.Time // no order before
 	Failing    bool      // it did not answer the latest call, or another life did
-	Loads      int       // from the weight store
 }
 
 // want is a model or adapter that requests wait for.
@@ -96,7 +96,6 @@
 	adapter string
 	since   time.Time
 	until   time.Time // forgotten after it, unless it is renewed
-	idle    bool      // nothing waits for it, it is fetched in advance
 }
 
 // NewAccount returns an account that has to be synced with a report first.
@@ -386,7 +385,7 @@
 		return "", false
 	}
 	best := 0.0
-	for _, n := range sortedKeys(a.Models) {
+	for _, n := range slices.Sorted(maps.Keys(a.Models)) {
 		if r := a.Models[n]; r.State == Loaded && r.Rate(now) > best {
 			name, best = n, r.Rate(now)
 		}
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -56,7 +57,7 @@
 	}
 	for _, w := range a.wants {
 		if w.model == name && w.adapter == adapter {
-			w.until, w.idle = now.Add(wantExpiry), false
+			w.until = now.Add(wantExpiry)
 			return Status{Wait: a.expected(now, name, adapter)}
 		}
 	}
@@ -116,21 +117,6 @@
 	})
 }
 
-// Prefetch asks for a copy of the weights on the backend server while nothing waits for them.
-func (a *Account) Prefetch(now time.Time, name string) {
-	if len(a.wants) == 0 {
-		a.wants = append(a.wants, &want{model: name, since: now, until: now.Add(wantExpiry), idle: true})
-	}
-}
-
-// Drop forgets a want.
-func (a *Account) Drop(name, adapter string) {
-	a.wants = slices.DeleteFunc(a.wants, func(w *want) bool { return w.model == name && w.adapter == adapter })
-}
-
-// Waiting returns the number of wants.
-func (a *Account) Waiting() int { return len(a.wants) }
-
 // status tells whether a want is met, as far as that is known.
 func (a *Account) status(now time.Time, name, adapter string) (Status, bool) {
 	r := a.Models[name]
@@ -195,7 +181,7 @@
 	}
 	wait += a.underWay(now)
 	for _, w := range a.wants {
-		if w.adapter == "" && w.model != name && !w.idle {
+		if w.adapter == "" && w.model != name {
 			wait += queueShare
 		}
 	}
@@ -273,9 +259,9 @@
 // adapterVictim returns the idle adapter that was used least recently.
 func (a *Account) adapterVictim(now time.Time) (name, adapter string) {
 	var oldest time.Time
-	for _, m := range sortedKeys(a.Models) {
+	for _, m := range slices.Sorted(maps.Keys(a.Models)) {
 		r := a.Models[m]
-		for _, n := range sortedKeys(r.Adapters) {
+		for _, n := range slices.Sorted(maps.Keys(r.Adapters)) {
 			held := r.Adapters[n]
 			if r.State != Loaded || running(now, held.usage) > 0 || held.ReadyAt.After(now) || a.isWanted(m, n) {
 				continue
@@ -297,8 +283,8 @@
 	if a.fits(a.Spec.Models[w.model].MB, 0) {
 		return Step{Order: a.order(Load, w.model, ""), Source: source}, true
 	}
-	victim, idle := a.modelVictim(now)
-	if victim == "" || w.idle && !idle || !a.fits(-a.Models[victim].MB, 0) {
+	victim, _ := a.modelVictim(now)
+	if victim == "" || !a.fits(-a.Models[victim].MB, 0) {
 		return Step{}, false
 	}
 	return Step{Order: a.order(Unload, victim, "")}, true
@@ -312,7 +298,7 @@
 		used    time.Time
 	}
 	var candidates []candidate
-	for _, name := range sortedKeys(a.Models) {
+	for _, name := range slices.Sorted(maps.Keys(a.Models)) {
 		r := a.Models[name]
 		settling := now.Sub(r.Since) < settleTime && !r.LastUsed.After(r.Since)
 		if r.State != Loaded || settling || a.hasWant(name) {
@@ -331,13 +317,13 @@
 
 func (a *Account) isWanted(name, adapter string) bool {
 	return slices.ContainsFunc(a.wants, func(w *want) bool {
-		return w.model == name && w.adapter == adapter && !w.idle
+		return w.model == name && w.adapter == adapter
 	})
 }
 
 // hasWant reports whether something waits for the model or for one of its adapters.
 func (a *Account) hasWant(name string) bool {
-	return slices.ContainsFunc(a.wants, func(w *want) bool { return w.model == name && !w.idle })
+	return slices.ContainsFunc(a.wants, func(w *want) bool { return w.model == name })
 }
 
 func (a *Account) order(kind Kind, name, adapter string) *Order {
@@ -393,9 +379,6 @@
 	case Load:
 		r := a.newResident(now, o.Model, Loading)
 		r.Expected = now.Add(a.LoadTime(o.Model))
-		if a.SourceOf(o.Model) == FromStore {
-			a.Loads++
-		}
 		a.Models[o.Model] = r
 		a.reportAt = r.Expected
 	case Unload:
@@ -417,12 +400,3 @@
 	}
 	a.dropResolved(now)
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/residency/fuzz_test.go
+++ b/residency/fuzz_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -76,8 +77,8 @@
 
 func (e *engineOracle) report(now time.Time) model.Holdings {
 	h := model.Holdings{Life: e.life, Sequence: e.sequence, Busy: now.Before(e.busyTill)}
-	for _, name := range sortedKeys(e.models) {
-		h.Models = append(h.Models, model.HeldModel{Name: name, Adapters: sortedKeys(e.models[name])})
+	for _, name := range slices.Sorted(maps.Keys(e.models)) {
+		h.Models = append(h.Models, model.HeldModel{Name: name, Adapters: slices.Sorted(maps.Keys(e.models[name]))})
 	}
 	return h
 }
@@ -100,7 +101,7 @@
 		now, spec := start, testSpec()
 		e := &engineOracle{spec: spec, life: model.Life{ID: "i-1", Born: 1}, models: make(map[string]map[string]bool)}
 		a := NewAccount(now, "i-1", e.life, spec)
-		names, adapters := sortedKeys(spec.Models), []string{"x", "y", "z"}
+		names, adapters := slices.Sorted(maps.Keys(spec.Models)), []string{"x", "y", "z"}
 		var reports []model.Holdings // the newest last
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
@@ -110,7 +111,7 @@
 			case 0, 1, 2:
 				a.Want(now, rapid.SampledFrom(names).Draw(t, "model"), "")
 			case 3, 4:
-				if held := sortedKeys(a.Models); len(held) > 0 {
+				if held := slices.Sorted(maps.Keys(a.Models)); len(held) > 0 {
 					a.Want(now, rapid.SampledFrom(held).Draw(t, "held"), rapid.SampledFrom(adapters).Draw(t, "adapter"))
 				}
 			case 5:
@@ -149,7 +150,7 @@
 		now, spec := start, testSpec()
 		e := &engineOracle{spec: spec, life: model.Life{ID: "i-1", Born: 1}, models: make(map[string]map[string]bool)}
 		a := NewAccount(now, "i-1", e.life, spec)
-		names := sortedKeys(spec.Models)
+		names := slices.Sorted(maps.Keys(spec.Models))
 		wanted := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 3, func(s string) string { return s }).Draw(t, "wanted")
 		met := make(map[string]bool)
 		for range 400 {
@@ -170,7 +171,7 @@
 		}
 		for _, name := range wanted {
 			if !met[name] {
-				t.Fatalf("got %s never loaded, wanted %v, held %v", name, wanted, slices.Sorted(slices.Values(sortedKeys(a.Models))))
+				t.Fatalf("got %s never loaded, wanted %v, held %v", name, wanted, slices.Sorted(maps.Keys(a.Models)))
 			}
 		}
 	})
