--- a/gateway/host.go
+++ b/gateway/host.go
@@ -83,7 +83,7 @@
 	claiming    bool
 	steppedAt   time.Time
 	usedAt      time.Time
-	avoided     map[string]time.Time // relays that did not answer, by address
+	directUntil time.Time // no relay is followed before
 	spreadAt    time.Time
 	spread      map[model.ModelKey]time.Time // when each model was last spread
 }
@@ -94,7 +94,6 @@
 	h.leaving, h.turnAway = context.WithCancel(context.Background())
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
-	h.avoided = make(map[string]time.Time)
 	h.view = newView(h.Zone)
 	h.owned = make(map[string]*ownedBackend)
 	h.asks = make(map[routing.Target]*ask)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,8 +20,11 @@
 	relayKey = "relay"
 	// relayFresh is how old a relay's last answer of the store may be: a watch, its pace and a margin.
 	relayFresh = watchWait + watchPace + 400*time.Millisecond
-	// relayAvoid is how long a relay is passed over that did not answer or was not fresh.
-	relayAvoid = 5 * time.Second
+	// followSlack is how much longer than its wait a call to the relay may take.
+	followSlack = 300 * time.Millisecond
+	// directFor is how long the store itself is asked after a relay did not answer or was not fresh. Others may have
+	// failed with it, and each one tried would cost another timeout.
+	directFor = 5 * time.Second
 	// maxChanges bounds the changes that a relay keeps; a follower asks about once a second.
 	maxChanges = 32
 )
@@ -110,12 +113,12 @@
 func (h *Host) chooseRelay(now time.Time) {
 	var local []model.Peer
 	for _, p := range h.table.Live(now) {
-		if p.Zone == h.Zone && now.Sub(h.avoided[p.Address]) > relayAvoid {
+		if p.Zone == h.Zone {
 			local = append(local, p)
 		}
 	}
 	chosen := ""
-	if p, found := membership.Lead(local, relayKey); found && p.Name != h.Name {
+	if p, found := membership.Lead(local, relayKey); found && p.Name != h.Name && !now.Before(h.directUntil) {
 		chosen = p.Address
 	}
 	if before := h.relay.Swap(&chosen); before == nil || *before != chosen {
@@ -130,6 +133,8 @@
 		return store.Change{}, false
 	}
 	address := *relay
+	ctx, cancel := context.WithTimeout(ctx, watchWait+followSlack)
+	defer cancel()
 	reply, err := h.peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait})
 	if err == nil && reply.Fresh && !reply.Lost {
 		return store.Change{Revision: reply.Revision, Entries: reply.Entries, Deleted: reply.Deleted}, true
@@ -137,7 +142,7 @@
 	if err != nil || !reply.Fresh {
 		h.Log.Info("relay lost", zap.String("Relay", address), zap.Error(err))
 		h.post(func(now time.Time) {
-			h.avoided[address] = now
+			h.directUntil = now.Add(directFor)
 			h.chooseRelay(now)
 		})
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"citronspread/peer"
 	"citronspread/store"
+	"citronspread/tenure"
 )
 
 func change(revision int64, key string) store.Change {
@@ -73,3 +77,30 @@
 		t.Errorf("got %+v after %v, want the change at once", reply, time.Since(begun))
 	}
 }
+
+// TestFailedRelayIsNotReplacedAtOnce holds that the store is asked for a while when a relay fails: the next one may
+// have failed with it, and each costs a timeout in which a desired state waits.
+func TestFailedRelayIsNotReplacedAtOnce(t *testing.T) {
+	h := &Host{Name: "a", Zone: "z", Log: zap.NewNop(), Now: Boottime}
+	h.Prepare()
+	now := h.Now()
+	hosts := make(map[string]tenure.Host)
+	for i := range 8 {
+		name := fmt.Sprintf("host-%d", i)
+		hosts[name] = tenure.Host{Record: tenure.HostRecord{Name: name, Zone: "z", PeerAddress: name}, Revision: int64(i + 1)}
+	}
+	h.table.Observed(now, hosts)
+	h.chooseRelay(now)
+	if *h.relay.Load() == "" {
+		t.Fatal("got no relay")
+	}
+	h.directUntil = now.Add(directFor)
+	h.chooseRelay(now.Add(directFor - time.Millisecond))
+	if got := *h.relay.Load(); got != "" {
+		t.Errorf("got relay %s right after one failed, want the store", got)
+	}
+	h.chooseRelay(now.Add(directFor))
+	if *h.relay.Load() == "" {
+		t.Error("got no relay after a while")
+	}
+}
