--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -20,7 +20,7 @@
 	h.routes.Store(newRouteTable(model.DesiredState{Services: map[string]model.ServiceSpec{"llm": {Name: "llm", Engine: spec}}}))
 	now := h.Now()
 	h.table.Renewed(now, 1)
-	h.claimed(now, []tenure.Claim{{Backend: "i-gone"}}, tenure.OwnerRecord{Host: "a"}, 2, nil)
+	h.claimed(now, []tenure.Claim{{Backend: "i-gone"}}, 2, nil)
 	if len(h.owned) != 0 {
 		t.Errorf("got %d accounts, want none for a backend server that is gone", len(h.owned))
 	}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -49,6 +49,7 @@
 		return nil
 	}
 	b := &ownedBackend{account: residency.NewAccount(now, id, listing.Life, spec)}
+	b.account.NotBefore(h.table.FirstOrderAt(now, id))
 	h.owned[id] = b
 	return b
 }
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -238,11 +238,10 @@
 	h.claiming = true
 	own := hostPrefix + h.Name
 	t := store.Transaction{Expected: []store.Entry{{Key: own, Revision: h.table.Revision}}}
-	record := tenure.OwnerRecord{Host: h.Name, Incarnation: h.table.Self.Incarnation}
 	expected := map[string]bool{own: true}
 	for _, c := range claims {
 		t.Expected = append(t.Expected, store.Entry{Key: ownerPrefix + c.Backend, Revision: c.Revision})
-		t.Writes = append(t.Writes, store.Entry{Key: ownerPrefix + c.Backend, Value: encode(record)})
+		t.Writes = append(t.Writes, store.Entry{Key: ownerPrefix + c.Backend, Value: encode(h.table.RecordOf(c))})
 		if key := hostPrefix + c.Previous; c.Previous != "" && !expected[key] {
 			expected[key] = true
 			t.Expected = append(t.Expected, store.Entry{Key: key, Revision: c.PreviousRevision})
@@ -255,22 +254,20 @@
 		}
 		h.post(func(now time.Time) {
 			h.claiming = false
-			h.claimed(now, claims, record, revision, err)
+			h.claimed(now, claims, revision, err)
 		})
 	})
 }
 
-func (h *Host) claimed(now time.Time, claims []tenure.Claim, record tenure.OwnerRecord, revision int64, err error) {
+func (h *Host) claimed(now time.Time, claims []tenure.Claim, revision int64, err error) {
 	if err != nil {
 		h.Log.Info("not claimed", zap.Int("Backends", len(claims)), zap.Error(err))
 		h.claimAt = now.Add(claimPause) // until the watch has told what is different
 		return
 	}
 	for _, c := range claims {
-		h.table.Owners[c.Backend] = tenure.Owner{Record: record, Revision: revision}
-		if b := h.own(now, c.Backend); b != nil {
-			b.account.NotBefore(h.table.FirstOrderAt(now, c))
-		}
+		h.table.Owners[c.Backend] = tenure.Owner{Record: h.table.RecordOf(c), Revision: revision}
+		h.own(now, c.Backend)
 		h.Log.Info("claimed", zap.String("Backend", c.Backend), zap.String("Previous", c.Previous), zap.Int64("Term", revision))
 	}
 }
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -47,6 +47,7 @@
 type OwnerRecord struct {
 	Host        string
 	Incarnation string
+	Previous    string // owner before, empty when there was none
 }
 
 // Host is a host record as it was last seen.
@@ -270,9 +271,16 @@
 	return maxRank * rankDelay
 }
 
-// FirstOrderAt returns when the first order may follow a claim that was acknowledged at the time.
-func (t *Table) FirstOrderAt(now time.Time, c Claim) time.Time {
-	if c.Previous == "" || c.Previous == t.Self.Name {
+// RecordOf returns the owner record that a claim writes.
+func (t *Table) RecordOf(c Claim) OwnerRecord {
+	return OwnerRecord{Host: t.Self.Name, Incarnation: t.Self.Incarnation, Previous: c.Previous}
+}
+
+// FirstOrderAt returns when the first order may follow, for a host that has claimed the backend server or finds at its
+// start that it owns it: a process that ended meanwhile may have claimed it a moment ago.
+func (t *Table) FirstOrderAt(now time.Time, backend string) time.Time {
+	previous := t.Owners[backend].Record.Previous
+	if previous == "" || previous == t.Self.Name {
 		return now
 	}
 	return now.Add(t.OrderTurn + turnMargin)
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	w.revision++
-	o := Owner{Record: OwnerRecord{Host: t.Self.Name}, Revision: w.revision}
+	o := Owner{Record: t.RecordOf(c), Revision: w.revision}
 	w.owners[c.Backend] = o
 	t.Owners[c.Backend] = o
 	return true
@@ -158,9 +158,14 @@
 	if len(claims) != 1 {
 		t.Fatalf("got %d claims, want 1", len(claims))
 	}
-	if got := b.FirstOrderAt(start, claims[0]).Sub(start); got < orderTurn {
+	w.claim(b, claims[0])
+	if got := b.FirstOrderAt(start, "i-1").Sub(start); got < orderTurn {
 		t.Errorf("got the first order after %v, want at least %v", got, orderTurn)
 	}
+	again := w.table(start, "b")
+	if got := again.FirstOrderAt(start, "i-1").Sub(start); got < orderTurn {
+		t.Errorf("got the first order of a restarted process after %v, want at least %v", got, orderTurn)
+	}
 }
 
 // TestTurnsOfHolders walks through renewals, outages, freezes, restarts and claims, and checks what a backend server sees:
@@ -182,7 +187,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
 			name := rapid.SampledFrom(names).Draw(rt, "host")
 			table := tables[name]
-			switch rapid.IntRange(0, 7).Draw(rt, "event") {
+			switch rapid.IntRange(0, 8).Draw(rt, "event") {
 			case 0, 1: // renew; refused when another host has written the record
 				if w.hosts[name].Revision == table.Revision {
 					w.renew(now, table)
@@ -193,8 +198,8 @@
 				w.observe(now, table)
 			case 4: // restart or register again: the own record first, then all owners
 				tables[name] = w.table(now, name)
-				notBefore[name] = time.Time{}
 				table = tables[name]
+				notBefore[name] = table.FirstOrderAt(now, "i-1")
 			case 5:
 				for _, h := range table.Deposals(now) {
 					if w.hosts[h.Record.Name].Revision == h.Revision && w.hosts[name].Revision == table.Revision {
@@ -203,10 +208,15 @@
 						w.hosts[h.Record.Name] = Host{Record: h.Record, Revision: w.revision}
 					}
 				}
+			case 8: // a planned stop; the process starts again later
+				if w.hosts[name].Revision == table.Revision {
+					table.Stopping, table.Self.Left = true, true
+					w.renew(now, table)
+				}
 			case 6:
 				for _, c := range table.Claims(now, backends) {
 					if w.claim(table, c) {
-						notBefore[name] = table.FirstOrderAt(now, c)
+						notBefore[name] = table.FirstOrderAt(now, "i-1")
 					}
 				}
 			}
