--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"citronspread/peer"
+	"citronspread/store"
+)
+
+func change(revision int64, key string) store.Change {
+	return store.Change{Revision: revision, Entries: []store.Entry{{Key: key, Revision: revision}}}
+}
+
+func TestHistory(t *testing.T) {
+	k := newHistory()
+	if reply, _ := k.after(start, 5); reply.Fresh {
+		t.Error("got a fresh history before the store was read")
+	}
+	k.reset(start, 10)
+	for revision := int64(11); revision <= 13; revision++ {
+		k.add(start, change(revision, "k"), true)
+	}
+	tests := []struct {
+		after   int64
+		entries int
+		lost    bool
+	}{{after: 10, entries: 3}, {after: 12, entries: 1}, {after: 13}, {after: 20}, {after: 9, entries: 3, lost: true}}
+	for _, tt := range tests {
+		reply, _ := k.after(start, tt.after)
+		if !reply.Fresh || reply.Lost != tt.lost || len(reply.Entries) != tt.entries || reply.Revision < tt.after {
+			t.Errorf("after %d got %+v, want %d entries, lost %v", tt.after, reply, tt.entries, tt.lost)
+		}
+	}
+	if reply, _ := k.after(start.Add(relayFresh+time.Millisecond), 13); reply.Fresh {
+		t.Error("got a fresh history long after the store's last answer")
+	}
+}
+
+// TestFollowedHistoryIsNotFresh holds that a host which itself follows another one is no relay.
+func TestFollowedHistoryIsNotFresh(t *testing.T) {
+	k := newHistory()
+	k.reset(start, 10)
+	late := start.Add(time.Minute)
+	k.add(late, change(11, "k"), false)
+	if reply, _ := k.after(late, 10); reply.Fresh {
+		t.Error("got a fresh history that another host has passed on")
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	k := newHistory()
+	k.reset(start, 1)
+	for revision := int64(2); revision < 3*maxChanges; revision++ {
+		k.add(start, change(revision, "k"), true)
+	}
+	if reply, _ := k.after(start, 1); !reply.Lost {
+		t.Error("got a whole history, want its beginning lost")
+	}
+	if len(k.changes) > maxChanges {
+		t.Errorf("got %d changes, want at most %d", len(k.changes), maxChanges)
+	}
+}
+
+func TestFollowersHearAtOnce(t *testing.T) {
+	h := &Host{history: newHistory(), Now: time.Now}
+	h.history.reset(time.Now(), 10)
+	time.AfterFunc(20*time.Millisecond, func() { h.history.add(time.Now(), change(11, "k"), true) })
+	begun := time.Now()
+	reply := h.serveFollow(context.Background(), &peer.FollowRequest{After: 10, Wait: 5 * time.Second})
+	if len(reply.Entries) != 1 || time.Since(begun) > time.Second {
+		t.Errorf("got %+v after %v, want the change at once", reply, time.Since(begun))
+	}
+}
--- /dev/null
+++ b/gateway/view_test.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"citronspread/model"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testListing(sequence int64, models ...string) model.Listing {
+	return model.Listing{Life: model.Life{ID: "i-1", Born: 5}, Service: "llm", Zone: "z", Address: "10.0.0.1:1", Slots: 8, Sequence: sequence, Models: models}
+}
+
+func TestListed(t *testing.T) {
+	draining := testListing(4, "a")
+	draining.Draining = true
+	reborn := testListing(0)
+	reborn.Life.Born = 6
+	earlier := testListing(9, "old")
+	earlier.Life.Born = 4
+	tests := []struct {
+		name     string
+		first    model.Listing
+		then     model.Listing
+		changed  bool
+		reborn   bool
+		draining bool
+		models   []string
+	}{
+		{name: "newer state", first: testListing(4, "a"), then: testListing(5, "b"), changed: true, models: []string{"b"}},
+		{name: "late state of the same life", first: testListing(4, "a"), then: testListing(3, "b"), models: []string{"a"}},
+		{name: "late state of an earlier life", first: testListing(4, "a"), then: earlier, models: []string{"a"}},
+		{name: "draining is not taken back", first: draining, then: testListing(4, "a"), changed: true, draining: true, models: []string{"a"}},
+		{name: "another life", first: draining, then: reborn, changed: true, reborn: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView("z")
+			v.listed(start, tt.first)
+			changed, isReborn := v.listed(start.Add(time.Second), tt.then)
+			if changed != tt.changed || isReborn != tt.reborn {
+				t.Errorf("got changed %v, reborn %v, want %v, %v", changed, isReborn, tt.changed, tt.reborn)
+			}
+			b := v.backends["i-1"]
+			if b.listing.Draining != tt.draining || !slices.Equal(b.listing.Models, tt.models) {
+				t.Errorf("got draining %v, models %v, want %v, %v", b.listing.Draining, b.listing.Models, tt.draining, tt.models)
+			}
+		})
+	}
+}
+
+func TestMissingEntriesMayComeBack(t *testing.T) {
+	v := newView("z")
+	v.listed(start, testListing(1, "a"))
+	v.relisted(start, map[string]bool{})
+	if gone := v.expire(start.Add(returnGrace - time.Millisecond)); len(gone) != 0 {
+		t.Errorf("got %v gone within the grace", gone)
+	}
+	v.listed(start.Add(time.Second), testListing(1, "a"))
+	if gone := v.expire(start.Add(time.Minute)); len(gone) != 0 {
+		t.Errorf("got %v gone after it came back", gone)
+	}
+	v.relisted(start, map[string]bool{})
+	if gone := v.expire(start.Add(returnGrace + time.Millisecond)); len(gone) != 1 {
+		t.Errorf("got %v gone, want one", gone)
+	}
+}
+
+func TestNotesGoBeforeOlderEntries(t *testing.T) {
+	v := newView("z")
+	v.listed(start, testListing(1, "a"))
+	v.noteModel(start, "i-1", "a", false)
+	v.noteModel(start, "i-1", "b", true)
+	b := v.backends["i-1"]
+	if b.holds(start, "a") || !b.holds(start, "b") {
+		t.Error("got the entry, want the own observation")
+	}
+	later := start.Add(noteLasting)
+	if !b.holds(later, "a") || b.holds(later, "b") {
+		t.Error("got an old observation, want the entry")
+	}
+}
+
+func TestSnapshot(t *testing.T) {
+	v := newView("z")
+	v.listed(start, testListing(1, "a", "unknown"))
+	other := testListing(1, "a")
+	other.Life.ID, other.Draining = "i-2", true
+	v.listed(start, other)
+	desk := testListing(1)
+	desk.Life.ID, desk.Service = "i-3", "desk"
+	v.listed(start, desk)
+	v.noteAdapter(start, "i-1", "a", "x", true)
+	state := model.DesiredState{Services: map[string]model.ServiceSpec{
+		"llm":  {Name: "llm", Engine: &model.EngineSpec{Models: map[string]model.ModelSpec{"a": {Name: "a"}, "b": {Name: "b"}}}},
+		"desk": {Name: "desk"},
+	}}
+	s := v.snapshot(start, 1, state, 2, nil)
+	if len(s.Models) != 2 || len(s.Services) != 1 {
+		t.Fatalf("got %d models and %d hosts of services, want 2 and 1", len(s.Models), len(s.Services))
+	}
+	replicas := s.Models[0].Replicas
+	if len(replicas) != 2 || !slices.Equal(replicas[0].Adapters, []string{"x"}) || !replicas[1].Draining {
+		t.Errorf("got replicas %+v", replicas)
+	}
+}
+
+func TestRoutes(t *testing.T) {
+	table := newRouteTable(model.DesiredState{Routes: []model.Route{
+		{Name: "short", Host: "h", Prefix: "/a/"},
+		{Name: "long", Host: "h", Prefix: "/a/b/"},
+		{Name: "other", Host: "g", Prefix: "/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/x", "short"},
+		{"H", "/a/b/x", "long"},
+		{"h", "/a/b", "short"},
+		{"h", "/", ""},
+		{"g", "/a/x", "other"},
+		{"none", "/a/x", ""},
+	}
+	for _, tt := range tests {
+		if got, _ := table.find(tt.host, tt.path); got.Name != tt.want {
+			t.Errorf("got %q for %s%s, want %q", got.Name, tt.host, tt.path, tt.want)
+		}
+	}
+}
+
+func TestSharesOfARoute(t *testing.T) {
+	route := model.Route{Shares: []model.ServiceShare{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "none", Weight: 0}}}
+	const requests = 10_000
+	counts := make(map[string]int)
+	for i := range requests {
+		id := fmt.Sprint(i)
+		service := serviceOf(route, id)
+		if again := serviceOf(route, id); again != service {
+			t.Fatalf("got %s and then %s for one request", service, again)
+		}
+		counts[service]++
+	}
+	if counts["a"] < requests*88/100 || counts["a"] > requests*92/100 || counts["none"] > 0 {
+		t.Errorf("got %v, want about 90 in 100 and 10 in 100", counts)
+	}
+}
+
+func TestPermitsStayBelowTheCeiling(t *testing.T) {
+	tests := []struct {
+		perSecond float64
+		parallel  int
+		want      int
+	}{{perSecond: 3.1, parallel: 4, want: 4}, {perSecond: 0.5, parallel: 4, want: 2}, {perSecond: 0, parallel: 4, want: 1}}
+	for _, tt := range tests {
+		h := &Host{CeilingWindow: 5 * time.Second, CeilingOverage: 1.1, ParallelLoads: tt.parallel}
+		got := h.permitCount(&model.EngineSpec{LoadsPerSecond: tt.perSecond})
+		if got != tt.want {
+			t.Errorf("got %d permits at %.1f loads a second, want %d", got, tt.perSecond, tt.want)
+		}
+		if ceiling := tt.perSecond*5*1.1 + 3; float64(2*got) > ceiling {
+			t.Errorf("got up to %d loads in a window, want at most %.1f", 2*got, ceiling)
+		}
+	}
+}
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -176,3 +176,29 @@
 		}
 	}
 }
+
+// TestCallersThatLeaveEarly plays callers that leave when nothing has come by a time: they are served when a start by
+// then can be expected, however late the end is, and refused at once when it can't.
+func TestCallersThatLeaveEarly(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	tests := []struct {
+		name    string
+		startBy time.Time
+		start   time.Time
+		end     time.Time
+		want    bool
+	}{
+		{name: "no such time", start: now.Add(time.Second), end: now.Add(2 * time.Second)},
+		{name: "starts in time", startBy: now.Add(time.Second), start: now.Add(time.Second), end: now.Add(9 * time.Second)},
+		{name: "starts too late", startBy: now.Add(time.Second), start: now.Add(1100 * time.Millisecond), end: now.Add(2 * time.Second), want: true},
+		{name: "ends too late", startBy: now.Add(time.Second), start: now, end: now.Add(11 * time.Second), want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := Request{Deadline: now.Add(10 * time.Second), StartBy: tt.startBy}
+			if got := r.isLate(tt.start, tt.end); got != tt.want {
+				t.Errorf("got late %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
