store, platform, gateway: the latest event of a key counts in a watch's answer

Cause: a watch's answer was split into entries written and keys deleted, and relays joined the changes of several answers the same way, so that the order of two events of one key was lost. Deletions were taken in last: a backend server whose entry was removed and written again within one answer counted as gone until its entry changed once more, and an entry removed after a write was passed on as both.

Ruled out: comparing revisions where changes are taken in; deletions bear none on their way between hosts, and three places would compare.

TestHistory now counts keys of three names, since one key makes one entry.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,13 +80,11 @@
 	defer k.mu.Unlock()
 	reply.Fresh = now.Sub(k.answeredAt) <= relayFresh && k.revision > 0
 	reply.Lost = revision < k.from
-	reply.Revision = max(revision, k.revision)
-	for _, c := range k.changes {
-		if c.Revision > revision {
-			reply.Entries = append(reply.Entries, c.Entries...)
-			reply.Deleted = append(reply.Deleted, c.Deleted...)
-		}
+	newer := slices.IndexFunc(k.changes, func(c store.Change) bool { return c.Revision > revision })
+	if newer >= 0 {
+		reply.Change = store.Join(k.changes[newer:])
 	}
+	reply.Change.Revision = max(revision, k.revision)
 	return reply, k.changed
 }
 
@@ -96,7 +94,7 @@
 	defer timer.Stop()
 	for {
 		reply, changed := h.history.after(h.Now(), request.After)
-		if !reply.Fresh || reply.Lost || len(reply.Entries)+len(reply.Deleted) > 0 {
+		if !reply.Fresh || reply.Lost || !reply.Change.IsEmpty() {
 			return &reply
 		}
 		select {
@@ -137,7 +135,7 @@
 	defer cancel()
 	reply, err := h.peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait})
 	if err == nil && reply.Fresh && !reply.Lost {
-		return store.Change{Revision: reply.Revision, Entries: reply.Entries, Deleted: reply.Deleted}, true
+		return reply.Change, true
 	}
 	if err != nil || !reply.Fresh {
 		h.Log.Info("relay lost", zap.String("Relay", address), zap.Error(err))
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -24,7 +24,7 @@
 	}
 	k.reset(start, 10)
 	for revision := int64(11); revision <= 13; revision++ {
-		k.add(start, change(revision, "k"), true)
+		k.add(start, change(revision, fmt.Sprint("k", revision)), true)
 	}
 	tests := []struct {
 		after   int64
@@ -33,7 +33,7 @@
 	}{{after: 10, entries: 3}, {after: 12, entries: 1}, {after: 13}, {after: 20}, {after: 9, entries: 3, lost: true}}
 	for _, tt := range tests {
 		reply, _ := k.after(start, tt.after)
-		if !reply.Fresh || reply.Lost != tt.lost || len(reply.Entries) != tt.entries || reply.Revision < tt.after {
+		if !reply.Fresh || reply.Lost != tt.lost || len(reply.Change.Entries) != tt.entries || reply.Change.Revision < tt.after {
 			t.Errorf("after %d got %+v, want %d entries, lost %v", tt.after, reply, tt.entries, tt.lost)
 		}
 	}
@@ -42,6 +42,21 @@
 	}
 }
 
+// TestHistoryJoinsChangesInOrder has a key removed and written again, and another the other way round.
+func TestHistoryJoinsChangesInOrder(t *testing.T) {
+	k := newHistory()
+	k.reset(start, 10)
+	k.add(start, store.Change{Revision: 11, Entries: []store.Entry{{Key: "gone", Revision: 11}}, Deleted: []string{"back"}}, true)
+	k.add(start, store.Change{Revision: 12, Entries: []store.Entry{{Key: "back", Revision: 12}}, Deleted: []string{"gone"}}, true)
+	reply, _ := k.after(start, 10)
+	if len(reply.Change.Entries) != 1 || reply.Change.Entries[0].Key != "back" {
+		t.Errorf("got entries %+v, want back alone", reply.Change.Entries)
+	}
+	if len(reply.Change.Deleted) != 1 || reply.Change.Deleted[0] != "gone" {
+		t.Errorf("got %v deleted, want gone alone", reply.Change.Deleted)
+	}
+}
+
 // TestFollowedHistoryIsNotFresh holds that a host which itself follows another one is no relay.
 func TestFollowedHistoryIsNotFresh(t *testing.T) {
 	k := newHistory()
@@ -73,7 +88,7 @@
 	time.AfterFunc(20*time.Millisecond, func() { h.history.add(time.Now(), change(11, "k"), true) })
 	begun := time.Now()
 	reply := h.serveFollow(context.Background(), &peer.FollowRequest{After: 10, Wait: 5 * time.Second})
-	if len(reply.Entries) != 1 || time.Since(begun) > time.Second {
+	if len(reply.Change.Entries) != 1 || time.Since(begun) > time.Second {
 		t.Errorf("got %+v after %v, want the change at once", reply, time.Since(begun))
 	}
 }
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -90,11 +90,9 @@
 
 // FollowReply holds the changes of the store.
 type FollowReply struct {
-	Fresh    bool // the store answered the host a short while ago
-	Lost     bool // the changes are not all kept any more
-	Revision int64
-	Entries  []store.Entry
-	Deleted  []string
+	Fresh  bool // the store answered the host a short while ago
+	Lost   bool // the changes are not all kept any more
+	Change store.Change
 }
 
 // Place asks the lead of a model to have it loaded.
--- a/standin/store_watch.go
+++ b/standin/store_watch.go
@@ -16,7 +16,7 @@
 	s.count(func(c *StoreCounts) { c.Watches++ })
 	for {
 		change, changed := s.changesAfter(prefix, after)
-		if change.Revision < after || len(change.Entries) > 0 || len(change.Deleted) > 0 {
+		if change.Revision < after || !change.IsEmpty() {
 			writeJSON(w, http.StatusOK, change)
 			return
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -25,14 +25,6 @@
 	Entries  []Entry
 }
 
-// Change is the answer to Watch. A Revision below the one asked for means that the store came back with older data;
-// Entries then holds all keys under the prefix.
-type Change struct {
-	Revision int64
-	Entries  []Entry
-	Deleted  []string
-}
-
 // Lease is a lease that the service granted.
 type Lease struct {
 	ID string
