gateway: a planned stop may come before the host runs

Cause: post read the host's context, which Run set; a SIGTERM in the first moments of a process ended it by a nil pointer. Prepare makes the context. TestStopBeforeRun failed before. The router's expected times became named constants.

--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 
 	"go.uber.org/zap"
@@ -8,6 +9,7 @@
 	"citronspread/model"
 	"citronspread/peer"
 	"citronspread/residency"
+	"citronspread/store"
 	"citronspread/tenure"
 )
 
@@ -29,3 +31,27 @@
 		t.Errorf("got offers %+v of a backend server that is gone", reply.Offers)
 	}
 }
+
+// TestStopBeforeRun has a planned stop come before the host runs.
+func TestStopBeforeRun(t *testing.T) {
+	h := &Host{Name: "a", Zone: "z", PeerAddress: "127.0.0.1:0", Log: zap.NewNop(), Now: Boottime, Store: standInNothing{}}
+	h.Prepare()
+	h.Stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- h.Run(ctx) }()
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+	if h.Ready() {
+		t.Error("got a ready host, want it stopping")
+	}
+}
+
+// standInNothing is a store that is out of reach.
+type standInNothing struct{ Store }
+
+func (standInNothing) List(context.Context, string) (store.Listing, error) {
+	return store.Listing{}, &store.UnavailableError{}
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -16,6 +16,7 @@
 	"citronspread/metrics"
 	"citronspread/model"
 	"citronspread/peer"
+	"citronspread/residency"
 	"citronspread/routing"
 	"citronspread/tenure"
 )
@@ -32,6 +33,16 @@
 	suspectLimit       = 10_000
 )
 
+// Times that the router expects until owners tell better ones.
+const (
+	// listedStale is longer than any process runs between restarts: what is listed is valid until it is removed.
+	listedStale = 24 * time.Hour
+	// usualColdStart is a load from a copy in memory, about 630 ms in the desired states seen.
+	usualColdStart = 700 * time.Millisecond
+	// usualAdapterStart is the load of an adapter and the calls to its owner.
+	usualAdapterStart = residency.AdapterLoad + 10*time.Millisecond
+)
+
 // Host is one entry host. The exported fields are set before Run.
 type Host struct {
 	Name           string
@@ -59,7 +70,8 @@
 	listedOK atomic.Bool  // the platform's list was read
 	hosts    atomic.Int64 // live entry hosts, this one included
 	events   chan func(now time.Time)
-	ctx      context.Context
+	ctx      context.Context // ends with the host
+	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	leaving  context.Context // ends when those who still wait have to go to another host
 	turnAway context.CancelFunc
@@ -91,6 +103,7 @@
 // Prepare builds what the edges need before Run.
 func (h *Host) Prepare() {
 	h.Desk = &Desk{host: h, budgets: make(map[string]*routing.Budget)}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.leaving, h.turnAway = context.WithCancel(context.Background())
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
@@ -103,9 +116,9 @@
 	self := tenure.HostRecord{Name: h.Name, Zone: h.Zone, PeerAddress: h.PeerAddress, Incarnation: uuid.NewString()}
 	h.table = tenure.NewTable(self, h.OrderTurn)
 	policy := routing.DefaultPolicy()
-	policy.StaleAfter = 24 * time.Hour // what is listed is valid until it is removed
-	policy.ColdStart = 700 * time.Millisecond
-	policy.AdapterStart = 30 * time.Millisecond
+	policy.StaleAfter = listedStale
+	policy.ColdStart = usualColdStart
+	policy.AdapterStart = usualAdapterStart
 	policy.MoveFactor = 0 // moved prompts are read anew, which slows others down more than it gains
 	h.router = &routing.Router{
 		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, Waker: h, Budget: &routing.Budget{},
@@ -127,12 +140,11 @@
 	if h.peers, err = peer.NewClient(traffic); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	h.ctx = ctx
+	defer h.cancel()
+	defer context.AfterFunc(ctx, h.cancel)()
 	var group run.Group
 	add := func(task func(ctx context.Context) error) {
-		group.Add(func() error { return task(ctx) }, func(error) { cancel() })
+		group.Add(func() error { return task(h.ctx) }, func(error) { h.cancel() })
 	}
 	add(h.control)
 	add(h.watchStore)
