routing: a host that slept grants no place before it has heard what changed; faults: overlapping leaves

The schedule has it leave at 3.67 s for 10.5 s and again at 4.70 s for 11.0 s, and the end of the first leave listed it as live while the second still lasted; its runs were allowed. gujranwala-backend-1 leaves at 9.54 s while sialkot-b-entry-1 is frozen from 9.75 s to 15.85 s: the frozen host granted places by what it knew before, a moment before it read the list.

A router whose last step is over a second old waits 250 ms for news. A backend server is listed as leaving until the last of its leaves has ended; the judge and its bound are unchanged. TestWokenHostHearsOfLeavingFirst and TestOverlappingLeaves failed before.

--- a/faults/judge_test.go
+++ b/faults/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -171,3 +172,29 @@
 		t.Errorf("got %d and %d faults, want the same ones for the same seed", len(first), len(second))
 	}
 }
+
+// TestOverlappingLeaves holds that a backend server is shown as leaving until the last of its leaves has ended.
+func TestOverlappingLeaves(t *testing.T) {
+	r := newJudged(t)
+	e := r.platform.engines[0]
+	r.platform.hosts.Lag = 0
+	shown := func() model.HostState {
+		for _, h := range r.platform.hosts.Hosts() {
+			if h.Name == e.Backend {
+				return h.State
+			}
+		}
+		return ""
+	}
+	var ended sync.WaitGroup
+	ended.Go(func() { r.leave(t.Context(), fault{kind: faultEngineLeaves, duration: 10 * time.Millisecond}, e) })
+	ended.Go(func() { r.leave(t.Context(), fault{kind: faultEngineLeaves, duration: 400 * time.Millisecond}, e) })
+	time.Sleep(hostListLag + 200*time.Millisecond)
+	if got := shown(); got != model.HostLeaving {
+		t.Errorf("got %s after the first leave, want %s", got, model.HostLeaving)
+	}
+	ended.Wait()
+	if got := shown(); got != model.HostLive {
+		t.Errorf("got %s after both, want %s", got, model.HostLive)
+	}
+}
--- a/faults/platform.go
+++ b/faults/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"citronspread/model"
@@ -41,7 +42,8 @@
 // platformEngine is an engine with its line in the host list.
 type platformEngine struct {
 	*standin.Engine
-	zone string
+	zone   string
+	leaves atomic.Int32 // faults under way that show it as leaving
 }
 
 func (e *platformEngine) line(state model.HostState) model.Host {
--- a/faults/play.go
+++ b/faults/play.go
@@ -208,12 +208,13 @@
 	}
 }
 
-// leave shows a backend server as leaving for a time.
+// leave shows a backend server as leaving for a time, which others may overlap.
 func (r *Run) leave(ctx context.Context, f fault, e *platformEngine) {
+	e.leaves.Add(1)
 	r.platform.hosts.Set(e.line(model.HostLeaving))
 	sleep(ctx, hostListLag)
 	r.last(ctx, f, e.Backend, func(on bool) {
-		if !on {
+		if !on && e.leaves.Add(-1) == 0 {
 			r.platform.hosts.Set(e.line(model.HostLive))
 		}
 	})
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -62,9 +62,9 @@
 	refused.settle(result{err: &RefusedError{Reason: reason, RetryAfter: r.retryAfter(now, refused)}})
 }
 
-// dispatch grants places to waiting requests until none fits.
+// dispatch grants places to waiting requests until none fits. After a sleep it waits for news of backend servers.
 func (r *Router) dispatch(now time.Time) {
-	if r.queue.Len() == 0 {
+	if r.queue.Len() == 0 || r.hasSlept(now) || now.Before(r.settled) {
 		return
 	}
 	cursors := r.queue.cursors()
--- a/routing/router.go
+++ b/routing/router.go
@@ -18,6 +18,10 @@
 	heldPoll        = 50 * time.Millisecond
 	unsettledExcess = 500 * time.Millisecond // tolerance before a waiting request counts as forgotten
 	retryAfterFloor = time.Second
+	// sleptAfter without a step means that the process was frozen; an idle router steps ten times as often.
+	sleptAfter = time.Second
+	// settleTime is left after a sleep to hear of changes that arrived meanwhile, such as leaving backend servers.
+	settleTime = 250 * time.Millisecond
 )
 
 // Waker asks the lead of a model to load it.
@@ -46,6 +50,8 @@
 	index    *index
 	random   *rand.Rand
 	reviewed time.Time
+	stepped  time.Time // latest step
+	settled  time.Time // no place is granted before, after a sleep
 
 	estimates estimates
 	coldSince map[Target]time.Time // since when requests wait for a target without a replica
@@ -153,6 +159,10 @@
 func (r *Router) Step(now time.Time) {
 	r.once.Do(r.init)
 	r.mu.Lock()
+	if r.hasSlept(now) {
+		r.settled = now.Add(settleTime)
+	}
+	r.stepped = now
 	r.reindex(now)
 	r.fleet.sample(now)
 	r.dispatch(now)
@@ -166,6 +176,11 @@
 	r.Suspects.Tick(now)
 }
 
+// hasSlept reports whether the process was frozen until a moment ago.
+func (r *Router) hasSlept(now time.Time) bool {
+	return !r.stepped.IsZero() && now.Sub(r.stepped) > sleptAfter
+}
+
 func (r *Router) init() {
 	r.changed = make(chan struct{}, 1)
 	r.queue.Limit = r.Policy.QueueLimit
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -302,3 +302,29 @@
 }
 
 func backendName(i int) string { return fmt.Sprint("backend-", i) }
+
+// TestWokenHostHearsOfLeavingFirst has a host sleep while a backend server begins to leave. What waits then is granted
+// by what the host hears after it woke, not by what it knew before.
+func TestWokenHostHearsOfLeavingFirst(t *testing.T) {
+	r := newRouter(DefaultPolicy(), replica("leaving", 9))
+	r.Step(testTime)
+	woken := testTime.Add(6 * time.Second)
+	first, second := ticket(woken, 10, time.Minute), ticket(woken, 10, time.Minute)
+	r.admit(woken, first)
+	r.Step(woken.Add(time.Millisecond))
+	r.admit(woken.Add(2*time.Millisecond), second)
+	for _, tk := range []*Ticket{first, second} {
+		if got, _ := tk.outcome(); got != "waiting" {
+			t.Errorf("got %s right after the sleep, want waiting", got)
+		}
+	}
+	leaving, staying := replica("leaving", 9), replica("staying", 9)
+	leaving.Draining = true
+	publish(r, leaving, staying)
+	r.Step(woken.Add(settleTime + 2*time.Millisecond))
+	for _, tk := range []*Ticket{first, second} {
+		if got, _ := tk.outcome(); got != "staying" {
+			t.Errorf("got %s, want staying", got)
+		}
+	}
+}
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -61,6 +61,12 @@
 	})
 }
 
+// Hosts returns the list as it is published.
+func (h *HostList) Hosts() []model.Host {
+	published, _, _ := h.read()
+	return slices.Clone(published.Hosts)
+}
+
 // Remove removes one host's line and publishes that after the lag.
 func (h *HostList) Remove(name string) {
 	h.edit(func() { h.dropHost(name) })
