--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -21,7 +21,7 @@
 	spec := &model.EngineSpec{Models: map[string]model.ModelSpec{"a": {Name: "a"}}}
 	h.routes.Store(newRouteTable(model.DesiredState{Services: map[string]model.ServiceSpec{"llm": {Name: "llm", Engine: spec}}}))
 	now := h.Now()
-	h.table.Renewed(now, 1)
+	h.table.Registered(now, 1)
 	h.claimed(now, []tenure.Claim{{Backend: "i-gone"}}, 2, nil)
 	if len(h.owned) != 0 {
 		t.Errorf("got %d accounts, want none for a backend server that is gone", len(h.owned))
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -85,6 +85,7 @@
 	version     int64
 	table       *tenure.Table
 	registered  bool
+	lease       int64 // that keeps the own sign of life
 	owned       map[string]*ownedBackend
 	asks        map[routing.Target]*ask
 	lead        *lead
@@ -255,14 +256,14 @@
 	for _, s := range h.suspects {
 		suspects = append(suspects, s)
 	}
-	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone(now), suspects))
+	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone(), suspects))
 	h.router.Changed()
 }
 
 // routersOfZone returns the number of live entry hosts of the zone.
-func (h *Host) routersOfZone(now time.Time) int {
+func (h *Host) routersOfZone() int {
 	count := 0
-	for _, p := range h.table.Live(now) {
+	for _, p := range h.table.Live() {
 		if p.Zone == h.Zone {
 			count++
 		}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -57,7 +57,7 @@
 
 // leadOf returns the address of a model's lead.
 func (h *Host) leadOf(now time.Time, key model.ModelKey) string {
-	p, found := membership.Lead(h.table.Live(now), key.String())
+	p, found := membership.Lead(h.table.Live(), key.String())
 	if !found {
 		return h.PeerAddress
 	}
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -16,6 +16,7 @@
 // Keys in the platform's store.
 const (
 	hostPrefix  = "citronspread/host/"
+	lifePrefix  = "citronspread/life/" // signs of life, under the hosts' leases
 	ownerPrefix = "citronspread/owner/"
 )
 
@@ -29,30 +30,25 @@
 	claimPause = 2 * watchPace
 	// registerPause is waited for after a failed registration.
 	registerPause = 300 * time.Millisecond
-	// claimBatch bounds the claims of one transaction, which takes 32 rows of each kind.
-	claimBatch = 10
+	// claimBatch bounds the claims of one transaction, which takes 32 rows: one for the own host and four a claim.
+	claimBatch = 7
 )
 
-// stepOwnership registers, renews, observes, deposes and claims, each when it is due.
+// stepOwnership registers, renews and claims, each when it is due. A host that stops renews on, so that its record is
+// there until its successors have acted on it.
 func (h *Host) stepOwnership(now time.Time) {
-	if h.stopping.Load() {
-		return
+	if h.registered && !h.table.IsRegistered() {
+		h.registered = false
+		h.Log.Warn("registration lost", zap.String("Name", h.Name), zap.Duration("Age", now.Sub(h.table.RenewedAt)))
 	}
 	switch {
 	case h.renewing:
-	case !h.registered:
+	case !h.registered && !h.stopping.Load():
 		h.register()
-	case now.Sub(h.steppedAt) >= tenure.RenewEvery:
+	case h.registered && now.Sub(h.steppedAt) >= tenure.RenewEvery:
 		h.renew(now)
 	}
-	if !h.registered || h.claiming {
-		return
-	}
-	if silent := h.table.Deposals(now); len(silent) > 0 && !now.Before(h.claimAt) {
-		h.depose(silent[0])
-		return
-	}
-	if now.Before(h.claimAt) {
+	if !h.registered || h.stopping.Load() || h.claiming || now.Before(h.claimAt) {
 		return
 	}
 	h.claimAt = now.Add(claimInterval)
@@ -76,13 +72,20 @@
 	return backends
 }
 
-// register writes the own host record and reads who owns what.
+// registration is what a registration wrote and read.
+type registration struct {
+	lease    int64
+	begun    time.Time // of the transaction
+	revision int64
+	owners   map[string]tenure.Owner
+}
+
+// register writes the own host record and sign of life, and reads who owns what.
 func (h *Host) register() {
 	h.renewing = true
 	self := h.table.Self
 	h.spawn(func(ctx context.Context) {
-		begun := h.Now()
-		revision, owners, err := h.registration(ctx, self)
+		r, err := h.registration(ctx, self)
 		if err != nil {
 			sleep(ctx, registerPause)
 		}
@@ -92,147 +95,107 @@
 				h.Log.Warn("not registered", zap.String("Name", self.Name), zap.Error(err))
 				return
 			}
-			h.registered, h.steppedAt = true, now
+			h.registered, h.steppedAt, h.lease = true, now, r.lease
 			if h.claimAt.IsZero() {
 				h.claimAt = now.Add(firstClaims)
 			}
-			h.table.Owners = owners
-			h.table.Renewed(begun, revision)
-			h.noteHosts(now)
-			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", revision))
+			h.table.Owners = r.owners
+			h.table.Registered(r.begun, r.revision)
+			h.noteHosts()
+			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", r.revision), zap.Int64("Lease", r.lease))
+			if h.stopping.Load() {
+				h.leave(now)
+			}
 		})
 	})
 }
 
-func (h *Host) registration(ctx context.Context, self tenure.HostRecord) (int64, map[string]tenure.Owner, error) {
-	key := hostPrefix + self.Name
-	current, err := h.Store.Get(ctx, key)
+func (h *Host) registration(ctx context.Context, self tenure.HostRecord) (registration, error) {
+	hostKey, lifeKey := hostPrefix+self.Name, lifePrefix+self.Name
+	current, err := h.Store.Get(ctx, hostKey)
 	if err != nil {
-		return 0, nil, err
+		return registration{}, err
 	}
-	revision, err := h.Store.Commit(ctx, store.Transaction{
-		Expected: []store.Entry{{Key: key, Revision: current.Revision}},
-		Writes:   []store.Entry{{Key: key, Value: encode(self)}},
+	r := registration{owners: make(map[string]tenure.Owner)}
+	if r.lease, err = h.Store.Grant(ctx, tenure.LeaseTerm); err != nil {
+		return registration{}, err
+	}
+	r.begun = h.Now()
+	r.revision, err = h.Store.Commit(ctx, store.Transaction{
+		Expected: []store.Entry{{Key: hostKey, Revision: current.Revision}},
+		Writes:   []store.Write{{Key: hostKey, Value: encode(self)}, {Key: lifeKey, Value: []byte(self.Incarnation), Lease: r.lease}},
 	})
 	if err != nil {
-		return 0, nil, err
+		return registration{}, err
 	}
 	owned, err := h.Store.List(ctx, ownerPrefix)
 	if err != nil {
-		return 0, nil, err
+		return registration{}, err
 	}
-	owners := make(map[string]tenure.Owner)
 	for _, e := range owned.Entries {
-		h.putOwner(owners, e)
+		h.putOwner(r.owners, strings.TrimPrefix(e.Key, ownerPrefix), e)
 	}
-	return revision, owners, nil
+	return r, nil
 }
 
-// renew proves that this host lives. Only while that is recent does it give orders.
+// renew keeps the lease, which proves that this host lives. Only while that is recent does it give orders.
 func (h *Host) renew(now time.Time) {
 	h.renewing, h.steppedAt = true, now
-	h.table.Self.Renewal++
-	self, expected := h.table.Self, h.table.Revision
+	lease := h.lease
 	h.spawn(func(ctx context.Context) {
 		begun := h.Now()
-		key := hostPrefix + self.Name
-		revision, err := h.Store.Commit(ctx, store.Transaction{
-			Expected: []store.Entry{{Key: key, Revision: expected}},
-			Writes:   []store.Entry{{Key: key, Value: encode(self)}},
-		})
+		err := h.Store.Keep(ctx, lease)
 		h.post(func(now time.Time) {
 			h.renewing = false
-			h.renewed(now, begun, revision, err)
+			h.renewed(now, begun, err)
 		})
 	})
 }
 
-func (h *Host) renewed(now, begun time.Time, revision int64, err error) {
-	if err == nil {
-		if now.Sub(h.table.RenewedAt) > tenure.Validity {
-			h.Log.Info("ownership regained", zap.Int64("Revision", revision))
+func (h *Host) renewed(now, begun time.Time, err error) {
+	age := now.Sub(h.table.RenewedAt)
+	var ended *store.NotFoundError
+	switch {
+	case err == nil:
+		if age > tenure.Validity {
+			h.Log.Info("ownership regained", zap.Duration("Age", age))
 		}
-		h.table.Renewed(begun, revision)
-		return
-	}
-	h.Log.Warn("not renewed", zap.Duration("Age", now.Sub(h.table.RenewedAt)), zap.Error(err))
-	h.steppedAt = now.Add(registerPause - tenure.RenewEvery)
-	var conflict *store.ConflictError
-	if !errors.As(err, &conflict) {
-		return
-	}
-	var record tenure.HostRecord
-	if decodeErr := json.Unmarshal(conflict.Current.Value, &record); decodeErr != nil {
-		h.Log.Error("host record not readable", zap.String("Key", conflict.Key), zap.Error(decodeErr))
-	}
-	if record.Incarnation == h.table.Self.Incarnation && !record.Deposed {
-		h.table.Revision = conflict.Current.Revision // an earlier renewal whose answer was lost
-		return
+		h.table.Renewed(begun)
+	case errors.As(err, &ended):
+		// Nobody succeeds an owner before its latest renewal is out of date, so orders may go on meanwhile.
+		h.registered = false
+		h.Log.Warn("lease ended", zap.Duration("Age", age), zap.Int64("Lease", h.lease))
+	default:
+		h.steppedAt = now.Add(registerPause - tenure.RenewEvery)
+		h.Log.Warn("not renewed", zap.Duration("Age", age), zap.Error(err))
 	}
-	h.table.Lost()
-	h.registered = false
-	h.Log.Warn("ownership lost", zap.Bool("Deposed", record.Deposed), zap.Int64("Revision", conflict.Current.Revision))
 }
 
 // noteHosts tells the traffic threads how many hosts share the budgets.
-func (h *Host) noteHosts(now time.Time) {
-	live := int64(len(h.table.Live(now)))
+func (h *Host) noteHosts() {
+	live := int64(len(h.table.Live()))
 	if h.hosts.Swap(live) != live {
 		h.viewChanged = true
 		h.Log.Info("entry hosts changed", zap.Int64("Live", live))
 	}
 }
 
-// putHost decodes a host record. A record that was seen in a newer state stays.
-func (h *Host) putHost(hosts map[string]tenure.Host, e store.Entry) {
-	var record tenure.HostRecord
+// decodeRecord decodes a record of an entry host.
+func decodeRecord[T any](h *Host, e store.Entry) (record T, ok bool) {
 	if err := json.Unmarshal(e.Value, &record); err != nil {
-		h.Log.Error("host record not readable", zap.String("Key", e.Key), zap.Error(err))
-		return
-	}
-	if e.Revision > hosts[record.Name].Revision {
-		hosts[record.Name] = tenure.Host{Record: record, Revision: e.Revision}
+		h.Log.Error("record not readable", zap.String("Key", e.Key), zap.Int64("Revision", e.Revision), zap.Error(err))
+		return record, false
 	}
+	return record, true
 }
 
 // putOwner decodes an owner record. A record that was seen in a newer state stays.
-func (h *Host) putOwner(owners map[string]tenure.Owner, e store.Entry) {
-	var record tenure.OwnerRecord
-	if err := json.Unmarshal(e.Value, &record); err != nil {
-		h.Log.Error("owner record not readable", zap.String("Key", e.Key), zap.Error(err))
-		return
-	}
-	id := strings.TrimPrefix(e.Key, ownerPrefix)
-	if e.Revision > owners[id].Revision {
+func (h *Host) putOwner(owners map[string]tenure.Owner, id string, e store.Entry) {
+	if record, ok := decodeRecord[tenure.OwnerRecord](h, e); ok && e.Revision > owners[id].Revision {
 		owners[id] = tenure.Owner{Record: record, Revision: e.Revision}
 	}
 }
 
-// depose marks a host that has been silent for longer than its validity.
-func (h *Host) depose(silent tenure.Host) {
-	h.claiming = true
-	record := silent.Record
-	record.Deposed = true
-	key, own, ownRevision := hostPrefix+record.Name, hostPrefix+h.Name, h.table.Revision
-	h.spawn(func(ctx context.Context) {
-		revision, err := h.Store.Commit(ctx, store.Transaction{
-			Expected: []store.Entry{{Key: key, Revision: silent.Revision}, {Key: own, Revision: ownRevision}},
-			Writes:   []store.Entry{{Key: key, Value: encode(record)}},
-		})
-		h.post(func(now time.Time) {
-			h.claiming = false
-			h.Log.Info("deposed", zap.String("Host", record.Name), zap.Int64("Seen", silent.Revision),
-				zap.Duration("Silent", now.Sub(silent.Since)), zap.Int64("Revision", revision), zap.Error(err))
-			if err == nil {
-				h.table.Hosts[record.Name] = tenure.Host{Record: record, Revision: revision, Since: now}
-				h.noteHosts(now)
-				return
-			}
-			h.claimAt = now.Add(claimPause) // until the watch has told what is different
-		})
-	})
-}
-
 // claim makes this host the owner of backend servers.
 func (h *Host) claim(claims []tenure.Claim) {
 	h.claiming = true
@@ -241,10 +204,13 @@
 	expected := map[string]bool{own: true}
 	for _, c := range claims {
 		t.Expected = append(t.Expected, store.Entry{Key: ownerPrefix + c.Backend, Revision: c.Revision})
-		t.Writes = append(t.Writes, store.Entry{Key: ownerPrefix + c.Backend, Value: encode(h.table.RecordOf(c))})
+		t.Writes = append(t.Writes, store.Write{Key: ownerPrefix + c.Backend, Value: encode(h.table.RecordOf(c))})
 		if key := hostPrefix + c.Previous; c.Previous != "" && !expected[key] {
 			expected[key] = true
 			t.Expected = append(t.Expected, store.Entry{Key: key, Revision: c.PreviousRevision})
+			if c.PreviousSilent {
+				t.Expected = append(t.Expected, store.Entry{Key: lifePrefix + c.Previous})
+			}
 		}
 	}
 	h.spawn(func(ctx context.Context) {
@@ -284,9 +250,14 @@
 		key := hostPrefix + self.Name
 		revision, err := h.Store.Commit(ctx, store.Transaction{
 			Expected: []store.Entry{{Key: key, Revision: expected}},
-			Writes:   []store.Entry{{Key: key, Value: encode(self)}},
+			Writes:   []store.Write{{Key: key, Value: encode(self)}},
+		})
+		h.post(func(time.Time) {
+			h.Log.Info("left", zap.Int64("Revision", revision), zap.Error(err))
+			if err == nil {
+				h.table.Left(revision)
+			}
 		})
-		h.Log.Info("left", zap.Int64("Revision", revision), zap.Error(err))
 	})
 }
 
@@ -306,5 +277,5 @@
 		return "", false
 	}
 	host, known := h.table.Hosts[owner.Record.Host]
-	return host.Record.PeerAddress, known && !host.Record.Left && !host.Record.Deposed
+	return host.Record.PeerAddress, known && !host.Record.Left
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -96,7 +96,7 @@
 		addresses, err := query(ctx, h, func(now time.Time) []string {
 			h.mergeSuspect(s)
 			var addresses []string
-			for _, p := range h.table.Live(now) {
+			for _, p := range h.table.Live() {
 				if p.Name != h.Name {
 					addresses = append(addresses, p.Address)
 				}
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -87,8 +87,7 @@
 		}
 		_, err = h.Store.Commit(ctx, store.Transaction{
 			Expected: []store.Entry{{Key: key}},
-			Writes:   []store.Entry{{Key: key, Value: []byte(h.Name)}},
-			Lease:    lease,
+			Writes:   []store.Write{{Key: key, Value: []byte(h.Name), Lease: lease}},
 		})
 		return err == nil, err
 	}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -17,7 +17,8 @@
 	List(ctx context.Context, prefix string) (store.Listing, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Change, error)
 	Commit(ctx context.Context, t store.Transaction) (int64, error)
-	Grant(ctx context.Context, lasting time.Duration) (int64, error)
+	Grant(ctx context.Context, lasting time.Duration) (lease int64, err error)
+	Keep(ctx context.Context, lease int64) error
 }
 
 // Orders is the side of backend servers that takes orders.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -110,7 +110,7 @@
 // chooseRelay sets which host of the zone this one follows, empty for the store itself.
 func (h *Host) chooseRelay(now time.Time) {
 	var local []model.Peer
-	for _, p := range h.table.Live(now) {
+	for _, p := range h.table.Live() {
 		if p.Zone == h.Zone {
 			local = append(local, p)
 		}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -99,12 +99,11 @@
 	h := &Host{Name: "a", Zone: "z", Log: zap.NewNop(), Now: Boottime}
 	h.Prepare()
 	now := h.Now()
-	hosts := make(map[string]tenure.Host)
 	for i := range 8 {
-		name := fmt.Sprintf("host-%d", i)
-		hosts[name] = tenure.Host{Record: tenure.HostRecord{Name: name, Zone: "z", PeerAddress: name}, Revision: int64(i + 1)}
+		name, revision := fmt.Sprintf("host-%d", i), int64(i+1)
+		h.table.HostWritten(now, tenure.HostRecord{Name: name, Zone: "z", PeerAddress: name}, revision)
+		h.table.LifeWritten(name, revision)
 	}
-	h.table.Observed(now, hosts)
 	h.chooseRelay(now)
 	if *h.relay.Load() == "" {
 		t.Fatal("got no relay")
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"time"
 
 	"citronspread/model"
 	"citronspread/residency"
 	"citronspread/routing"
+	"citronspread/tenure"
 )
 
 // stateTimeout bounds the wait for the control thread.
@@ -21,7 +23,7 @@
 	Ready      bool
 	Registered bool
 	MayOrder   bool
-	Hosts      map[string]time.Duration // how long each host record has been unchanged
+	Hosts      map[string]tenure.Host
 	Owners     map[string]string        // owner of each backend server
 	Owned      map[string]*residency.Account
 	Backends   map[string]model.Listing
@@ -51,15 +53,12 @@
 func (h *Host) state(now time.Time) State {
 	s := State{
 		Name: h.Name, Ready: h.Ready(), Registered: h.registered, MayOrder: h.table.MayOrder(now),
-		Hosts: make(map[string]time.Duration), Owners: make(map[string]string),
+		Hosts: maps.Clone(h.table.Hosts), Owners: make(map[string]string),
 		Owned: make(map[string]*residency.Account), Backends: make(map[string]model.Listing), Router: h.router.State(now),
 	}
 	if table := h.routes.Load(); table != nil {
 		s.Version = table.state.Version
 	}
-	for name, host := range h.table.Hosts {
-		s.Hosts[name] = now.Sub(host.Since)
-	}
 	for id, owner := range h.table.Owners {
 		s.Owners[id] = owner.Record.Host
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -81,59 +81,101 @@
 
 // storeRead takes in the whole content of the store.
 func (h *Host) storeRead(now time.Time, l store.Listing) {
-	hosts, owners, present := make(map[string]tenure.Host), make(map[string]tenure.Owner), make(map[string]bool)
+	signs, owners, listed := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, e := range l.Entries {
-		switch {
-		case e.Key == h.Decoder.ConfigurationKey:
-			h.configure(e)
-		case strings.HasPrefix(e.Key, hostPrefix):
-			h.putHost(hosts, e)
-		case strings.HasPrefix(e.Key, ownerPrefix):
-			h.putOwner(owners, e)
-		case strings.HasPrefix(e.Key, h.Decoder.ListingPrefix):
-			if h.listed(now, e) {
-				present[h.Decoder.ListingID(e.Key)] = true
-			}
+		h.written(now, e)
+		switch kind, name := h.kindOf(e.Key); kind {
+		case keyLife:
+			signs[name] = true
+		case keyOwner:
+			owners[name] = true
+		case keyListing:
+			listed[name] = true
 		}
 	}
-	h.view.relisted(now, present)
+	maps.DeleteFunc(h.table.Owners, func(id string, o tenure.Owner) bool { return !owners[id] && o.Revision <= l.Revision })
+	h.table.Relisted(now, signs, l.Revision)
+	h.view.relisted(now, listed)
 	h.listedOK.Store(true)
-	h.table.Observed(now, hosts)
-	h.table.Owners = owners
-	h.noteHosts(now)
-	h.chooseRelay(now)
+	h.observed(now)
 }
 
 // storeChanged takes in changes of the store.
 func (h *Host) storeChanged(now time.Time, c store.Change) {
-	hosts := maps.Clone(h.table.Hosts)
 	for _, e := range c.Entries {
-		switch {
-		case e.Key == h.Decoder.ConfigurationKey:
-			h.configure(e)
-		case strings.HasPrefix(e.Key, hostPrefix):
-			h.putHost(hosts, e)
-		case strings.HasPrefix(e.Key, ownerPrefix):
-			h.putOwner(h.table.Owners, e)
-		case strings.HasPrefix(e.Key, h.Decoder.ListingPrefix):
-			h.listed(now, e)
-		}
+		h.written(now, e)
 	}
 	for _, key := range c.Deleted {
-		switch {
-		case strings.HasPrefix(key, hostPrefix):
-			delete(hosts, strings.TrimPrefix(key, hostPrefix))
-		case strings.HasPrefix(key, ownerPrefix):
-			delete(h.table.Owners, strings.TrimPrefix(key, ownerPrefix))
-		case strings.HasPrefix(key, h.Decoder.ListingPrefix):
-			h.unlisted(h.Decoder.ListingID(key))
+		switch kind, name := h.kindOf(key); kind {
+		case keyLife:
+			h.table.LifeEnded(now, name, c.Revision)
+		case keyOwner:
+			delete(h.table.Owners, name)
+		case keyListing:
+			h.unlisted(name)
 		}
 	}
-	h.table.Observed(now, hosts)
-	h.noteHosts(now)
+	h.observed(now)
+}
+
+// observed follows from what the store told.
+func (h *Host) observed(now time.Time) {
+	h.table.Observed(now)
+	h.noteHosts()
 	h.chooseRelay(now)
 }
 
+// keyKind is what a key of the store is about.
+type keyKind int
+
+// Kinds of keys.
+const (
+	keyOther keyKind = iota
+	keyConfiguration
+	keyListing
+	keyHost
+	keyLife
+	keyOwner
+)
+
+// kindOf tells what a key is about, and the name of the host or backend server.
+func (h *Host) kindOf(key string) (keyKind, string) {
+	if key == h.Decoder.ConfigurationKey {
+		return keyConfiguration, ""
+	}
+	if name, found := strings.CutPrefix(key, hostPrefix); found {
+		return keyHost, name
+	}
+	if name, found := strings.CutPrefix(key, lifePrefix); found {
+		return keyLife, name
+	}
+	if id, found := strings.CutPrefix(key, ownerPrefix); found {
+		return keyOwner, id
+	}
+	if strings.HasPrefix(key, h.Decoder.ListingPrefix) {
+		return keyListing, h.Decoder.ListingID(key)
+	}
+	return keyOther, ""
+}
+
+// written takes in one entry.
+func (h *Host) written(now time.Time, e store.Entry) {
+	switch kind, name := h.kindOf(e.Key); kind {
+	case keyConfiguration:
+		h.configure(e)
+	case keyHost:
+		if record, ok := decodeRecord[tenure.HostRecord](h, e); ok {
+			h.table.HostWritten(now, record, e.Revision)
+		}
+	case keyLife:
+		h.table.LifeWritten(name, e.Revision)
+	case keyOwner:
+		h.putOwner(h.table.Owners, name, e)
+	case keyListing:
+		h.listed(now, e)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -161,20 +203,20 @@
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
 }
 
-// listed takes in one entry and reports whether it names a backend server.
-func (h *Host) listed(now time.Time, e store.Entry) bool {
+// listed takes in the entry of a backend server.
+func (h *Host) listed(now time.Time, e store.Entry) {
 	id := h.Decoder.ListingID(e.Key)
 	listing, err := h.Decoder.DecodeListing(e)
 	if err != nil {
 		h.Log.Info("entry names no backend server", zap.String("Key", e.Key), zap.Int64("Revision", e.Revision), zap.Error(err))
 		h.unlisted(id)
-		return false
+		return
 	}
 	before := h.view.backends[id]
 	wasDraining := before != nil && before.listing.Draining
 	changed, reborn := h.view.listed(now, listing)
 	if !changed {
-		return true
+		return
 	}
 	h.viewChanged = true
 	if before == nil || reborn || listing.Draining != wasDraining {
@@ -185,7 +227,6 @@
 	if b := h.owned[id]; b != nil && reborn {
 		b.account.Reborn(now, listing.Life)
 	}
-	return true
 }
 
 func (h *Host) unlisted(id string) {
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -5,11 +5,17 @@
 // Transaction changes several keys at once, or none.
 type Transaction struct {
 	Expected []Entry // Key and Revision; a revision of 0 means that the key does not exist
-	Writes   []Entry // Key and Value
-	Lease    int64   // of all writes, 0 for none
+	Writes   []Write
 	Remove   []string
 }
 
+// Write writes a key in a transaction.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease int64 // the key is removed when this lease ends, 0 for none
+}
+
 // HistoryLostError tells that the changes after a revision are no longer available.
 type HistoryLostError struct {
 	Revision int64
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -1,10 +1,12 @@
 // Package tenure decides which entry host gives the orders of a backend server. One host is the owner,
-// by a record in the platform's store. An owner stops by itself when it could not renew its host record for
-// Validity; another host deposes it only after it has seen the record unchanged for longer than that.
+// by a record in the platform's store. Each host keeps a lease there. An owner stops by itself when it could not renew
+// its lease for Validity; another host takes over only after it has seen the lease ended for longer than that, because
+// a store that was down may end leases early.
 // All times come from a clock that also runs while the machine is suspended.
 package tenure
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,31 +18,31 @@
 const (
 	// Validity is how long a renewal lets an owner give orders. It covers the usual outages of the store, of 4 to 9 s.
 	Validity = 10 * time.Second
-	// RenewEvery leaves most of the validity for an outage that begins at any moment.
-	RenewEvery = 2 * time.Second
+	// LeaseTerm is how soon after its end a host counts as gone. It outlasts three renewals.
+	LeaseTerm = 5 * time.Second
+	// RenewEvery is the time between two renewals of the lease.
+	RenewEvery = 1500 * time.Millisecond
 	// stopEarly is the part of the validity that is not used, for orders that are on their way.
 	stopEarly = time.Second
-	// deposeMargin is waited for beyond the validity, for clocks of different rates.
-	deposeMargin = time.Second
+	// successionMargin is waited for beyond the validity, for clocks of different rates.
+	successionMargin = time.Second
 	// rankDelay staggers hosts, so that usually one of them acts.
 	rankDelay = 700 * time.Millisecond
 	// assignedOnly is left to the host that rendezvous hashing names.
 	assignedOnly = 3 * rankDelay
-	// staleObservation starts the watch on other hosts anew after the store was out of reach.
+	// staleObservation is the age of what is known of the store from which nothing is claimed by it.
 	staleObservation = 5 * time.Second
 	// turnMargin is waited for beyond the shortest time between the orders of two holders.
 	turnMargin = 500 * time.Millisecond
 )
 
-// HostRecord is what an entry host writes of itself.
+// HostRecord is what an entry host writes of itself when it registers and when it stops.
 type HostRecord struct {
 	Name        string
 	Zone        string
 	PeerAddress string
 	Incarnation string
-	Renewal     int64
 	Left        bool // it stopped as planned
-	Deposed     bool // another host wrote this, because it was silent
 }
 
 // OwnerRecord names the owner of a backend server. The revision that wrote it is the owner's fencing number.
@@ -50,11 +52,13 @@
 	Previous    string // owner before, empty when there was none
 }
 
-// Host is a host record as it was last seen.
+// Host is an entry host as it was last seen. A registration writes the record and the sign of life in one transaction,
+// so that a host whose record has one revision all the while has not come back.
 type Host struct {
-	Record   HostRecord
-	Revision int64
-	Since    time.Time // unchanged since, as far as observed without a gap
+	Record      HostRecord
+	Revision    int64
+	SignOfLife  int64     // revision of the key under the host's lease, 0 when the lease has ended
+	SilentSince time.Time // when the lease was first seen to have ended, under this revision of the record
 }
 
 // Owner is an owner record as it was last seen.
@@ -68,7 +72,8 @@
 	Backend          string
 	Revision         int64  // expected of the owner record, 0 when there is none
 	Previous         string // owner until now, empty when there was none
-	PreviousRevision int64  // expected of the previous owner's host record, 0 when there is none
+	PreviousRevision int64  // expected of the previous owner's host record
+	PreviousSilent   bool   // the previous owner's sign of life is expected to be absent
 }
 
 // Backend is a backend server that needs an owner.
@@ -98,15 +103,28 @@
 	}
 }
 
-// Renewed notes a renewal that began at the time and was acknowledged.
-func (t *Table) Renewed(begun time.Time, revision int64) {
+// Registered notes that the own host record and sign of life were written by a transaction that began at the time.
+func (t *Table) Registered(begun time.Time, revision int64) {
 	t.Revision = revision
 	t.RenewedAt = begun
-	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, Since: begun}
+	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, SignOfLife: revision}
+}
+
+// IsRegistered reports whether the own registration stands, as far as is known.
+func (t *Table) IsRegistered() bool {
+	own := t.Hosts[t.Self.Name]
+	return t.Revision > 0 && own.Revision == t.Revision && own.SignOfLife > 0
 }
 
-// Lost notes that the own host record was changed by another host.
-func (t *Table) Lost() { t.RenewedAt = time.Time{} }
+// Renewed notes a renewal of the lease that began at the time and was acknowledged.
+func (t *Table) Renewed(begun time.Time) { t.RenewedAt = begun }
+
+// Left notes that the own host record tells of the planned stop.
+func (t *Table) Left(revision int64) {
+	own := t.Hosts[t.Self.Name]
+	own.Record, own.Revision = t.Self, revision
+	t.Revision, t.Hosts[t.Self.Name] = revision, own
+}
 
 // MayOrder reports whether this host may give orders as an owner now.
 func (t *Table) MayOrder(now time.Time) bool {
@@ -127,59 +145,59 @@
 	return o.Revision, known && o.Record.Host == t.Self.Name
 }
 
-// Observed takes in all host records as the store told them at the time. An old state does no harm: a deposal
-// names the revision that it builds on, so that it fails when the host has renewed since.
-func (t *Table) Observed(now time.Time, hosts map[string]Host) {
-	gap := now.Sub(t.ObservedAt) > staleObservation
-	for name, h := range hosts {
-		before, known := t.Hosts[name]
-		h.Since = now
-		if known && !gap && before.Revision == h.Revision && !before.Since.IsZero() {
-			h.Since = before.Since
+// HostWritten takes in a host record. A record that is known in a newer state stays.
+func (t *Table) HostWritten(now time.Time, record HostRecord, revision int64) {
+	h := t.Hosts[record.Name]
+	if revision <= h.Revision {
+		return
+	}
+	h.Record, h.Revision, h.SilentSince = record, revision, now
+	t.Hosts[record.Name] = h
+}
+
+// LifeWritten takes in a host's sign of life.
+func (t *Table) LifeWritten(name string, revision int64) {
+	h := t.Hosts[name]
+	h.SignOfLife = max(h.SignOfLife, revision)
+	t.Hosts[name] = h
+}
+
+// LifeEnded takes in that a host's lease had ended by a revision of the store.
+func (t *Table) LifeEnded(now time.Time, name string, asOf int64) {
+	h, known := t.Hosts[name]
+	if !known || h.SignOfLife > asOf {
+		return
+	}
+	h.SignOfLife, h.SilentSince = 0, now
+	t.Hosts[name] = h
+}
+
+// Relisted takes in which signs of life a whole list of the store held as of a revision.
+func (t *Table) Relisted(now time.Time, signs map[string]bool, asOf int64) {
+	for name, h := range t.Hosts {
+		if !signs[name] && h.SignOfLife > 0 {
+			t.LifeEnded(now, name, asOf)
 		}
-		hosts[name] = h
 	}
-	t.Hosts = hosts
-	t.ObservedAt = now
 }
 
+// Observed notes that the store told at the time what had changed.
+func (t *Table) Observed(now time.Time) { t.ObservedAt = now }
+
 // Live returns the hosts that take part, this one included unless it stops, sorted by name.
-func (t *Table) Live(now time.Time) []model.Peer {
+func (t *Table) Live() []model.Peer {
 	var live []model.Peer
 	for _, h := range t.Hosts {
 		r := h.Record
-		if r.Left || r.Deposed || now.Sub(h.Since) > Validity+deposeMargin {
+		if r.Left || h.Revision == 0 || h.SignOfLife == 0 && r.Name != t.Self.Name {
 			continue
 		}
 		live = append(live, model.Peer{Name: r.Name, Zone: r.Zone, Address: r.PeerAddress, Incarnation: model.Incarnation(r.Incarnation)})
 	}
-	slices.SortFunc(live, func(a, b model.Peer) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(live, func(a, b model.Peer) int { return cmp.Compare(a.Name, b.Name) })
 	return live
 }
 
-// Deposals returns the hosts that have been silent for so long that they have stopped giving orders.
-func (t *Table) Deposals(now time.Time) []Host {
-	if t.Stopping || now.Sub(t.ObservedAt) > staleObservation {
-		return nil
-	}
-	var silent []Host
-	for name, h := range t.Hosts {
-		if name == t.Self.Name || h.Record.Left || h.Record.Deposed {
-			continue
-		}
-		late := now.Sub(h.Since) - Validity - deposeMargin
-		if late > 0 && late > t.rank(now, name, h.Record.Zone) {
-			silent = append(silent, h)
-		}
-	}
-	return silent
-}
-
 // Claims returns the backend servers that this host should take over now.
 func (t *Table) Claims(now time.Time, backends []Backend) []Claim {
 	if !t.MayOrder(now) || now.Sub(t.ObservedAt) > staleObservation {
@@ -187,7 +205,7 @@
 	}
 	vacant := make(map[string]Claim)
 	for _, b := range backends {
-		if claim, isVacant := t.vacant(b.ID); isVacant {
+		if claim, isVacant := t.vacant(now, b.ID); isVacant {
 			vacant[b.ID] = claim
 		}
 	}
@@ -200,7 +218,7 @@
 		return nil
 	}
 	var claims []Claim
-	assigned := t.assigned(now, backends)
+	assigned := t.assigned(backends)
 	for _, b := range backends {
 		claim, isVacant := vacant[b.ID]
 		if !isVacant {
@@ -212,7 +230,7 @@
 			t.unownedFrom[b.ID] = now
 		}
 		late := now.Sub(since) - assignedOnly
-		if assigned[b.ID] == t.Self.Name || late >= 0 && late >= t.rank(now, b.ID, b.Zone) {
+		if assigned[b.ID] == t.Self.Name || late >= 0 && late >= t.rank(b.ID, b.Zone) {
 			claims = append(claims, claim)
 		}
 	}
@@ -220,30 +238,32 @@
 }
 
 // vacant reports whether nobody may order the backend server, and how to claim it.
-func (t *Table) vacant(id string) (Claim, bool) {
-	o, known := t.Owners[id]
-	if !known {
+func (t *Table) vacant(now time.Time, id string) (Claim, bool) {
+	o, owned := t.Owners[id]
+	if !owned {
 		return Claim{Backend: id}, true
 	}
 	if o.Record.Host == t.Self.Name {
 		return Claim{}, false
 	}
-	h, listed := t.Hosts[o.Record.Host]
-	if listed && !h.Record.Left && !h.Record.Deposed {
+	h, known := t.Hosts[o.Record.Host]
+	if !known {
+		t.Hosts[o.Record.Host] = Host{SilentSince: now} // its record is missing; it may live all the same
 		return Claim{}, false
 	}
-	return Claim{Backend: id, Revision: o.Revision, Previous: o.Record.Host, PreviousRevision: h.Revision}, true
+	claim := Claim{Backend: id, Revision: o.Revision, Previous: o.Record.Host, PreviousRevision: h.Revision, PreviousSilent: !h.Record.Left}
+	return claim, h.Record.Left || h.SignOfLife == 0 && now.Sub(h.SilentSince) > Validity+successionMargin
 }
 
 // assigned names the owner of each backend server by rendezvous hashing with an even bound, zone by zone.
-func (t *Table) assigned(now time.Time, backends []Backend) map[string]string {
+func (t *Table) assigned(backends []Backend) map[string]string {
 	byZone := make(map[string][]string)
 	for _, b := range backends {
 		byZone[b.Zone] = append(byZone[b.Zone], b.ID)
 	}
 	owners := make(map[string]string, len(backends))
 	for zone, ids := range byZone {
-		for _, a := range membership.Assign(t.candidates(now, zone), ids) {
+		for _, a := range membership.Assign(t.candidates(zone), ids) {
 			owners[a.Backend] = a.Owner
 		}
 	}
@@ -251,8 +271,8 @@
 }
 
 // candidates returns the live hosts of a zone, or all live hosts when the zone has none.
-func (t *Table) candidates(now time.Time, zone string) []model.Peer {
-	live := t.Live(now)
+func (t *Table) candidates(zone string) []model.Peer {
+	live := t.Live()
 	local := slices.DeleteFunc(slices.Clone(live), func(p model.Peer) bool { return p.Zone != zone })
 	if len(local) == 0 {
 		return live
@@ -261,9 +281,9 @@
 }
 
 // rank returns the delay after which this host acts when those before it have not.
-func (t *Table) rank(now time.Time, key, zone string) time.Duration {
+func (t *Table) rank(key, zone string) time.Duration {
 	const maxRank = 8
-	for i, p := range membership.Ranked(t.candidates(now, zone), key) {
+	for i, p := range membership.Ranked(t.candidates(zone), key) {
 		if p.Name == t.Self.Name {
 			return time.Duration(min(i, maxRank)) * rankDelay
 		}
