--- a/gateway/host.go
+++ b/gateway/host.go
@@ -120,6 +120,7 @@
 	policy.StaleAfter = listedStale
 	policy.ColdStart = usualColdStart
 	policy.AdapterStart = usualAdapterStart
+	policy.AnyZone = true
 	policy.MoveFactor = 0 // moved prompts are read anew, which slows others down more than it gains
 	h.router = &routing.Router{
 		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, Waker: h, Budget: &routing.Budget{},
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Router) tierOf(now time.Time, replica *model.Replica) tier {
-	local := replica.Zone == r.Zone
+	local := replica.Zone == r.Zone || r.Policy.AnyZone
 	stale := now.Sub(replica.UpdatedAt) > r.Policy.StaleAfter
 	switch {
 	case local && !stale:
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -22,6 +22,7 @@
 	MoveSilence     time.Duration // silence of a stream before that is asked
 	MaxMoves        int           // of one request
 	SiteLimit       int           // calls at once to one host of a plain service
+	AnyZone         bool          // replicas of other availability zones count as those of the own one
 }
 
 // DefaultPolicy returns the policy used when the settings state none.
