--- a/gateway/host.go
+++ b/gateway/host.go
@@ -112,6 +112,7 @@
 	h.owned = make(map[string]*ownedBackend)
 	h.asks = make(map[routing.Target]*ask)
 	h.lead = newLead()
+	h.permits.taken = make(map[string]bool)
 	h.spread = make(map[model.ModelKey]time.Time)
 	h.suspects = make(map[model.Fingerprint]model.Suspect)
 	self := tenure.HostRecord{Name: h.Name, Zone: h.Zone, PeerAddress: h.PeerAddress, Incarnation: uuid.NewString()}
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -43,7 +43,7 @@
 	}
 	switch {
 	case h.renewing:
-	case !h.registered && !h.stopping.Load():
+	case !h.registered && !h.stopping.Load() && h.listedOK.Load():
 		h.register()
 	case h.registered && now.Sub(h.steppedAt) >= tenure.RenewEvery:
 		h.renew(now)
@@ -83,16 +83,17 @@
 // register writes the own host record and sign of life, and reads who owns what.
 func (h *Host) register() {
 	h.renewing = true
-	self := h.table.Self
+	self, expected := h.table.Self, h.table.Hosts[h.Name].Revision
 	h.spawn(func(ctx context.Context) {
-		r, err := h.registration(ctx, self)
+		r, err := h.registration(ctx, self, expected)
 		if err != nil {
 			sleep(ctx, registerPause)
 		}
 		h.post(func(now time.Time) {
 			h.renewing = false
 			if err != nil {
-				h.Log.Warn("not registered", zap.String("Name", self.Name), zap.Error(err))
+				h.Log.Warn("not registered", zap.String("Name", self.Name), zap.Int64("Expected", expected), zap.Error(err))
+				h.noteConflict(now, err)
 				return
 			}
 			h.registered, h.steppedAt, h.lease = true, now, r.lease
@@ -110,19 +111,15 @@
 	})
 }
 
-func (h *Host) registration(ctx context.Context, self tenure.HostRecord) (registration, error) {
+func (h *Host) registration(ctx context.Context, self tenure.HostRecord, expected int64) (r registration, err error) {
 	hostKey, lifeKey := hostPrefix+self.Name, lifePrefix+self.Name
-	current, err := h.Store.Get(ctx, hostKey)
-	if err != nil {
-		return registration{}, err
-	}
-	r := registration{owners: make(map[string]tenure.Owner)}
+	r.owners = make(map[string]tenure.Owner)
 	if r.lease, err = h.Store.Grant(ctx, tenure.LeaseTerm); err != nil {
 		return registration{}, err
 	}
 	r.begun = h.Now()
 	r.revision, err = h.Store.Commit(ctx, store.Transaction{
-		Expected: []store.Entry{{Key: hostKey, Revision: current.Revision}},
+		Expected: []store.Entry{{Key: hostKey, Revision: expected}},
 		Writes:   []store.Write{{Key: hostKey, Value: encode(self)}, {Key: lifeKey, Value: []byte(self.Incarnation), Lease: r.lease}},
 	})
 	if err != nil {
@@ -138,6 +135,15 @@
 	return r, nil
 }
 
+// noteConflict takes in the own host record that a registration met: of a registration whose answer was lost, or of a
+// process before that wrote it late.
+func (h *Host) noteConflict(now time.Time, err error) {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) && conflict.Current.Revision > 0 {
+		h.written(now, conflict.Current)
+	}
+}
+
 // renew keeps the lease, which proves that this host lives. Only while that is recent does it give orders.
 func (h *Host) renew(now time.Time) {
 	h.renewing, h.steppedAt = true, now
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -13,7 +13,7 @@
 
 const (
 	permitPrefix = "citronspread/permit/"
-	// permitPause is the time between two looks for a free permit.
+	// permitPause follows a permit that was taken or lost to another host; the pace of the watch and a margin.
 	permitPause = 700 * time.Millisecond
 	// permitUse is how long a permit that was got may wait for its load.
 	permitUse = 500 * time.Millisecond
@@ -28,6 +28,17 @@
 	askAt    time.Time
 	got      int
 	usableTo time.Time
+	taken    map[string]bool // by key, as the store last told
+}
+
+// free returns the first of so many permits that nobody has.
+func (p *permits) free(count int) (key string, found bool) {
+	for i := range count {
+		if key = permitPrefix + strconv.Itoa(i); !p.taken[key] {
+			return key, true
+		}
+	}
+	return "", false
 }
 
 func (p *permits) ready(now time.Time) bool { return p.got > 0 && now.Before(p.usableTo) }
@@ -46,50 +57,39 @@
 	if h.permits.asking || now.Before(h.permits.askAt) || h.permits.ready(now) {
 		return
 	}
+	key, found := h.permits.free(h.permitCount(spec))
+	if !found {
+		return
+	}
 	h.permits.asking = true
-	count, lasting := h.permitCount(spec), h.CeilingWindow+permitMargin
+	lasting := h.CeilingWindow + permitMargin
 	for _, m := range spec.Models {
 		lasting = max(lasting, m.ColdLoad)
 	}
 	h.spawn(func(ctx context.Context) {
-		got, err := h.takePermit(ctx, count, lasting)
+		err := h.takePermit(ctx, key, lasting)
 		h.post(func(now time.Time) {
 			h.permits.asking = false
 			h.permits.askAt = now.Add(permitPause)
 			if err != nil {
-				h.Log.Info("no permit", zap.Error(err))
+				h.Log.Info("no permit", zap.String("Key", key), zap.Error(err))
 				return
 			}
-			if got {
-				h.permits.got, h.permits.usableTo = 1, now.Add(permitUse)
-			}
+			h.permits.taken[key] = true
+			h.permits.got, h.permits.usableTo = 1, now.Add(permitUse)
 		})
 	})
 }
 
-func (h *Host) takePermit(ctx context.Context, count int, lasting time.Duration) (bool, error) {
-	listing, err := h.Store.List(ctx, permitPrefix)
+// takePermit takes a permit that is free as far as is known. A *store.ConflictError tells that another host has it.
+func (h *Host) takePermit(ctx context.Context, key string, lasting time.Duration) error {
+	lease, err := h.Store.Grant(ctx, lasting)
 	if err != nil {
-		return false, err
+		return err
 	}
-	taken := make(map[string]bool)
-	for _, e := range listing.Entries {
-		taken[e.Key] = true
-	}
-	for i := range count {
-		key := permitPrefix + strconv.Itoa(i)
-		if taken[key] {
-			continue
-		}
-		lease, err := h.Store.Grant(ctx, lasting)
-		if err != nil {
-			return false, err
-		}
-		_, err = h.Store.Commit(ctx, store.Transaction{
-			Expected: []store.Entry{{Key: key}},
-			Writes:   []store.Write{{Key: key, Value: []byte(h.Name), Lease: lease}},
-		})
-		return err == nil, err
-	}
-	return false, nil
+	_, err = h.Store.Commit(ctx, store.Transaction{
+		Expected: []store.Entry{{Key: key}},
+		Writes:   []store.Write{{Key: key, Value: []byte(h.Name), Lease: lease}},
+	})
+	return err
 }
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -13,7 +13,6 @@
 
 // Store is the platform's store. Errors are those of package store.
 type Store interface {
-	Get(ctx context.Context, key string) (store.Entry, error)
 	List(ctx context.Context, prefix string) (store.Listing, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Change, error)
 	Commit(ctx context.Context, t store.Transaction) (int64, error)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,9 +22,11 @@
 	relayFresh = watchWait + watchPace + 400*time.Millisecond
 	// followSlack is how much longer than its wait a call to the relay may take.
 	followSlack = 300 * time.Millisecond
-	// directFor is how long the store itself is asked after a relay did not answer or was not fresh. Others may have
+	// directFor is how long the store itself is asked after a relay did not answer. Others may have
 	// failed with it, and each one tried would cost another timeout.
 	directFor = 5 * time.Second
+	// directOnce is how long the store itself is asked after a relay told that it is not fresh, which costs no timeout.
+	directOnce = watchPace
 	// maxChanges bounds the changes that a relay keeps; a follower asks about once a second.
 	maxChanges = 32
 )
@@ -138,9 +140,13 @@
 		return reply.Change, true
 	}
 	if err != nil || !reply.Fresh {
-		h.Log.Info("relay lost", zap.String("Relay", address), zap.Error(err))
+		lasting := directFor
+		if err == nil {
+			lasting = directOnce
+		}
+		h.Log.Info("relay lost", zap.String("Relay", address), zap.Bool("Answered", err == nil), zap.Duration("Direct", lasting), zap.Error(err))
 		h.post(func(now time.Time) {
-			h.directUntil = now.Add(directFor)
+			h.directUntil = now.Add(lasting)
 			h.chooseRelay(now)
 		})
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -24,7 +24,7 @@
 	Registered bool
 	MayOrder   bool
 	Hosts      map[string]tenure.Host
-	Owners     map[string]string        // owner of each backend server
+	Owners     map[string]string // owner of each backend server
 	Owned      map[string]*residency.Account
 	Backends   map[string]model.Listing
 	Router     routing.State
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -81,7 +81,8 @@
 
 // storeRead takes in the whole content of the store.
 func (h *Host) storeRead(now time.Time, l store.Listing) {
-	signs, owners, listed := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	signs, owners := make(map[string]bool), make(map[string]bool)
+	listed, permits := make(map[string]bool), make(map[string]bool)
 	for _, e := range l.Entries {
 		h.written(now, e)
 		switch kind, name := h.kindOf(e.Key); kind {
@@ -91,8 +92,11 @@
 			owners[name] = true
 		case keyListing:
 			listed[name] = true
+		case keyPermit:
+			permits[e.Key] = true
 		}
 	}
+	h.permits.taken = permits
 	maps.DeleteFunc(h.table.Owners, func(id string, o tenure.Owner) bool { return !owners[id] && o.Revision <= l.Revision })
 	h.table.Relisted(now, signs, l.Revision)
 	h.view.relisted(now, listed)
@@ -113,6 +117,8 @@
 			delete(h.table.Owners, name)
 		case keyListing:
 			h.unlisted(name)
+		case keyPermit:
+			delete(h.permits.taken, key)
 		}
 	}
 	h.observed(now)
@@ -136,6 +142,7 @@
 	keyHost
 	keyLife
 	keyOwner
+	keyPermit
 )
 
 // kindOf tells what a key is about, and the name of the host or backend server.
@@ -152,6 +159,9 @@
 	if id, found := strings.CutPrefix(key, ownerPrefix); found {
 		return keyOwner, id
 	}
+	if strings.HasPrefix(key, permitPrefix) {
+		return keyPermit, ""
+	}
 	if strings.HasPrefix(key, h.Decoder.ListingPrefix) {
 		return keyListing, h.Decoder.ListingID(key)
 	}
@@ -173,6 +183,8 @@
 		h.putOwner(h.table.Owners, name, e)
 	case keyListing:
 		h.listed(now, e)
+	case keyPermit:
+		h.permits.taken[e.Key] = true
 	}
 }
 
