--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -217,7 +217,10 @@
 	defer signal.Stop(hangUps)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
-	last, _ := platform.ReadSettings(c.settings) // read without a problem at the start
+	last, err := platform.ReadSettings(c.settings)
+	if err != nil {
+		logger.Warn("settings not read, those of the start stay in force", zap.Error(err))
+	}
 	for {
 		reason := "poll"
 		select {
--- a/gateway/desk_test.go
+++ b/gateway/desk_test.go
@@ -6,6 +6,7 @@
 
 	"citronspread/attempt"
 	"citronspread/model"
+	"citronspread/routing"
 )
 
 // TestPatienceOfStreams holds that a stream which is resumed late may still go on: its caller waits anew after each event.
@@ -32,3 +33,22 @@
 		})
 	}
 }
+
+// TestBudgetIsDividedByTheHosts holds that the repeats which all hosts may make without any request stay below the shared
+// slack, also when hosts come and go.
+func TestBudgetIsDividedByTheHosts(t *testing.T) {
+	const slack = 52
+	d := &Desk{host: &Host{RetryRatio: 0.2, RetrySlack: slack}, budgets: make(map[string]*routing.Budget)}
+	for i, hosts := range []int{8, 6, 1, 3, 8} {
+		d.host.hosts.Store(int64(hosts))
+		budget, now, spent := d.budget("llm"), time.Unix(int64(1000*(i+1)), 0), 0
+		for budget.Spend(now, routing.ExtraRetry) {
+			if spent++; spent > slack {
+				break
+			}
+		}
+		if spent == 0 || spent*hosts > slack {
+			t.Errorf("got %d repeats at each of %d hosts, want some, and at most %d together", spent, hosts, slack)
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -106,23 +108,36 @@
 		if err != nil {
 			return
 		}
-		for _, address := range addresses {
-			h.spawn(func(ctx context.Context) {
-				ctx, cancel := context.WithTimeout(ctx, suspectTime)
-				defer cancel()
-				if err := h.peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s}); err != nil {
-					h.Log.Info("suspect not told", zap.String("Peer", address), zap.Error(err))
-				}
-			})
-		}
+		h.tellSuspect(ctx, s, addresses)
 	})
 }
 
+// tellSuspect passes a suspect on and logs once how many entry hosts did not hear of it.
+func (h *Host) tellSuspect(ctx context.Context, s model.Suspect, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, suspectTime)
+	defer cancel()
+	var told sync.WaitGroup
+	var failed atomic.Int64
+	for _, address := range addresses {
+		told.Go(func() {
+			if err := h.peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s}); err != nil {
+				failed.Add(1)
+				h.Log.Debug("suspect not told", zap.String("Peer", address), zap.Error(err))
+			}
+		})
+	}
+	told.Wait()
+	if failed.Load() > 0 {
+		h.Log.Info("suspect not told", zap.Uint64("Fingerprint", uint64(s.Fingerprint)), zap.Int64("Peers", failed.Load()), zap.Int("Of", len(addresses)))
+	}
+}
+
 func (h *Host) mergeSuspect(s model.Suspect) {
 	if known, found := h.suspects[s.Fingerprint]; found {
 		s = routing.MergeSuspect(known, s)
 	}
 	if len(h.suspects) >= suspectLimit {
+		h.Log.Warn("suspects forgotten, there are too many", zap.Int("Suspects", len(h.suspects)))
 		clear(h.suspects)
 	}
 	h.suspects[s.Fingerprint] = s
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -118,3 +119,58 @@
 		t.Error("got no relay after a while")
 	}
 }
+
+// TestRelayThatIsNotFreshIsAskedAgainSoon has a relay answer that the store has not answered it lately. That costs no
+// timeout, so that the relay is followed again after one look at the store.
+func TestRelayThatIsNotFreshIsAskedAgainSoon(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &Host{Name: "relay", Zone: "z", Log: zap.NewNop(), Now: Boottime}
+	relay.Prepare()
+	server := &peer.Server{Handler: &fleetHandler{host: relay}, Listener: listener, Traffic: &peer.Traffic{}}
+	go func() { _ = server.Run(t.Context()) }() // it ends with the test
+	h := &Host{Name: "a", Zone: "z", Log: zap.NewNop(), Now: Boottime}
+	h.Prepare()
+	if h.peers, err = peer.NewClient(&peer.Traffic{}); err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	h.relay.Store(&address)
+	if change, followed := h.follow(t.Context(), 5); followed {
+		t.Fatalf("got %+v of a relay that is not fresh, want the store asked", change)
+	}
+	now := h.Now()
+	(<-h.events)(now)
+	if got := h.directUntil.Sub(now); got <= 0 || got > watchWait {
+		t.Errorf("got the store asked for %v, want once", got)
+	}
+}
+
+// TestPermitsAreKnownFromTheWatch holds that a host sees which permits are free without asking the store.
+func TestPermitsAreKnownFromTheWatch(t *testing.T) {
+	h := &Host{Name: "a", Zone: "z", Log: zap.NewNop(), Now: Boottime}
+	h.Prepare()
+	now := h.Now()
+	steps := []struct {
+		name  string
+		take  func()
+		free  string
+		found bool
+	}{
+		{"nothing is known", func() {}, "0", true},
+		{"a list with one", func() {
+			h.storeRead(now, store.Listing{Revision: 5, Entries: []store.Entry{{Key: permitPrefix + "0", Revision: 4}}})
+		}, "1", true},
+		{"another is taken", func() { h.storeChanged(now, change(6, permitPrefix+"1")) }, "", false},
+		{"the first is free again", func() { h.storeChanged(now, store.Change{Revision: 7, Deleted: []string{permitPrefix + "0"}}) }, "0", true},
+		{"a list without any", func() { h.storeRead(now, store.Listing{Revision: 8}) }, "0", true},
+	}
+	for _, step := range steps {
+		step.take()
+		if got, found := h.permits.free(2); found != step.found || found && got != permitPrefix+step.free {
+			t.Errorf("%s: got %q, %v, want %q, %v", step.name, got, found, step.free, step.found)
+		}
+	}
+}
--- a/residency/account.go
+++ b/residency/account.go
@@ -94,7 +94,6 @@
 type want struct {
 	model   string
 	adapter string
-	since   time.Time
 	until   time.Time // forgotten after it, unless it is renewed
 }
 
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -61,7 +61,7 @@
 			return Status{Wait: a.expected(now, name, adapter)}
 		}
 	}
-	a.wants = append(a.wants, &want{model: name, adapter: adapter, since: now, until: now.Add(wantExpiry)})
+	a.wants = append(a.wants, &want{model: name, adapter: adapter, until: now.Add(wantExpiry)})
 	return Status{Wait: a.expected(now, name, adapter)}
 }
 
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -179,6 +179,26 @@
 
 // TestCallersThatLeaveEarly plays callers that leave when nothing has come by a time: they are served when a start by
 // then can be expected, however late the end is, and refused at once when it can't.
+// TestReplicasOfAllZonesAlike plays the load of a model that most callers of one zone ask for, and that is loaded once in
+// each of three zones: callers get their answers sooner when the replicas of the other zones share it.
+func TestReplicasOfAllZonesAlike(t *testing.T) {
+	p := plan{
+		seed: 1, routers: 1, replicas: 3, zones: 3, capacity: 48, length: 20 * time.Second, policy: DefaultPolicy(), picker: LatencyPicker{},
+		shortRate: 25, shortTokens: 40, shortTimeout: 8 * time.Second,
+	}
+	own := newPolicyWorld(p).run()
+	p.policy.AnyZone = true
+	all := newPolicyWorld(p).run()
+	for _, quantile := range []float64{50, 95, 99} {
+		if got, want := all.short.ValueAtQuantile(quantile), own.short.ValueAtQuantile(quantile); got >= want {
+			t.Errorf("got %d ms at %.0f in 100 with all zones, want less than %d ms of the own zone first", got, quantile, want)
+		}
+	}
+	if all.shortInTime < own.shortInTime {
+		t.Errorf("got %d answers in time, want at least %d", all.shortInTime, own.shortInTime)
+	}
+}
+
 func TestCallersThatLeaveEarly(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	tests := []struct {
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -46,6 +47,7 @@
 	engineQueue  bool    // the router sends everything at once and the engines queue it
 	enginePrio   bool    // the engines honour priorities
 	moves        bool    // a faster replica may take an answer over
+	zones        int     // of the replicas, of which the routers are in the first; 0 for one
 }
 
 // figures are the results of a plan.
@@ -245,6 +247,9 @@
 			}
 		}
 		one := replica(r.name, w.capacity)
+		if zone := len(replicas) % max(1, w.zones); zone > 0 {
+			one.Zone = fmt.Sprintf("zone-%d", zone)
+		}
 		if w.engineQueue {
 			one.Capacity = 1 << 20
 		}
