--- a/gateway/host.go
+++ b/gateway/host.go
@@ -85,7 +85,7 @@
 	version     int64
 	table       *tenure.Table
 	registered  bool
-	lease       int64 // that keeps the own sign of life
+	lease       int64 // that keeps the own liveness key
 	owned       map[string]*ownedBackend
 	asks        map[routing.Target]*ask
 	lead        *lead
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -15,9 +15,9 @@
 
 // Keys in the platform's store.
 const (
-	hostPrefix  = "citronspread/host/"
-	lifePrefix  = "citronspread/life/" // signs of life, under the hosts' leases
-	ownerPrefix = "citronspread/owner/"
+	hostPrefix     = "citronspread/host/"
+	livenessPrefix = "citronspread/liveness/" // liveness keys, under the hosts' leases
+	ownerPrefix    = "citronspread/owner/"
 )
 
 // Times of taking part.
@@ -80,7 +80,7 @@
 	owners   map[string]tenure.Owner
 }
 
-// register writes the own host record and sign of life, and reads who owns what.
+// register writes the own host record and liveness key, and reads who owns what.
 func (h *Host) register() {
 	h.renewing = true
 	self, expected := h.table.Self, h.table.Hosts[h.Name].Revision
@@ -112,7 +112,7 @@
 }
 
 func (h *Host) registration(ctx context.Context, self tenure.HostRecord, expected int64) (r registration, err error) {
-	hostKey, lifeKey := hostPrefix+self.Name, lifePrefix+self.Name
+	hostKey, livenessKey := hostPrefix+self.Name, livenessPrefix+self.Name
 	r.owners = make(map[string]tenure.Owner)
 	if r.lease, err = h.Store.Grant(ctx, tenure.LeaseTerm); err != nil {
 		return registration{}, err
@@ -120,7 +120,7 @@
 	r.begun = h.Now()
 	r.revision, err = h.Store.Commit(ctx, store.Transaction{
 		Expected: []store.Entry{{Key: hostKey, Revision: expected}},
-		Writes:   []store.Write{{Key: hostKey, Value: encode(self)}, {Key: lifeKey, Value: []byte(self.Incarnation), Lease: r.lease}},
+		Writes:   []store.Write{{Key: hostKey, Value: encode(self)}, {Key: livenessKey, Value: []byte(self.Incarnation), Lease: r.lease}},
 	})
 	if err != nil {
 		return registration{}, err
@@ -215,7 +215,7 @@
 			expected[key] = true
 			t.Expected = append(t.Expected, store.Entry{Key: key, Revision: c.PreviousRevision})
 			if c.PreviousSilent {
-				t.Expected = append(t.Expected, store.Entry{Key: lifePrefix + c.Previous})
+				t.Expected = append(t.Expected, store.Entry{Key: livenessPrefix + c.Previous})
 			}
 		}
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -103,7 +103,7 @@
 	for i := range 8 {
 		name, revision := fmt.Sprintf("host-%d", i), int64(i+1)
 		h.table.HostWritten(now, tenure.HostRecord{Name: name, Zone: "z", PeerAddress: name}, revision)
-		h.table.LifeWritten(name, revision)
+		h.table.LivenessWritten(name, revision)
 	}
 	h.chooseRelay(now)
 	if *h.relay.Load() == "" {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -81,13 +81,13 @@
 
 // storeRead takes in the whole content of the store.
 func (h *Host) storeRead(now time.Time, l store.Listing) {
-	signs, owners := make(map[string]bool), make(map[string]bool)
+	lives, owners := make(map[string]bool), make(map[string]bool)
 	listed, permits := make(map[string]bool), make(map[string]bool)
 	for _, e := range l.Entries {
 		h.written(now, e)
 		switch kind, name := h.kindOf(e.Key); kind {
-		case keyLife:
-			signs[name] = true
+		case keyLiveness:
+			lives[name] = true
 		case keyOwner:
 			owners[name] = true
 		case keyListing:
@@ -98,7 +98,7 @@
 	}
 	h.permits.taken = permits
 	maps.DeleteFunc(h.table.Owners, func(id string, o tenure.Owner) bool { return !owners[id] && o.Revision <= l.Revision })
-	h.table.Relisted(now, signs, l.Revision)
+	h.table.Relisted(now, lives, l.Revision)
 	h.view.relisted(now, listed)
 	h.listedOK.Store(true)
 	h.observed(now)
@@ -111,8 +111,8 @@
 	}
 	for _, key := range c.Deleted {
 		switch kind, name := h.kindOf(key); kind {
-		case keyLife:
-			h.table.LifeEnded(now, name, c.Revision)
+		case keyLiveness:
+			h.table.LivenessEnded(now, name, c.Revision)
 		case keyOwner:
 			delete(h.table.Owners, name)
 		case keyListing:
@@ -140,7 +140,7 @@
 	keyConfiguration
 	keyListing
 	keyHost
-	keyLife
+	keyLiveness
 	keyOwner
 	keyPermit
 )
@@ -153,8 +153,8 @@
 	if name, found := strings.CutPrefix(key, hostPrefix); found {
 		return keyHost, name
 	}
-	if name, found := strings.CutPrefix(key, lifePrefix); found {
-		return keyLife, name
+	if name, found := strings.CutPrefix(key, livenessPrefix); found {
+		return keyLiveness, name
 	}
 	if id, found := strings.CutPrefix(key, ownerPrefix); found {
 		return keyOwner, id
@@ -177,8 +177,8 @@
 		if record, ok := decodeRecord[tenure.HostRecord](h, e); ok {
 			h.table.HostWritten(now, record, e.Revision)
 		}
-	case keyLife:
-		h.table.LifeWritten(name, e.Revision)
+	case keyLiveness:
+		h.table.LivenessWritten(name, e.Revision)
 	case keyOwner:
 		h.putOwner(h.table.Owners, name, e)
 	case keyListing:
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -52,13 +52,13 @@
 	Previous    string // owner before, empty when there was none
 }
 
-// Host is an entry host as it was last seen. A registration writes the record and the sign of life in one transaction,
+// Host is an entry host as it was last seen. A registration writes the record and the liveness key in one transaction,
 // so that a host whose record has one revision all the while has not come back.
 type Host struct {
-	Record      HostRecord
-	Revision    int64
-	SignOfLife  int64     // revision of the key under the host's lease, 0 when the lease has ended
-	SilentSince time.Time // when the lease was first seen to have ended, under this revision of the record
+	Record           HostRecord
+	Revision         int64
+	LivenessRevision int64     // revision of the key under the host's lease, 0 when the lease has ended
+	SilentSince      time.Time // when the lease was first seen to have ended, under this revision of the record
 }
 
 // Owner is an owner record as it was last seen.
@@ -73,7 +73,7 @@
 	Revision         int64  // expected of the owner record, 0 when there is none
 	Previous         string // owner until now, empty when there was none
 	PreviousRevision int64  // expected of the previous owner's host record
-	PreviousSilent   bool   // the previous owner's sign of life is expected to be absent
+	PreviousSilent   bool   // the previous owner's liveness key is expected to be absent
 }
 
 // Backend is a backend server that needs an owner.
@@ -103,17 +103,17 @@
 	}
 }
 
-// Registered notes that the own host record and sign of life were written by a transaction that began at the time.
+// Registered notes that the own host record and liveness key were written by a transaction that began at the time.
 func (t *Table) Registered(begun time.Time, revision int64) {
 	t.Revision = revision
 	t.RenewedAt = begun
-	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, SignOfLife: revision}
+	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, LivenessRevision: revision}
 }
 
 // IsRegistered reports whether the own registration stands, as far as is known.
 func (t *Table) IsRegistered() bool {
 	own := t.Hosts[t.Self.Name]
-	return t.Revision > 0 && own.Revision == t.Revision && own.SignOfLife > 0
+	return t.Revision > 0 && own.Revision == t.Revision && own.LivenessRevision > 0
 }
 
 // Renewed notes a renewal of the lease that began at the time and was acknowledged.
@@ -155,28 +155,28 @@
 	t.Hosts[record.Name] = h
 }
 
-// LifeWritten takes in a host's sign of life.
-func (t *Table) LifeWritten(name string, revision int64) {
+// LivenessWritten takes in a host's liveness key.
+func (t *Table) LivenessWritten(name string, revision int64) {
 	h := t.Hosts[name]
-	h.SignOfLife = max(h.SignOfLife, revision)
+	h.LivenessRevision = max(h.LivenessRevision, revision)
 	t.Hosts[name] = h
 }
 
-// LifeEnded takes in that a host's lease had ended by a revision of the store.
-func (t *Table) LifeEnded(now time.Time, name string, asOf int64) {
+// LivenessEnded takes in that a host's lease had ended by a revision of the store.
+func (t *Table) LivenessEnded(now time.Time, name string, asOf int64) {
 	h, known := t.Hosts[name]
-	if !known || h.SignOfLife > asOf {
+	if !known || h.LivenessRevision > asOf {
 		return
 	}
-	h.SignOfLife, h.SilentSince = 0, now
+	h.LivenessRevision, h.SilentSince = 0, now
 	t.Hosts[name] = h
 }
 
-// Relisted takes in which signs of life a whole list of the store held as of a revision.
-func (t *Table) Relisted(now time.Time, signs map[string]bool, asOf int64) {
+// Relisted takes in which liveness keys a whole list of the store held as of a revision.
+func (t *Table) Relisted(now time.Time, lives map[string]bool, asOf int64) {
 	for name, h := range t.Hosts {
-		if !signs[name] && h.SignOfLife > 0 {
-			t.LifeEnded(now, name, asOf)
+		if !lives[name] && h.LivenessRevision > 0 {
+			t.LivenessEnded(now, name, asOf)
 		}
 	}
 }
@@ -189,7 +189,7 @@
 	var live []model.Peer
 	for _, h := range t.Hosts {
 		r := h.Record
-		if r.Left || h.Revision == 0 || h.SignOfLife == 0 && r.Name != t.Self.Name {
+		if r.Left || h.Revision == 0 || h.LivenessRevision == 0 && r.Name != t.Self.Name {
 			continue
 		}
 		live = append(live, model.Peer{Name: r.Name, Zone: r.Zone, Address: r.PeerAddress, Incarnation: model.Incarnation(r.Incarnation)})
@@ -252,7 +252,7 @@
 		return Claim{}, false
 	}
 	claim := Claim{Backend: id, Revision: o.Revision, Previous: o.Record.Host, PreviousRevision: h.Revision, PreviousSilent: !h.Record.Left}
-	return claim, h.Record.Left || h.SignOfLife == 0 && now.Sub(h.SilentSince) > Validity+successionMargin
+	return claim, h.Record.Left || h.LivenessRevision == 0 && now.Sub(h.SilentSince) > Validity+successionMargin
 }
 
 // assigned names the owner of each backend server by rendezvous hashing with an even bound, zone by zone.
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -14,18 +14,18 @@
 
 // event is a change of the world's store.
 type event struct {
-	revision int64
-	host     string // whose record or sign of life changed, empty for an owner record
-	record   HostRecord
-	isLife   bool
-	ended    bool
-	backend  string
-	owner    Owner
+	revision   int64
+	host       string // whose record or liveness key changed, empty for an owner record
+	record     HostRecord
+	isLiveness bool
+	ended      bool
+	backend    string
+	owner      Owner
 }
 
-// lease keeps a host's sign of life.
+// lease keeps a host's liveness key.
 type lease struct {
-	revision int64 // of the sign of life
+	revision int64 // of the liveness key
 	endsAt   time.Time
 }
 
@@ -49,18 +49,18 @@
 		if all || !now.Before(l.endsAt) {
 			w.revision++
 			delete(w.leases, name)
-			w.events = append(w.events, event{revision: w.revision, host: name, isLife: true, ended: true})
+			w.events = append(w.events, event{revision: w.revision, host: name, isLiveness: true, ended: true})
 		}
 	}
 }
 
-// register writes a host's record and sign of life, and lets it read all owners.
+// register writes a host's record and liveness key, and lets it read all owners.
 func (w *world) register(now time.Time, t *Table) {
 	w.revision++
 	name := t.Self.Name
 	w.hosts[name] = Host{Record: t.Self, Revision: w.revision}
 	w.leases[name] = lease{revision: w.revision, endsAt: now.Add(LeaseTerm)}
-	w.events = append(w.events, event{revision: w.revision, host: name, record: t.Self}, event{revision: w.revision, host: name, isLife: true})
+	w.events = append(w.events, event{revision: w.revision, host: name, record: t.Self}, event{revision: w.revision, host: name, isLiveness: true})
 	t.Owners = make(map[string]Owner)
 	for id, o := range w.owners {
 		t.Owners[id] = o
@@ -101,18 +101,18 @@
 
 // relist lets a host read the whole store.
 func (w *world) relist(now time.Time, t *Table) {
-	signs := make(map[string]bool)
+	lives := make(map[string]bool)
 	for _, h := range w.hosts {
 		t.HostWritten(now, h.Record, h.Revision)
 	}
 	for name, l := range w.leases {
-		signs[name] = true
-		t.LifeWritten(name, l.revision)
+		lives[name] = true
+		t.LivenessWritten(name, l.revision)
 	}
 	for id, o := range w.owners {
 		t.Owners[id] = o
 	}
-	t.Relisted(now, signs, w.revision)
+	t.Relisted(now, lives, w.revision)
 	t.Observed(now)
 	w.seen[t] = len(w.events)
 }
@@ -121,16 +121,16 @@
 func (w *world) watch(now time.Time, t *Table) {
 	latest := make(map[string]event)
 	for _, e := range w.events[w.seen[t]:] {
-		latest[fmt.Sprint(e.host, e.isLife, e.backend)] = e
+		latest[fmt.Sprint(e.host, e.isLiveness, e.backend)] = e
 	}
 	for _, e := range latest {
 		switch {
 		case e.host == "":
 			t.Owners[e.backend] = e.owner
 		case e.ended:
-			t.LifeEnded(now, e.host, w.revision)
-		case e.isLife:
-			t.LifeWritten(e.host, e.revision)
+			t.LivenessEnded(now, e.host, w.revision)
+		case e.isLiveness:
+			t.LivenessWritten(e.host, e.revision)
 		default:
 			t.HostWritten(now, e.record, e.revision)
 		}
