--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -163,7 +163,7 @@
 func (e *testEnv) publish(replicas []model.Replica, services []model.ServiceEndpoint) {
 	e.snapshot.Store(&model.Snapshot{
 		Zone: "muenchen", Services: services,
-		Models: []model.RoutedModel{{
+		Models: []*model.RoutedModel{{
 			Declaration: model.ModelDeclaration{Key: testKey, Adapters: []string{"gate"}},
 			Service:     "assist-llm", Replicas: replicas,
 		}},
--- a/entryhost/snapshot.go
+++ b/entryhost/snapshot.go
@@ -18,7 +18,7 @@
 	snapshot.Routers = len(c.members.Live(now))
 	replicas := c.replicas(now)
 	for _, m := range c.configuration.models {
-		snapshot.Models = append(snapshot.Models, model.RoutedModel{
+		snapshot.Models = append(snapshot.Models, &model.RoutedModel{
 			Declaration: m.declaration,
 			Service:     m.service,
 			Replicas:    replicas[m.declaration.Key],
--- a/faults/checks_test.go
+++ b/faults/checks_test.go
@@ -140,7 +140,7 @@
 	record := r.config.records[0]
 	record.accepted = []decision{{number: 1, at: now}, {number: 2, at: now.Add(time.Second)}}
 	snapshotWith := func(mark string) model.Snapshot {
-		return model.Snapshot{Models: []model.RoutedModel{{Declaration: model.ModelDeclaration{Key: record.key, Adapters: []string{mark}}}}}
+		return model.Snapshot{Models: []*model.RoutedModel{{Declaration: model.ModelDeclaration{Key: record.key, Adapters: []string{mark}}}}}
 	}
 	tests := []struct {
 		name  string
--- a/faults/naive_test.go
+++ b/faults/naive_test.go
@@ -136,7 +136,7 @@
 	d := dump{ControlThread: "answered"}
 	h.mu.Lock()
 	for _, declaration := range h.records {
-		d.Snapshot.Snapshot.Models = append(d.Snapshot.Snapshot.Models, model.RoutedModel{Declaration: declaration})
+		d.Snapshot.Snapshot.Models = append(d.Snapshot.Snapshot.Models, &model.RoutedModel{Declaration: declaration})
 	}
 	h.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(d)
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -242,6 +242,7 @@
 		h.viewChanged = true
 		h.Log.Info("entries did not come back", zap.Strings("Backends", expired))
 	}
+	h.view.expireObservations(now)
 	h.stepOwnership(now)
 	h.stepOwned(now)
 	h.stepUsage(now)
@@ -252,7 +253,7 @@
 // publish stores a new snapshot for the goroutines that serve requests if the view changed.
 func (h *Host) publish(now time.Time) {
 	table := h.routes.Load()
-	if !h.viewChanged || table == nil {
+	if !h.viewChanged && len(h.view.changed) == 0 || table == nil {
 		return
 	}
 	h.viewChanged = false
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -23,6 +23,9 @@
 type view struct {
 	zone     string
 	backends map[string]*backendView // by ID
+	observed map[string]bool         // IDs of the backend servers with observations
+	changed  map[string]bool         // IDs of the backend servers that changed since the last snapshot
+	catalog  *catalog                // nil until the first snapshot
 }
 
 // backendView is the view of one backend server.
@@ -41,7 +44,7 @@
 }
 
 func newView(zone string) *view {
-	return &view{zone: zone, backends: make(map[string]*backendView)}
+	return &view{zone: zone, backends: make(map[string]*backendView), observed: make(map[string]bool), changed: make(map[string]bool)}
 }
 
 // applyListing applies an entry of the platform's list. It ignores entries of an earlier incarnation, and entries of an
@@ -50,6 +53,7 @@
 func (v *view) applyListing(now time.Time, l model.BackendListing) (changed, restarted bool) {
 	b := v.backends[l.Life.ID]
 	if b == nil {
+		v.changed[l.Life.ID] = true
 		v.backends[l.Life.ID] = &backendView{listing: l, observations: make(map[string]observation), adapters: make(map[string]map[string]time.Time), changedAt: now}
 		return true, false
 	}
@@ -65,11 +69,15 @@
 		b.observations, b.adapters = make(map[string]observation), make(map[string]map[string]time.Time)
 	}
 	b.listing, b.changedAt, b.missingSince = l, now, time.Time{}
+	v.changed[l.Life.ID] = true
 	return true, restarted
 }
 
 // remove removes a backend server.
-func (v *view) remove(id string) { delete(v.backends, id) }
+func (v *view) remove(id string) {
+	delete(v.backends, id)
+	v.changed[id] = true
+}
 
 // markMissing marks the backend servers that are missing from a complete list. After an outage of the store, their
 // entries may reappear within returnGrace.
@@ -86,12 +94,31 @@
 	for id, b := range v.backends {
 		if !b.missingSince.IsZero() && now.Sub(b.missingSince) > returnGrace {
 			expired = append(expired, id)
-			delete(v.backends, id)
+			v.remove(id)
 		}
 	}
 	return expired
 }
 
+// expireObservations drops the observations that no longer override the platform's list.
+func (v *view) expireObservations(now time.Time) {
+	for id := range v.observed {
+		b := v.backends[id]
+		if b == nil {
+			delete(v.observed, id)
+			continue
+		}
+		before := len(b.observations)
+		maps.DeleteFunc(b.observations, func(_ string, o observation) bool { return now.Sub(o.at) >= observationTTL })
+		if len(b.observations) < before {
+			v.changed[id] = true
+		}
+		if len(b.observations) == 0 {
+			delete(v.observed, id)
+		}
+	}
+}
+
 // recordModel records an observation of whether a model is loaded.
 func (v *view) recordModel(now time.Time, id, name string, loaded bool) {
 	b := v.backends[id]
@@ -100,6 +127,7 @@
 	}
 	b.observations[name] = observation{loaded: loaded, at: now}
 	b.changedAt = now
+	v.observed[id], v.changed[id] = true, true
 	if !loaded {
 		delete(b.adapters, name)
 	}
@@ -112,6 +140,7 @@
 		return
 	}
 	b.changedAt = now
+	v.changed[id] = true
 	if !loaded {
 		delete(b.adapters[name], adapter)
 		return
@@ -169,52 +198,6 @@
 	return found
 }
 
-// snapshot builds the snapshot by which requests are routed.
-func (v *view) snapshot(now time.Time, version int64, state model.DesiredState, routers int, suspects []model.Suspect) *model.Snapshot {
-	s := &model.Snapshot{Version: version, Complete: true, Zone: v.zone, Routers: routers, Suspects: suspects}
-	index := make(map[model.ModelKey]int)
-	for _, name := range slices.Sorted(maps.Keys(state.Services)) {
-		spec := state.Services[name]
-		if spec.Engine == nil {
-			continue
-		}
-		for _, m := range slices.Sorted(maps.Keys(spec.Engine.Models)) {
-			key := modelKey(name, m)
-			index[key] = len(s.Models)
-			s.Models = append(s.Models, model.RoutedModel{Declaration: model.ModelDeclaration{Key: key}, Service: name})
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(v.backends)) {
-		b := v.backends[id]
-		if spec := state.Services[b.listing.Service]; spec.Engine == nil {
-			s.Services = append(s.Services, model.ServiceEndpoint{
-				Service: b.listing.Service, Backend: id, Zone: b.listing.Zone, Address: b.listing.Address, Leaving: b.listing.Draining,
-			})
-			continue
-		}
-		for _, name := range b.loadedModels(now) {
-			if i, declared := index[modelKey(b.listing.Service, name)]; declared {
-				s.Models[i].Replicas = append(s.Models[i].Replicas, b.replica(name))
-			}
-		}
-	}
-	return s
-}
-
-func (b *backendView) replica(name string) model.Replica {
-	return model.Replica{
-		Key:       modelKey(b.listing.Service, name),
-		Backend:   b.listing.Life.ID,
-		Zone:      b.listing.Zone,
-		Address:   b.listing.Address,
-		Service:   b.listing.Service,
-		Adapters:  slices.Sorted(maps.Keys(b.adapters[name])),
-		Capacity:  b.listing.Slots,
-		Draining:  b.listing.Draining,
-		UpdatedAt: b.changedAt,
-	}
-}
-
 // modelKey returns the key of a model. It includes the service because two services may have models of the same name.
 func modelKey(service, name string) model.ModelKey {
 	return model.ModelKey{Model: name, Version: service}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -168,3 +170,70 @@
 		}
 	}
 }
+
+// TestSnapshotSharesUnchangedModels guards against snapshots that are built anew at each change: with 1,375 models on
+// 256 backend servers that took 3.3 ms of processor time, and a host of 0.19 cores fell behind its events.
+func TestSnapshotSharesUnchangedModels(t *testing.T) {
+	v, state := largeView(start)
+	before := v.snapshot(start, 1, state, 1, nil)
+	v.recordAdapter(start, "backend0", "model0", "a1", true)
+	after := v.snapshot(start, 2, state, 1, nil)
+	replaced := 0
+	for i := range after.Models {
+		if after.Models[i] != before.Models[i] {
+			replaced++
+		}
+	}
+	if limit := 3; replaced == 0 || replaced > limit {
+		t.Errorf("got %d models replaced after a change of one backend server, want 1 to the %d that it has loaded", replaced, limit)
+	}
+}
+
+// TestSnapshotFollowsTheView compares snapshots that are updated change by change with ones that are built from the
+// whole view.
+func TestSnapshotFollowsTheView(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	spec := &model.EngineSpec{Models: make(map[string]model.ModelSpec)}
+	names := []string{"a", "b", "c", "d"}
+	for _, name := range names[:3] {
+		spec.Models[name] = model.ModelSpec{Name: name}
+	}
+	state := model.DesiredState{Version: 1, Services: map[string]model.ServiceSpec{"llm": {Name: "llm", Engine: spec}, "desk": {Name: "desk"}}}
+	v, now := newView("z"), start
+	for i := range int64(2000) {
+		now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+		id, name := fmt.Sprintf("i-%d", random.IntN(5)), names[random.IntN(len(names))]
+		switch random.IntN(7) {
+		case 0, 1:
+			listing := testListing(i, names[random.IntN(len(names))], names[random.IntN(len(names))])
+			listing.Life.ID, listing.Draining = id, random.IntN(10) == 0
+			if id == "i-4" {
+				listing.Service = "desk"
+			}
+			v.applyListing(now, listing)
+		case 2:
+			v.remove(id)
+		case 3, 4:
+			v.recordModel(now, id, name, random.IntN(2) == 0)
+		case 5:
+			v.recordAdapter(now, id, name, "x", random.IntN(2) == 0)
+		case 6:
+			v.markMissing(now, map[string]bool{id: true})
+			v.expire(now)
+		}
+		v.expireObservations(now)
+		got := v.snapshot(now, i, state, 1, nil)
+		updated := v.catalog
+		v.catalog = nil
+		want := v.snapshot(now, i, state, 1, nil)
+		v.catalog = updated
+		if !reflect.DeepEqual(got.Services, want.Services) {
+			t.Fatalf("step %d: got service endpoints %+v, want %+v", i, got.Services, want.Services)
+		}
+		for j := range want.Models {
+			if len(got.Models[j].Replicas)+len(want.Models[j].Replicas) > 0 && !reflect.DeepEqual(got.Models[j], want.Models[j]) {
+				t.Fatalf("step %d: got %+v, want %+v", i, got.Models[j], want.Models[j])
+			}
+		}
+	}
+}
--- a/model/replica.go
+++ b/model/replica.go
@@ -33,10 +33,13 @@
 	Version  int64
 	Complete bool // the configuration and the host list are known
 	Zone     string
-	Routers  int // number of live entry hosts in the zone, 0 counts as 1
-	Models   []RoutedModel
+	Routers  int            // number of live entry hosts in the zone, 0 counts as 1
+	Models   []*RoutedModel // shared with other snapshots and never changed
 	Services []ServiceEndpoint
 	Suspects []Suspect
+
+	// Declared is equal in snapshots whose Models hold the same keys in the same order. It is 0 if that is not known.
+	Declared int64 `json:"-"`
 }
 
 // RoutedModel is a declared model version with its replicas.
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -84,7 +84,7 @@
 func coldSnapshot(models int) *model.Snapshot {
 	snapshot := &model.Snapshot{Routers: 60}
 	for i := range models {
-		snapshot.Models = append(snapshot.Models, model.RoutedModel{Declaration: model.ModelDeclaration{Key: benchKey(i)}})
+		snapshot.Models = append(snapshot.Models, &model.RoutedModel{Declaration: model.ModelDeclaration{Key: benchKey(i)}})
 	}
 	return snapshot
 }
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -21,7 +21,7 @@
 // Replicas with a stale report are used only when no other replica is usable.
 func (r *Router) usableReplicas(now time.Time, target Target) [tiers][]*model.Replica {
 	var found [tiers][]*model.Replica
-	routed := r.index.models[target.Key]
+	routed := r.index.find(target.Key)
 	if routed == nil {
 		return found
 	}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -31,7 +31,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reindex(now)
-	if r.index.models[t.Target.Key] == nil {
+	if r.index.find(t.Target.Key) == nil {
 		t.resolve(result{err: &RefusedError{Reason: ReasonUnknown}})
 		return nil
 	}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -13,6 +13,7 @@
 	maxFailures         = 3                      // failures in a row up to which the pause grows
 	maxOverloads        = 5                      // overload refusals in a row up to which the pause doubles
 	notLoadedPause      = 250 * time.Millisecond // minimum pause of a target that the engine has not loaded
+	pruneInterval       = time.Second            // shortest time between two prunes of the fleet
 )
 
 // backend is this router's own view of a backend server, with the figures of the last report.
@@ -39,6 +40,7 @@
 // fleet holds the backend servers by name.
 type fleet struct {
 	backends map[string]*backend
+	prunedAt time.Time
 }
 
 func (f *fleet) get(name string) *backend {
@@ -61,14 +63,25 @@
 	}
 }
 
-// applyReports applies the reports of a new snapshot and removes backend servers that it no longer lists.
-func (f *fleet) applyReports(snapshot *model.Snapshot) {
+// applyReports applies the reports of a new snapshot. Models that it shares with the previous one have no new reports.
+func (f *fleet) applyReports(snapshot, previous *model.Snapshot) {
+	for i, m := range snapshot.Models {
+		if previous != nil && i < len(previous.Models) && previous.Models[i] == m {
+			continue
+		}
+		for j := range m.Replicas {
+			f.get(m.Replicas[j].Backend).applyReport(&m.Replicas[j])
+		}
+	}
+}
+
+// prune removes the backend servers that the snapshot does not list.
+func (f *fleet) prune(now time.Time, snapshot *model.Snapshot) {
+	f.prunedAt = now
 	seen := make(map[string]bool)
-	for i := range snapshot.Models {
-		for j := range snapshot.Models[i].Replicas {
-			replica := &snapshot.Models[i].Replicas[j]
-			seen[replica.Backend] = true
-			f.get(replica.Backend).applyReport(replica)
+	for _, m := range snapshot.Models {
+		for i := range m.Replicas {
+			seen[m.Replicas[i].Backend] = true
 		}
 	}
 	for name, b := range f.backends {
--- a/routing/review.go
+++ b/routing/review.go
@@ -12,8 +12,12 @@
 	if snapshot == nil || snapshot == r.index.snapshot {
 		return
 	}
-	r.index = newIndex(snapshot)
-	r.fleet.applyReports(snapshot)
+	previous := r.index
+	r.index = newIndex(snapshot, previous)
+	r.fleet.applyReports(snapshot, previous.snapshot)
+	if now.Sub(r.fleet.prunedAt) >= pruneInterval {
+		r.fleet.prune(now, snapshot)
+	}
 	r.mergeSuspects(now, snapshot.Suspects)
 	r.recordColdStarts(now)
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -187,7 +187,7 @@
 func (r *Router) init() {
 	r.changed = make(chan struct{}, 1)
 	r.queue.Limit = r.Policy.QueueLimit
-	r.index = newIndex(nil)
+	r.index = newIndex(nil, nil)
 	r.random = rand.New(rand.NewPCG(r.Seed, r.Seed))
 	r.estimates = newEstimates()
 	r.coldSince = make(map[Target]time.Time)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -30,7 +30,7 @@
 }
 
 func publish(r *Router, replicas ...model.Replica) {
-	r.Snapshot.Store(&model.Snapshot{Models: []model.RoutedModel{{
+	r.Snapshot.Store(&model.Snapshot{Models: []*model.RoutedModel{{
 		Declaration: model.ModelDeclaration{Key: testKey, Adapters: []string{"gate", "door"}}, Replicas: replicas,
 	}}})
 }
@@ -275,10 +275,10 @@
 }
 
 func TestResolve(t *testing.T) {
-	x := newIndex(&model.Snapshot{Models: []model.RoutedModel{
+	x := newIndex(&model.Snapshot{Models: []*model.RoutedModel{
 		{Declaration: model.ModelDeclaration{Key: model.ModelKey{Model: "m", Version: "v9"}, Adapters: []string{"a"}}},
 		{Declaration: model.ModelDeclaration{Key: model.ModelKey{Model: "m", Version: "v10"}}},
-	}})
+	}}, nil)
 	tests := map[string]string{"m": "m@v10", "m@v9": "m@v9", "m@v9:a": "m@v9 a", "m:a": "", "m@v8": "", "x": "", "": ""}
 	for name, want := range tests {
 		target, routed := x.resolve(name)
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -267,7 +267,7 @@
 }
 
 func (sm *policySimulation) publish(i int, replicas []model.Replica) {
-	sm.routers[i].Snapshot.Store(&model.Snapshot{Routers: sm.plan.routers, Models: []model.RoutedModel{{
+	sm.routers[i].Snapshot.Store(&model.Snapshot{Routers: sm.plan.routers, Models: []*model.RoutedModel{{
 		Declaration: model.ModelDeclaration{Key: testKey}, Replicas: replicas,
 	}}})
 }
