gateway: follow the zone's relays instead of the store when one fails

By reading: each host read the whole store at its start, and the owner records once more when it registered; until it knew its relay it watched the store, and for 5 s after its relay did not reply; a host that the store turned away asked for a lease every 0.3 s.

Now: - The first read is serializable, at a tenth of the price. The host is ready only after a watch has delivered the changes since then, 0.5 s later, when the registrations of a fleet that starts at once have arrived as well. - A registration gives the right to send orders once the watch has confirmed it, instead of reading all owner records. A host whose relay fails turns to the next of the first four; the one that is followed turns to the store at once. After two failed relays in a row a host watches the store once. - Registrations back off up to 2.4 s. - citronspread_store_calls_total counts calls by kind and cause, and the line at the end of a process lists them.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -81,7 +81,7 @@
 	host.Metrics.AddGauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(buffer.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
 	err = c.runHost(ctx, s, host, logger, buffer)
-	logger.Info("stopped", zap.String("Name", s.Name), zap.Error(err))
+	logger.Info("stopped", zap.String("Name", s.Name), zap.Strings("StoreCalls", host.Metrics.StoreCalls()), zap.Error(err))
 	return err
 }
 
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,472 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"citronspread/model"
+	"citronspread/peer"
+	"citronspread/store"
+)
+
+const (
+	fleetZones   = 5
+	callDuration = 4 * time.Millisecond
+	fakeKeyCount = 600 // other keys in the store, which a complete read returns
+)
+
+var errCut = errors.New("no reply")
+
+// fleetStore is the platform's store in virtual time. It counts calls by kind.
+type fleetStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]store.Entry
+	leases   map[string]int64 // by key
+	timers   map[int64]*time.Timer
+	history  []store.Change // one for each revision
+	changed  chan struct{}
+	calls    map[string]int
+	lag      int64 // number of revisions that serializable reads lag behind
+}
+
+func newFleetStore() *fleetStore {
+	return &fleetStore{entries: make(map[string]store.Entry), leases: make(map[string]int64), timers: make(map[int64]*time.Timer), changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+// apply makes one change and notifies the watches. The caller holds the mutex.
+func (s *fleetStore) apply(writes []store.Write, deleted []string) int64 {
+	s.revision++
+	c := store.Change{Revision: s.revision, Deleted: deleted}
+	for _, w := range writes {
+		e := store.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+		s.entries[w.Key], s.leases[w.Key] = e, w.Lease
+		c.Entries = append(c.Entries, e)
+	}
+	for _, key := range deleted {
+		delete(s.entries, key)
+		delete(s.leases, key)
+	}
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *fleetStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]store.Write{{Key: key, Value: []byte(value)}}, nil)
+}
+
+func (s *fleetStore) count(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+}
+
+func (s *fleetStore) takeCalls() (calls map[string]int, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls, s.calls = s.calls, make(map[string]int)
+	for kind, n := range calls {
+		if kind != "renewal" { // priced at a tenth
+			total += n
+		}
+	}
+	return calls, total
+}
+
+func (s *fleetStore) list(consistency store.Consistency) store.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if consistency == store.Linearizable || s.lag == 0 {
+		return store.Listing{Revision: s.revision, Entries: slices.SortedFunc(maps.Values(s.entries), func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })}
+	}
+	old := max(0, s.revision-s.lag)
+	merged := store.MergeChanges(s.history[:old])
+	return store.Listing{Revision: old, Entries: merged.Entries}
+}
+
+func (s *fleetStore) after(revision int64) (store.Change, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := store.MergeChanges(s.history[revision:])
+	c.Revision = s.revision
+	return c, s.changed
+}
+
+// hostStore is the store as one host reaches it.
+type hostStore struct {
+	*fleetStore
+	host *fleetHost
+}
+
+// call takes the time of a call and reports whether the host reaches the store.
+func (s hostStore) call(ctx context.Context, kind string) error {
+	s.count(kind)
+	sleep(ctx, callDuration)
+	if s.host.storeCut.Load() {
+		return &store.UnavailableError{Key: kind, Cause: errCut}
+	}
+	return ctx.Err()
+}
+
+func (s hostStore) List(ctx context.Context, _ string, consistency store.Consistency) (store.Listing, error) {
+	if err := s.call(ctx, "range"); err != nil {
+		return store.Listing{}, err
+	}
+	return s.list(consistency), nil
+}
+
+func (s hostStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (store.Change, error) {
+	if err := s.call(ctx, "watch"); err != nil {
+		return store.Change{}, err
+	}
+	end := time.After(wait)
+	for {
+		c, changed := s.after(after)
+		if !c.IsEmpty() {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return c, nil
+		case <-ctx.Done():
+			return store.Change{}, ctx.Err()
+		}
+	}
+}
+
+func (s hostStore) Commit(ctx context.Context, t store.Transaction) (int64, error) {
+	if err := s.call(ctx, "transaction"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range t.Expected {
+		if current := s.entries[e.Key]; current.Revision != e.Revision {
+			return 0, &store.ConflictError{Key: e.Key, Current: current}
+		}
+	}
+	return s.apply(t.Writes, nil), nil
+}
+
+func (s hostStore) GrantLease(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := s.call(ctx, "lease"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease := int64(len(s.timers) + 1)
+	s.timers[lease] = time.AfterFunc(ttl, func() { s.expire(lease) })
+	return lease, nil
+}
+
+func (s *fleetStore) expire(lease int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timers[lease] = nil
+	for key, l := range s.leases {
+		if l == lease {
+			s.apply(nil, []string{key})
+		}
+	}
+}
+
+func (s hostStore) RenewLease(ctx context.Context, lease int64) error {
+	if err := s.call(ctx, "renewal"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timers[lease] == nil {
+		return &store.NotFoundError{Key: "lease"}
+	}
+	s.timers[lease].Reset(5 * time.Second)
+	return nil
+}
+
+// testFleet is a fleet of entry hosts in one process and in virtual time, without a network.
+type testFleet struct {
+	store *fleetStore
+	hosts map[string]*fleetHost // by peer address
+}
+
+type fleetHost struct {
+	*Host
+	fleet    *testFleet
+	storeCut syncBool
+	silent   syncBool // replies to no call of another host
+	cancel   context.CancelFunc
+	version  func() int64
+}
+
+type syncBool struct {
+	mu    sync.Mutex
+	value bool
+}
+
+func (b *syncBool) Load() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.value
+}
+
+func (b *syncBool) Store(value bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.value = value
+}
+
+// fleetPeers makes the calls of a host to others.
+type fleetPeers struct {
+	Peers
+	fleet *testFleet
+}
+
+func (p fleetPeers) Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error) {
+	sleep(ctx, time.Millisecond)
+	to := p.fleet.hosts[address]
+	if to.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	reply := to.serveFollow(ctx, request)
+	return reply, ctx.Err()
+}
+
+func (f *testFleet) start(i int) *fleetHost {
+	name := fmt.Sprintf("host-%d", i)
+	h := &fleetHost{fleet: f}
+	h.Host = &Host{
+		Name: name, Zone: fmt.Sprintf("z%d", i%fleetZones), PeerAddress: name, Store: hostStore{f.store, h}, Peers: fleetPeers{fleet: f},
+		Log: zap.NewNop(), Now: time.Now,
+		Decoder: Decoder{
+			ConfigurationKey: "config", ListingPrefix: "servers/",
+			DecodeConfiguration: func(value []byte) (s model.DesiredState, err error) {
+				_, err = fmt.Sscan(string(value), &s.Version)
+				return s, err
+			},
+			DecodeListing: func(store.Entry) (model.BackendListing, error) { return model.BackendListing{}, errors.New("none") },
+			ListingID:     func(key string) string { return strings.TrimPrefix(key, "servers/") },
+		},
+	}
+	h.Prepare()
+	h.version = func() int64 {
+		if table := h.routes.Load(); table != nil {
+			return table.state.Version
+		}
+		return 0
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = func() {
+		cancel()
+		h.Host.cancel()
+	}
+	f.hosts[name] = h
+	go func() { _ = h.control(ctx) }()
+	go func() { _ = h.watchStore(ctx) }()
+	return h
+}
+
+// newTestFleet starts the hosts of a fleet at once and lets them settle.
+func newTestFleet(t *testing.T, hosts int, settle time.Duration) *testFleet {
+	f := &testFleet{store: newFleetStore(), hosts: make(map[string]*fleetHost)}
+	f.store.put("config", "1")
+	for i := range fakeKeyCount {
+		f.store.put(fmt.Sprintf("other/%d", i), "x")
+	}
+	for i := range hosts {
+		f.start(i)
+	}
+	t.Cleanup(f.stop)
+	time.Sleep(settle)
+	return f
+}
+
+func (f *testFleet) stop() {
+	for _, h := range f.hosts {
+		h.cancel()
+	}
+	for _, timer := range f.store.timers {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
+// applied returns after how long each host that is not excepted has applied a new version of the desired state.
+func (f *testFleet) applied(version int64, limit time.Duration, except func(h *fleetHost) bool) (slowest time.Duration, missing []string) {
+	f.store.put("config", fmt.Sprint(version))
+	startedAt := time.Now()
+	for time.Since(startedAt) < limit {
+		missing = nil
+		for name, h := range f.hosts {
+			if h.version() < version && !except(h) {
+				missing = append(missing, name)
+			}
+		}
+		if len(missing) == 0 {
+			return time.Since(startedAt), nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	slices.Sort(missing)
+	return limit, missing
+}
+
+func everyHost(*fleetHost) bool { return false }
+
+// relaysOf returns the first hosts in the order of each zone's relays.
+func (f *testFleet) relaysOf(count int) []*fleetHost {
+	var relays []*fleetHost
+	for _, h := range f.hosts {
+		h.relayMu.Lock()
+		if len(h.ahead) < count {
+			relays = append(relays, h)
+		}
+		h.relayMu.Unlock()
+	}
+	return relays
+}
+
+// TestStartOfFleet guards against calls to the store that each host makes when all of them start at once: reading
+// everything twice, and watching until it knows its relay.
+func TestStartOfFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 300
+		f := newTestFleet(t, hosts, 10*time.Second)
+		calls, total := f.store.takeCalls()
+		if limit := 6 * hosts; total > limit {
+			t.Errorf("got %d calls %v, want at most %d", total, calls, limit)
+		}
+		for name, h := range f.hosts {
+			if !h.Ready() || !h.table.MayOrder(time.Now()) {
+				t.Fatalf("got host %s ready %v, with the right to send orders %v, want both", name, h.Ready(), h.table.MayOrder(time.Now()))
+			}
+		}
+		f.store.takeCalls()
+		time.Sleep(20 * time.Second)
+		calls, total = f.store.takeCalls()
+		if limit := 20 * fleetZones; total > limit {
+			t.Errorf("got %d calls %v in 20 s without changes, want at most %d from one relay a zone", total, calls, limit)
+		}
+		if slowest, missing := f.applied(2, 2*time.Second, everyHost); len(missing) > 0 {
+			t.Errorf("got no desired state on %v after %v, want it everywhere", missing, slowest)
+		}
+	})
+}
+
+// TestRelaysThatLoseTheStore guards against a fleet in which all followers of a relay turn to the store, and against a
+// desired state that they get late.
+func TestRelaysThatLoseTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		relays int // hosts at the front of each zone's order that are affected
+		impair func(h *fleetHost)
+		within time.Duration
+		calls  int // in 20 s, in each zone
+	}{
+		{name: "relay without store", relays: 1, impair: func(h *fleetHost) { h.storeCut.Store(true) }, within: 3 * time.Second, calls: 110},
+		{name: "silent relay", relays: 1, impair: func(h *fleetHost) { h.silent.Store(true); h.storeCut.Store(true) }, within: 3 * time.Second, calls: 110},
+		{name: "two relays without store", relays: 2, impair: func(h *fleetHost) { h.storeCut.Store(true) }, within: 4 * time.Second, calls: 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 300, 10*time.Second)
+				affected := make(map[*fleetHost]bool)
+				for _, h := range f.relaysOf(tt.relays) {
+					affected[h] = true
+					tt.impair(h)
+				}
+				f.store.takeCalls()
+				if slowest, missing := f.applied(2, tt.within, func(h *fleetHost) bool { return affected[h] }); len(missing) > 0 {
+					t.Errorf("got no desired state on %d hosts after %v, want it everywhere", len(missing), slowest)
+				}
+				time.Sleep(20*time.Second - tt.within)
+				if calls, total := f.store.takeCalls(); total > tt.calls*fleetZones {
+					t.Errorf("got %d calls %v in 20 s, want at most %d", total, calls, tt.calls*fleetZones)
+				}
+			})
+		})
+	}
+}
+
+// TestThirdOfFleetLosesTheStore guards against calls of the other hosts when the store turns a third of them away.
+func TestThirdOfFleetLosesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 300
+		f := newTestFleet(t, hosts, 10*time.Second)
+		for i := 0; i < hosts; i += 3 {
+			f.hosts[fmt.Sprintf("host-%d", i)].storeCut.Store(true)
+		}
+		f.store.takeCalls()
+		if slowest, missing := f.applied(2, 4*time.Second, func(h *fleetHost) bool { return h.storeCut.Load() }); len(missing) > 0 {
+			t.Errorf("got no desired state on %d hosts after %v, want it everywhere", len(missing), slowest)
+		}
+		time.Sleep(16 * time.Second)
+		if calls, total := f.store.takeCalls(); total > 8*hosts {
+			t.Errorf("got %d calls %v in 20 s, want at most %d", total, calls, 8*hosts)
+		}
+	})
+}
+
+// TestOutageOfTheStore guards against calls that grow with the fleet while the store is down, and against hosts that
+// take long to follow it again.
+func TestOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 300
+		f := newTestFleet(t, hosts, 10*time.Second)
+		for _, h := range f.hosts {
+			h.storeCut.Store(true)
+		}
+		f.store.takeCalls()
+		time.Sleep(10 * time.Second)
+		if calls, total := f.store.takeCalls(); total > 6*hosts {
+			t.Errorf("got %d calls %v in 10 s, want at most %d", total, calls, 6*hosts)
+		}
+		for _, h := range f.hosts {
+			h.storeCut.Store(false)
+		}
+		if slowest, missing := f.applied(2, 4*time.Second, everyHost); len(missing) > 0 {
+			t.Errorf("got no desired state on %d hosts after %v, want it everywhere", len(missing), slowest)
+		}
+	})
+}
+
+// TestRestartWithOldContent guards against a restarted host that serves by content of the store that is some seconds
+// old, such as a desired state that was replaced before it started.
+func TestRestartWithOldContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 30, 10*time.Second)
+		f.store.put("config", "2")
+		f.store.lag = 5
+		for i := range 4 {
+			f.store.put(fmt.Sprintf("other/%d", i), "y")
+		}
+		h := f.start(100)
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			if h.Ready() && h.version() < 2 {
+				t.Fatal("got a host that is ready with version 1 of the desired state, want version 2")
+			}
+		}
+		if !h.Ready() {
+			t.Error("got a host that is not ready after 2 s, want it ready")
+		}
+	})
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -50,6 +50,7 @@
 	PeerAddress       string
 	Store             Store
 	BackendClient     BackendClient
+	Peers             Peers // nil for calls over the network
 	Decoder           Decoder
 	Log               *zap.Logger
 	Metrics           *metrics.Metrics
@@ -67,7 +68,8 @@
 	routes         atomic.Pointer[routeTable]
 	snapshot       atomic.Pointer[model.Snapshot]
 	stopping       atomic.Bool
-	backendsListed atomic.Bool  // the list of backend servers was read from the store
+	backendsListed atomic.Bool  // the list of backend servers was read from the store, perhaps some seconds old
+	caughtUp       atomic.Bool  // the changes since that list have been applied
 	hosts          atomic.Int64 // live entry hosts, this one included
 	events         chan func(now time.Time)
 	ctx            context.Context // done when the host stops
@@ -75,9 +77,13 @@
 	tasks          sync.WaitGroup
 	admission      context.Context // done when waiting requests are refused
 	endAdmission   context.CancelFunc
-	peers          *peer.Client
 	history        *history
-	relay          atomic.Pointer[string] // peer address of the host that forwards the store's changes, empty for none
+
+	relayMu   sync.Mutex // guards the fields below, which the watch and the hosts that follow this one use
+	relays    relayChoice
+	ahead     []string           // peer addresses of the hosts that precede this one as relays of the zone
+	source    source             // of the changes that are waited for
+	endFollow context.CancelFunc // ends the call to a relay that is in progress, nil if there is none
 
 	// The fields below are used by the control thread only.
 	view            *view
@@ -91,12 +97,12 @@
 	leader          *leader
 	permits         permits
 	suspects        map[model.Fingerprint]model.Suspect
-	renewing        bool      // a registration or renewal is in progress
-	nextClaimAt     time.Time // no claim before this time
-	claiming        bool      // a claim is in progress
+	renewing        bool          // a registration or renewal is in progress
+	registerPause   time.Duration // after the next registration that fails
+	nextClaimAt     time.Time     // no claim before this time
+	claiming        bool          // a claim is in progress
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
-	directUntil     time.Time // the store is watched directly until then
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
 }
@@ -106,6 +112,9 @@
 	h.Dispatcher = &Dispatcher{host: h, budgets: make(map[string]*routing.Budget)}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.admission, h.endAdmission = context.WithCancel(context.Background())
+	if h.Metrics == nil {
+		h.Metrics = metrics.New()
+	}
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
 	h.view = newView(h.Zone)
@@ -113,6 +122,7 @@
 	h.demands = make(map[routing.Target]*demand)
 	h.leader = newLeader()
 	h.permits.taken = make(map[string]bool)
+	h.registerPause = registerPause
 	h.lastSpread = make(map[model.ModelKey]time.Time)
 	h.suspects = make(map[model.Fingerprint]model.Suspect)
 	self := ownership.HostRecord{Name: h.Name, Zone: h.Zone, PeerAddress: h.PeerAddress, Incarnation: uuid.NewString()}
@@ -141,8 +151,10 @@
 		return errors.Wrap(err, "gateway: listen on the peer address")
 	}
 	traffic := &peer.Traffic{}
-	if h.peers, err = peer.NewClient(traffic); err != nil {
-		return err
+	if h.Peers == nil {
+		if h.Peers, err = peer.NewClient(traffic); err != nil {
+			return err
+		}
 	}
 	defer h.cancel()
 	defer context.AfterFunc(ctx, h.cancel)()
@@ -164,7 +176,7 @@
 
 // Ready reports whether the host accepts new requests.
 func (h *Host) Ready() bool {
-	return !h.stopping.Load() && h.routes.Load() != nil && h.backendsListed.Load()
+	return !h.stopping.Load() && h.routes.Load() != nil && h.caughtUp.Load()
 }
 
 // Stop begins a graceful shutdown: the host becomes unready and releases its backend servers. Requests in flight
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -10,19 +10,30 @@
 	"time"
 
 	"citronspread/model"
+	"citronspread/peer"
 	"citronspread/residency"
 	"citronspread/store"
 )
 
 // Store is the platform's key-value store. Its errors are those of package store.
 type Store interface {
-	List(ctx context.Context, prefix string) (store.Listing, error)
+	List(ctx context.Context, prefix string, consistency store.Consistency) (store.Listing, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Change, error)
 	Commit(ctx context.Context, t store.Transaction) (int64, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	RenewLease(ctx context.Context, lease int64) error
 }
 
+// Peers calls other entry hosts by their peer addresses.
+type Peers interface {
+	Place(ctx context.Context, address string, request *peer.PlaceRequest) (*peer.PlaceReply, error)
+	Offer(ctx context.Context, address string, request *peer.OfferRequest) (*peer.OfferReply, error)
+	LoadModel(ctx context.Context, address string, request *peer.LoadModelRequest) (*peer.LoadModelReply, error)
+	ReportPlatformUsage(ctx context.Context, address string, request *peer.UsageRequest) error
+	Suspect(ctx context.Context, address string, request *peer.SuspectRequest) error
+	Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error)
+}
+
 // BackendClient sends orders to backend servers and fetches their reports. Each call names the incarnation that it is
 // meant for, so that another backend server at the same address rejects it.
 type BackendClient interface {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -249,7 +249,7 @@
 		reply, err := query(ctx, h, func(now time.Time) peer.OfferReply { return h.offers(now, request) })
 		return &reply, err
 	}
-	return h.peers.Offer(ctx, address, request)
+	return h.Peers.Offer(ctx, address, request)
 }
 
 // requestLoad sends a load request to an owner, which may be this host.
@@ -257,7 +257,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if address != h.PeerAddress {
-		return h.peers.LoadModel(ctx, address, request)
+		return h.Peers.LoadModel(ctx, address, request)
 	}
 	reply := make(chan peer.LoadModelReply, 1)
 	h.post(func(now time.Time) { h.handleLoad(now, request, reply) })
@@ -274,7 +274,7 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	if address != h.PeerAddress {
-		reply, err := h.peers.Place(ctx, address, request)
+		reply, err := h.Peers.Place(ctx, address, request)
 		if err == nil {
 			return reply, nil
 		}
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strings"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,8 +29,10 @@
 	// claimPause follows a claim that failed. It is longer than watchDelay, so that the cause of the failure has
 	// arrived through the watch.
 	claimPause = 2 * watchDelay
-	// registerPause is the pause after a failed registration, renewal or claim.
-	registerPause = 300 * time.Millisecond
+	// registerPause is the pause after a failed registration, renewal or claim. It doubles with each further registration
+	// that fails, up to maxRegisterPause, because the store may turn away many hosts for long.
+	registerPause    = 300 * time.Millisecond
+	maxRegisterPause = 2400 * time.Millisecond
 	// maxClaimBatch bounds the claims of one transaction. The store accepts 32 rows: one for the own host and four
 	// for each claim.
 	maxClaimBatch = 7
@@ -74,35 +76,35 @@
 	return backends
 }
 
-// registration holds what writeRegistration has written and read.
+// registration holds what writeRegistration has written.
 type registration struct {
 	lease     int64
 	startedAt time.Time // start of the transaction
 	revision  int64
-	owners    map[string]ownership.Owner
 }
 
-// register writes the own host record and liveness key, and reads the owner records.
+// register writes the own host record and liveness key.
 func (h *Host) register() {
 	h.renewing = true
 	self, expected := h.table.Self, h.table.Hosts[h.Name].Revision
+	pause := h.registerPause
 	h.spawn(func(ctx context.Context) {
 		r, err := h.writeRegistration(ctx, self, expected)
 		if err != nil {
-			sleep(ctx, registerPause)
+			sleep(ctx, pause/2+rand.N(pause))
 		}
 		h.post(func(now time.Time) {
 			h.renewing = false
 			if err != nil {
+				h.registerPause = min(2*h.registerPause, maxRegisterPause)
 				h.Log.Warn("not registered", zap.String("Name", self.Name), zap.Int64("Expected", expected), zap.Error(err))
 				h.applyConflict(now, err)
 				return
 			}
-			h.registered, h.lastRenewAt, h.lease = true, now, r.lease
+			h.registered, h.lastRenewAt, h.lease, h.registerPause = true, now, r.lease, registerPause
 			if h.nextClaimAt.IsZero() {
 				h.nextClaimAt = now.Add(initialClaimDelay)
 			}
-			h.table.Owners = r.owners
 			h.table.Registered(r.startedAt, r.revision)
 			h.updateHostCount()
 			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", r.revision), zap.Int64("Lease", r.lease))
@@ -116,26 +118,17 @@
 // writeRegistration makes the store calls of a registration.
 func (h *Host) writeRegistration(ctx context.Context, self ownership.HostRecord, expected int64) (r registration, err error) {
 	hostKey, livenessKey := hostPrefix+self.Name, livenessPrefix+self.Name
-	r.owners = make(map[string]ownership.Owner)
+	h.Metrics.CountStoreCall("lease", "register")
 	if r.lease, err = h.Store.GrantLease(ctx, ownership.LeaseTTL); err != nil {
 		return registration{}, err
 	}
 	r.startedAt = h.Now()
+	h.Metrics.CountStoreCall("transaction", "register")
 	r.revision, err = h.Store.Commit(ctx, store.Transaction{
 		Expected: []store.Entry{{Key: hostKey, Revision: expected}},
 		Writes:   []store.Write{{Key: hostKey, Value: encode(self)}, {Key: livenessKey, Value: []byte(self.Incarnation), Lease: r.lease}},
 	})
-	if err != nil {
-		return registration{}, err
-	}
-	owned, err := h.Store.List(ctx, ownerPrefix)
-	if err != nil {
-		return registration{}, err
-	}
-	for _, e := range owned.Entries {
-		h.mergeOwner(r.owners, strings.TrimPrefix(e.Key, ownerPrefix), e)
-	}
-	return r, nil
+	return r, err
 }
 
 // applyConflict applies the own host record that a registration conflicted with. It comes from a registration whose
@@ -154,6 +147,7 @@
 	lease := h.lease
 	h.spawn(func(ctx context.Context) {
 		startedAt := h.Now()
+		h.Metrics.CountStoreCall("renewal", "register")
 		err := h.Store.RenewLease(ctx, lease)
 		h.post(func(now time.Time) {
 			h.renewing = false
@@ -226,6 +220,7 @@
 		}
 	}
 	h.spawn(func(ctx context.Context) {
+		h.Metrics.CountStoreCall("transaction", "claim")
 		revision, err := h.Store.Commit(ctx, t)
 		if err != nil {
 			sleep(ctx, registerPause)
@@ -262,6 +257,7 @@
 	}
 	h.spawn(func(ctx context.Context) {
 		key := hostPrefix + self.Name
+		h.Metrics.CountStoreCall("transaction", "stop")
 		revision, err := h.Store.Commit(ctx, store.Transaction{
 			Expected: []store.Entry{{Key: key, Revision: expected}},
 			Writes:   []store.Write{{Key: key, Value: encode(self)}},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -84,7 +84,7 @@
 		h.spawn(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 			defer cancel()
-			if err := h.peers.ReportPlatformUsage(ctx, address, request); err != nil {
+			if err := h.Peers.ReportPlatformUsage(ctx, address, request); err != nil {
 				h.Log.Debug("usage not sent", zap.String("Owner", address), zap.Error(err))
 			}
 		})
@@ -120,7 +120,7 @@
 	var failed atomic.Int64
 	for _, address := range addresses {
 		sends.Go(func() {
-			if err := h.peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s}); err != nil {
+			if err := h.Peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s}); err != nil {
 				failed.Add(1)
 				h.Log.Debug("suspect not told", zap.String("Peer", address), zap.Error(err))
 			}
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -87,10 +87,12 @@
 // acquirePermit acquires a permit that is free in this host's view. It returns a *store.ConflictError if another
 // host holds the permit.
 func (h *Host) acquirePermit(ctx context.Context, key string, ttl time.Duration) error {
+	h.Metrics.CountStoreCall("lease", "permit")
 	lease, err := h.Store.GrantLease(ctx, ttl)
 	if err != nil {
 		return err
 	}
+	h.Metrics.CountStoreCall("transaction", "permit")
 	_, err = h.Store.Commit(ctx, store.Transaction{
 		Expected: []store.Entry{{Key: key}},
 		Writes:   []store.Write{{Key: key, Value: []byte(h.Name), Lease: lease}},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -14,22 +15,17 @@
 	"citronspread/store"
 )
 
-// Timing and limits of relaying the store's changes within a zone. One host of each zone is the relay: it watches
-// the store, and the other hosts of the zone follow the relay, which saves calls to the store.
+// Timing and limits of relaying the store's changes within a zone.
 const (
-	// relayKey is the rendezvous hashing key for choosing a zone's relay.
+	// relayKey is the rendezvous hashing key for the order of a zone's relays.
 	relayKey = "relay"
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
 	maxRelayAge = watchWait + watchDelay + 400*time.Millisecond
 	// followMargin is how much longer than its wait a call to the relay may take.
 	followMargin = 300 * time.Millisecond
-	// directAfterFailure is how long this host watches the store directly after its relay did not respond. The next
-	// relay may have failed too, and each one tried costs another timeout.
-	directAfterFailure = 5 * time.Second
-	// directAfterStale is how long this host watches the store directly after its relay reported that it is not
-	// fresh. That is only one watch, since such a reply costs no timeout.
-	directAfterStale = watchDelay
+	// maxFreshWait is how long a host that is followed, but not fresh, may take to reach the store.
+	maxFreshWait = 500 * time.Millisecond
 	// maxChanges bounds the changes that a relay retains. Each follower requests changes about once a second.
 	maxChanges = 32
 )
@@ -46,19 +42,30 @@
 
 func newHistory() *history { return &history{changed: make(chan struct{})} }
 
-// reset empties the history and starts it at a revision whose complete content was read from the store.
-func (h *history) reset(now time.Time, revision int64) {
+// reset empties the history and starts it at a revision whose complete content was read from the store. readAt is zero
+// if that content may be old.
+func (h *history) reset(readAt time.Time, revision int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.baseRevision, h.revision, h.changes, h.respondedAt = revision, revision, nil, now
+	h.baseRevision, h.revision, h.changes, h.respondedAt = revision, revision, nil, readAt
 	h.notify()
 }
 
+// isStale reports whether the store has not responded for longer than maxRelayAge.
+func (h *history) isStale(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.respondedAt) > maxRelayAge
+}
+
 // add retains a change. direct reports whether it came from the store itself.
 func (h *history) add(now time.Time, change store.Change, direct bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if direct {
+		if now.Sub(h.respondedAt) > maxRelayAge {
+			h.notify() // wakes the followers that wait for a fresh history
+		}
 		h.respondedAt = now
 	}
 	if change.Revision <= h.revision {
@@ -93,66 +100,100 @@
 	return reply, h.changed
 }
 
-// serveFollow replies to a host that follows this one: at once if the history is not fresh or some of the changes are
-// lost, else as soon as there is a change or when the requested wait ends.
+// serveFollow replies to a host that follows this one, as soon as there is a change or when the requested wait ends. If
+// the history is not fresh, this host first watches the store, and replies that it is not fresh if that takes too long.
 func (h *Host) serveFollow(ctx context.Context, request *peer.FollowRequest) *peer.FollowReply {
-	timer := time.NewTimer(request.Wait)
-	defer timer.Stop()
+	h.takeRelayDuty()
+	startedAt := h.Now()
 	for {
-		reply, changed := h.history.after(h.Now(), request.After)
-		if !reply.Fresh || reply.Lost || !reply.Change.IsEmpty() {
+		now := h.Now()
+		reply, changed := h.history.after(now, request.After)
+		left := startedAt.Add(request.Wait).Sub(now)
+		if !reply.Fresh {
+			left = min(left, startedAt.Add(maxFreshWait).Sub(now))
+		} else if reply.Lost || !reply.Change.IsEmpty() {
 			return &reply
 		}
+		if left <= 0 {
+			return &reply
+		}
+		timer := time.NewTimer(min(left, maxFreshWait)) // a history ceases to be fresh without a change
 		select {
 		case <-changed:
 		case <-timer.C:
-			return &reply
 		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return &reply
 		}
 	}
 }
 
-// chooseRelay sets the host of the zone that this one follows. It is empty if this host watches the store itself.
-func (h *Host) chooseRelay(now time.Time) {
+// takeRelayDuty records that another host follows this one. If this host follows a relay itself, it turns to the store
+// without waiting for the relay's reply.
+func (h *Host) takeRelayDuty() {
+	h.relayMu.Lock()
+	defer h.relayMu.Unlock()
+	h.relays.follow(h.Now())
+	if h.endFollow != nil {
+		h.endFollow()
+	}
+}
+
+// updateRelays updates the hosts that precede this one in the order of the zone's relays.
+func (h *Host) updateRelays() {
 	var local []model.Peer
 	for _, p := range h.table.Live() {
 		if p.Zone == h.Zone {
 			local = append(local, p)
 		}
 	}
-	chosen := ""
-	if p, found := membership.Leader(local, relayKey); found && p.Name != h.Name && !now.Before(h.directUntil) {
-		chosen = p.Address
+	var ahead []string
+	for _, p := range membership.Ranked(local, relayKey) {
+		if p.Name == h.Name {
+			break
+		}
+		ahead = append(ahead, p.Address)
 	}
-	if before := h.relay.Swap(&chosen); before == nil || *before != chosen {
-		h.Log.Info("relay chosen", zap.String("Relay", chosen))
+	h.relayMu.Lock()
+	defer h.relayMu.Unlock()
+	if !slices.Equal(ahead[:min(len(ahead), maxRelayCandidates)], h.ahead[:min(len(h.ahead), maxRelayCandidates)]) || (len(ahead) == 0) != (len(h.ahead) == 0) {
+		h.Log.Info("relays changed", zap.Strings("Relays", ahead[:min(len(ahead), maxRelayCandidates)]))
 	}
+	h.ahead = ahead
 }
 
-// follow requests the changes after a revision from the relay. It returns false if the store has to be watched instead.
-func (h *Host) follow(ctx context.Context, revision int64) (store.Change, bool) {
-	relay := h.relay.Load()
-	if relay == nil || *relay == "" {
-		return store.Change{}, false
-	}
-	address := *relay
+// chooseSource returns where the next changes come from, and the context of a call to the relay if it is one.
+func (h *Host) chooseSource(ctx context.Context) (source, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+followMargin)
-	defer cancel()
-	reply, err := h.peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait})
-	if err == nil && reply.Fresh && !reply.Lost {
-		return reply.Change, true
+	h.relayMu.Lock()
+	defer h.relayMu.Unlock()
+	s := h.relays.choose(h.Now(), h.ahead)
+	if s != h.source {
+		h.Log.Info("source of changes chosen", zap.String("Relay", s.relay), zap.Bool("CatchUp", s.catchUp), zap.Duration("Wait", s.wait))
 	}
-	if err != nil || !reply.Fresh {
-		duration := directAfterFailure
-		if err == nil {
-			duration = directAfterStale
-		}
-		h.Log.Info("relay lost", zap.String("Relay", address), zap.Bool("Answered", err == nil), zap.Duration("Direct", duration), zap.Error(err))
-		h.post(func(now time.Time) {
-			h.directUntil = now.Add(duration)
-			h.chooseRelay(now)
-		})
+	h.source, h.endFollow = s, nil
+	if s.relay != "" {
+		h.endFollow = cancel
+	}
+	return s, ctx, cancel
+}
+
+// follow requests the changes after a revision from a relay. It returns false if the relay has none to use.
+func (h *Host) follow(ctx context.Context, address string, revision int64) (store.Change, bool) {
+	reply, err := h.Peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait})
+	h.relayMu.Lock()
+	defer h.relayMu.Unlock()
+	h.endFollow = nil
+	switch {
+	case err == nil && reply.Fresh:
+		h.relays.followed(address, reply.Lost)
+		return reply.Change, !reply.Lost
+	case errors.Is(ctx.Err(), context.Canceled):
+		return store.Change{}, false // another host follows this one now, or this one stops
 	}
+	h.relays.failed(h.Now(), address, err == nil)
+	h.Log.Info("relay lost", zap.String("Relay", address), zap.Bool("Answered", err == nil), zap.Int("InRow", h.relays.inRow), zap.Error(err))
 	return store.Change{}, false
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -20,6 +20,11 @@
 	// watchWait is the wait of one watch. It is short because a watch whose history the store has dropped may keep
 	// waiting without receiving changes, and a desired state must be applied within two seconds.
 	watchWait = time.Second
+	// catchUpWait is the wait of a watch that only has to deliver the changes that there are.
+	catchUpWait = 50 * time.Millisecond
+	// startDelay is the delay between the first read and the watch that completes it. When all hosts start at once, that
+	// watch delivers all their registrations.
+	startDelay = 500 * time.Millisecond
 	// watchDelay is the delay between two watches. It batches changes, since each response counts as a call to the
 	// store.
 	watchDelay = 600 * time.Millisecond
@@ -44,7 +49,7 @@
 		var historyLost *store.HistoryLostError
 		if errors.As(err, &historyLost) {
 			h.Log.Info("history lost", zap.Int64("Revision", revision))
-			revision = 0
+			revision = 0 // the next read is linearizable, see readStore
 			continue
 		}
 		if !isLost && ctx.Err() == nil {
@@ -57,28 +62,85 @@
 	return ctx.Err()
 }
 
-// watchOnce reads the complete store if the revision is 0. Otherwise it waits for changes after the revision, from the
-// zone's relay or else from the store. It returns the next revision and the delay before the next call.
+// watchOnce reads the complete store if the revision is 0. Otherwise it gets the changes after the revision, from a relay
+// of the zone or from the store. It returns the next revision and the delay before the next call.
 func (h *Host) watchOnce(ctx context.Context, revision int64) (next int64, delay time.Duration, err error) {
 	if revision == 0 {
-		listing, err := h.Store.List(ctx, "")
-		if err != nil {
-			return 0, 0, err
+		return h.readStore(ctx)
+	}
+	if !h.caughtUp.Load() {
+		return h.watchDirectly(ctx, revision, catchUpWait)
+	}
+	s, relayCtx, cancel := h.chooseSource(ctx)
+	defer cancel()
+	switch {
+	case s.wait > 0:
+		return revision, min(s.wait, maxRetryPause), nil
+	case s.catchUp:
+		next, _, err := h.watchDirectly(ctx, revision, catchUpWait)
+		h.relayMu.Lock()
+		h.relays.watched(h.Now(), err == nil)
+		h.relayMu.Unlock()
+		return next, 0, err
+	case s.relay == "":
+		wait := watchWait
+		if h.history.isStale(h.Now()) {
+			wait = catchUpWait // followers wait until this host is fresh
 		}
-		h.history.reset(h.Now(), listing.Revision)
-		h.post(func(now time.Time) { h.applyStoreContent(now, listing) })
-		return listing.Revision, watchDelay, nil
+		return h.watchDirectly(ctx, revision, wait)
 	}
-	change, followed := h.follow(ctx, revision)
+	change, followed := h.follow(relayCtx, s.relay, revision)
 	if !followed {
-		if change, err = h.Store.Watch(ctx, "", revision, watchWait); err != nil {
-			return 0, 0, err
-		}
-		delay = watchDelay
+		return revision, 0, nil
+	}
+	h.applyChange(change, false)
+	return change.Revision, 0, nil
+}
+
+// readStore reads the complete store. The first read may return content that is some seconds old: the host is not ready
+// and sends no orders before a watch has delivered the changes since then.
+func (h *Host) readStore(ctx context.Context) (revision int64, delay time.Duration, err error) {
+	consistency, cause, delay := store.Linearizable, "history lost", time.Duration(0)
+	if !h.backendsListed.Load() {
+		consistency, cause, delay = store.Serializable, "start", startDelay
+	}
+	h.Metrics.CountStoreCall("range", cause)
+	listing, err := h.Store.List(ctx, "", consistency)
+	if err != nil {
+		return 0, 0, err
 	}
-	h.history.add(h.Now(), change, !followed)
+	readAt := time.Time{}
+	if consistency == store.Linearizable {
+		readAt = h.Now()
+	}
+	h.history.reset(readAt, listing.Revision)
+	h.post(func(now time.Time) {
+		h.applyStoreContent(now, listing)
+		h.caughtUp.Store(consistency == store.Linearizable)
+	})
+	return listing.Revision, delay, nil
+}
+
+// watchDirectly waits for changes after the revision at the store.
+func (h *Host) watchDirectly(ctx context.Context, revision int64, wait time.Duration) (next int64, delay time.Duration, err error) {
+	cause := "relay"
+	if wait != watchWait {
+		cause = "catch up"
+	}
+	h.Metrics.CountStoreCall("watch", cause)
+	change, err := h.Store.Watch(ctx, "", revision, wait)
+	if err != nil {
+		return revision, 0, err
+	}
+	h.applyChange(change, true)
+	h.post(func(time.Time) { h.caughtUp.Store(true) })
+	return change.Revision, watchDelay, nil
+}
+
+// applyChange retains a change for the hosts that follow this one and applies it.
+func (h *Host) applyChange(change store.Change, direct bool) {
+	h.history.add(h.Now(), change, direct)
 	h.post(func(now time.Time) { h.applyStoreChange(now, change) })
-	return change.Revision, delay, nil
 }
 
 // applyStoreContent applies the complete content of the store.
@@ -103,7 +165,7 @@
 	h.table.Relisted(now, liveness, l.Revision)
 	h.view.markMissing(now, listedBackends)
 	h.backendsListed.Store(true)
-	h.afterStoreUpdate(now)
+	h.afterStoreUpdate(now, l.Revision)
 }
 
 // applyStoreChange applies a change of the store.
@@ -123,14 +185,14 @@
 			delete(h.permits.taken, key)
 		}
 	}
-	h.afterStoreUpdate(now)
+	h.afterStoreUpdate(now, c.Revision)
 }
 
 // afterStoreUpdate updates what depends on the applied content of the store.
-func (h *Host) afterStoreUpdate(now time.Time) {
-	h.table.Observed(now)
+func (h *Host) afterStoreUpdate(now time.Time, revision int64) {
+	h.table.Observed(now, revision)
 	h.updateHostCount()
-	h.chooseRelay(now)
+	h.updateRelays()
 }
 
 // keyKind is the kind of a key in the store.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -2,11 +2,15 @@
 package metrics
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 )
 
 // durationBuckets are upper bounds in seconds. They range from the response time of a plain service to the longest wait
@@ -23,6 +27,7 @@
 	firstEvent prometheus.Histogram
 	longestGap prometheus.Histogram
 	grantWait  prometheus.Histogram
+	storeCalls *prometheus.CounterVec
 }
 
 // New returns metrics with all counters at zero.
@@ -37,7 +42,8 @@
 		longestGap: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_longest_gap_seconds", Help: "Longest pause between two events of a stream.", Buckets: durationBuckets}),
 		grantWait:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_place_wait_seconds", Help: "Wait for a place on a backend server.", Buckets: durationBuckets}),
 	}
-	m.registry.MustRegister(m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait)
+	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_store_calls_total", Help: "Calls to the platform's store by kind and by what caused them. A read of several pages counts once."}, []string{"kind", "cause"})
+	m.registry.MustRegister(m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
 	return m
 }
 
@@ -60,6 +66,34 @@
 // CountOrder counts an order to a backend server, by kind and answer.
 func (m *Metrics) CountOrder(kind, answer string) { m.orders.WithLabelValues(kind, answer).Inc() }
 
+// CountStoreCall counts a call to the platform's store, by kind and by what caused it.
+func (m *Metrics) CountStoreCall(kind, cause string) {
+	m.storeCalls.WithLabelValues(kind, cause).Inc()
+}
+
+// StoreCalls returns the numbers of calls to the platform's store as "cause/kind=number", sorted.
+func (m *Metrics) StoreCalls() []string {
+	var counts []string
+	collected := make(chan prometheus.Metric)
+	go func() {
+		defer close(collected)
+		m.storeCalls.Collect(collected)
+	}()
+	for c := range collected {
+		var value dto.Metric
+		if err := c.Write(&value); err != nil {
+			continue // a counter always encodes
+		}
+		var labels []string
+		for _, pair := range value.GetLabel() {
+			labels = append(labels, pair.GetValue()) // sorted by label: cause, kind
+		}
+		counts = append(counts, fmt.Sprintf("%s=%.0f", strings.Join(labels, "/"), value.GetCounter().GetValue()))
+	}
+	slices.Sort(counts)
+	return counts
+}
+
 // ObserveRequest observes the time from the arrival of a request to the end of its response, by kind of route.
 func (m *Metrics) ObserveRequest(kind string, took time.Duration) {
 	m.requests.WithLabelValues(kind).Observe(took.Seconds())
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -88,10 +88,12 @@
 	OwnerChangeDelay time.Duration // minimum time between the orders of two owners
 	Hosts            map[string]Host
 	Owners           map[string]Owner
-	Revision         int64 // of this host's record
-	RenewedAt        time.Time
+	Revision         int64     // of this host's record
+	RenewedAt        time.Time // start of the latest renewal that counts for the right to send orders
 	Stopping         bool
 	ObservedAt       time.Time
+	ObservedRevision int64     // all changes of the store up to it are in the table
+	unconfirmedAt    time.Time // start of the latest renewal since a registration that is not confirmed, zero if it is
 	vacantSince      map[string]time.Time
 }
 
@@ -103,10 +105,13 @@
 	}
 }
 
-// Registered records that a transaction that started at startedAt wrote this host's record and liveness key.
+// Registered records that a transaction that started at startedAt wrote this host's record and liveness key. It gives
+// the right to send orders once Observed confirms it, because another host may have taken over a backend server before
+// it. A claim that takes effect later fails, since it expects the host record at an earlier revision.
 func (t *Table) Registered(startedAt time.Time, revision int64) {
 	t.Revision = revision
-	t.RenewedAt = startedAt
+	t.unconfirmedAt = startedAt
+	t.confirm()
 	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, LivenessRevision: revision}
 }
 
@@ -117,7 +122,20 @@
 }
 
 // Renewed records an acknowledged renewal of the lease that started at startedAt.
-func (t *Table) Renewed(startedAt time.Time) { t.RenewedAt = startedAt }
+func (t *Table) Renewed(startedAt time.Time) {
+	if !t.unconfirmedAt.IsZero() {
+		t.unconfirmedAt = startedAt
+		return
+	}
+	t.RenewedAt = startedAt
+}
+
+// confirm makes the registration count if the table holds all changes of the store up to it.
+func (t *Table) confirm() {
+	if !t.unconfirmedAt.IsZero() && t.ObservedRevision >= t.Revision {
+		t.RenewedAt, t.unconfirmedAt = t.unconfirmedAt, time.Time{}
+	}
+}
 
 // Left records that this host's record, with the graceful shutdown, was written at revision.
 func (t *Table) Left(revision int64) {
@@ -181,8 +199,11 @@
 	}
 }
 
-// Observed records when the store last reported its changes.
-func (t *Table) Observed(now time.Time) { t.ObservedAt = now }
+// Observed records when the store last reported its changes, and up to which revision the table holds them.
+func (t *Table) Observed(now time.Time, revision int64) {
+	t.ObservedAt, t.ObservedRevision = now, max(t.ObservedRevision, revision)
+	t.confirm()
+}
 
 // Live returns the registered hosts with a lease that have not left, sorted by name. This host needs no lease to count.
 func (t *Table) Live() []model.Peer {
--- a/store/store.go
+++ b/store/store.go
@@ -20,6 +20,16 @@
 	Revision int64
 }
 
+// Consistency is how recent the content is that List returns.
+type Consistency int
+
+const (
+	// Linearizable content includes all writes that were acknowledged before the call.
+	Linearizable Consistency = iota
+	// Serializable content may be some seconds old. It costs the store less.
+	Serializable
+)
+
 // Listing is the result of List.
 type Listing struct {
 	Revision int64 // of the whole store
