gateway: pass suspects on through the relays of each zone

Ruled out: batches at the sender, since most hosts have one suspect at a time.

Now a suspect goes to the first four hosts in each zone's order of relays. They return it in the calls that their followers keep open anyway, at most ten a second each. A relay that does not reach the store follows another host between its attempts, so that it learns them too. A claim now waits 200 ms instead of 100 ms for the other hosts.

TestSuspectsOfCrashedBackends plays 50 crashes on 300 hosts in virtual time: at most 20 calls a suspect (294 before), and each suspect on each host before a trial may start, also while the first relay of each zone has lost the store.

During an upgrade, hosts of the earlier build learn suspects only if they are among the four of their zone.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,8 +202,9 @@
 
 // testFleet is a fleet of entry hosts in one process and in virtual time, without a network.
 type testFleet struct {
-	store *fleetStore
-	hosts map[string]*fleetHost // by peer address
+	store        *fleetStore
+	hosts        map[string]*fleetHost // by peer address
+	suspectCalls atomic.Int64
 }
 
 type fleetHost struct {
@@ -332,13 +334,15 @@
 
 // relaysOf returns the first hosts in the order of each zone's relays.
 func (f *testFleet) relaysOf(count int) []*fleetHost {
+	byZone := make(map[string][]model.Peer)
+	for name, h := range f.hosts {
+		byZone[h.Zone] = append(byZone[h.Zone], model.Peer{Name: name, Zone: h.Zone})
+	}
 	var relays []*fleetHost
-	for _, h := range f.hosts {
-		h.relayMu.Lock()
-		if len(h.ahead) < count {
-			relays = append(relays, h)
+	for _, peers := range byZone {
+		for _, p := range relayOrder(peers)[:count] {
+			relays = append(relays, f.hosts[p.Name])
 		}
-		h.relayMu.Unlock()
 	}
 	return relays
 }
@@ -470,3 +474,49 @@
 		}
 	})
 }
+
+func (p fleetPeers) Suspect(ctx context.Context, address string, request *peer.SuspectRequest) error {
+	sleep(ctx, time.Millisecond)
+	to := p.fleet.hosts[address]
+	p.fleet.suspectCalls.Add(1)
+	if to.silent.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	to.mergeSuspect(request.Suspect)
+	return nil
+}
+
+// TestSuspectsOfCrashedBackends guards against a call to every host for each request that ran on a crashed backend
+// server: in a fleet of 295 hosts with 30 crashes that used up the processors. All hosts still learn each suspect before
+// the trial of another host may start.
+func TestSuspectsOfCrashedBackends(t *testing.T) {
+	for _, failedRelays := range []int{0, 1} {
+		t.Run(fmt.Sprint(failedRelays, " relays without store"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const hosts, suspects = 300, 50
+				f := newTestFleet(t, hosts, 10*time.Second)
+				if failedRelays > 0 {
+					for _, h := range f.relaysOf(failedRelays) {
+						h.storeCut.Store(true)
+					}
+					time.Sleep(5 * time.Second)
+				}
+				for i := range suspects {
+					f.hosts[fmt.Sprintf("host-%d", i)].router.Suspects.RecordCrash(time.Now(), model.Fingerprint(i+1), "b", true, 0)
+				}
+				time.Sleep(suspectClaimPropagationDelay)
+				for name, h := range f.hosts {
+					for i := range suspects {
+						if !h.router.Suspects.IsSuspect(model.Fingerprint(i + 1)) {
+							t.Fatalf("got no suspect %d on %s after %v, want it on every host", i+1, name, suspectClaimPropagationDelay)
+						}
+					}
+				}
+				if got, limit := f.suspectCalls.Load(), int64(suspects*fleetZones*maxRelayCandidates); got > limit {
+					t.Errorf("got %d calls for %d suspects, want at most %d", got, suspects, limit)
+				}
+			})
+		})
+	}
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -26,9 +26,11 @@
 	tickInterval  = 100 * time.Millisecond
 	eventCapacity = 1024
 	// refuseSuspectFor is longer than callers keep resending a request that crashes backend servers.
-	refuseSuspectFor             = 10 * time.Minute
-	suspectClaimPropagationDelay = 100 * time.Millisecond // for the claim of a trial to reach the other entry hosts
-	suspectTrialClaimTTL         = 10 * time.Second       // lifetime of a claim that is not renewed
+	refuseSuspectFor = 10 * time.Minute
+	// suspectClaimPropagationDelay is the time for the claim of a trial to reach the other entry hosts: two calls and
+	// followPause.
+	suspectClaimPropagationDelay = 200 * time.Millisecond
+	suspectTrialClaimTTL         = 10 * time.Second // lifetime of a claim that is not renewed
 	suspectRetention             = 15 * time.Minute
 	suspectLimit                 = 10_000
 )
@@ -81,10 +83,14 @@
 
 	relayMu   sync.Mutex // guards the fields below, which the watch and the hosts that follow this one use
 	relays    relayChoice
-	ahead     []string           // peer addresses of the hosts that precede this one as relays of the zone
+	order     zoneOrder
 	source    source             // of the changes that are waited for
 	endFollow context.CancelFunc // ends the call to a relay that is in progress, nil if there is none
 
+	// The fields below are used by the watch only.
+	suspectsFrom  string // relay that sent the latest suspects
+	suspectsAfter int64  // its sequence number of the last one
+
 	// The fields below are used by the control thread only.
 	view            *view
 	viewChanged     bool
@@ -96,7 +102,6 @@
 	demands         map[routing.Target]*demand
 	leader          *leader
 	permits         permits
-	suspects        map[model.Fingerprint]model.Suspect
 	renewing        bool          // a registration or renewal is in progress
 	registerPause   time.Duration // after the next registration that fails
 	nextClaimAt     time.Time     // no claim before this time
@@ -124,7 +129,6 @@
 	h.permits.taken = make(map[string]bool)
 	h.registerPause = registerPause
 	h.lastSpread = make(map[model.ModelKey]time.Time)
-	h.suspects = make(map[model.Fingerprint]model.Suspect)
 	self := ownership.HostRecord{Name: h.Name, Zone: h.Zone, PeerAddress: h.PeerAddress, Incarnation: uuid.NewString()}
 	h.table = ownership.NewTable(self, h.OwnerChangeDelay)
 	policy := routing.DefaultPolicy()
@@ -270,11 +274,7 @@
 	}
 	h.viewChanged = false
 	h.version++
-	suspects := make([]model.Suspect, 0, len(h.suspects))
-	for _, s := range h.suspects {
-		suspects = append(suspects, s)
-	}
-	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone(), suspects))
+	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone()))
 	h.router.Changed()
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,13 +10,12 @@
 
 	"citronspread/model"
 	"citronspread/peer"
-	"citronspread/routing"
 )
 
 const (
 	usageInterval  = 500 * time.Millisecond
 	usageTimeout   = 500 * time.Millisecond
-	suspectTimeout = time.Second // for sending to all entry hosts
+	suspectTimeout = time.Second // for sending to the relays of all zones
 )
 
 // platformHandler handles calls of other entry hosts. It implements peer.PlatformHandler.
@@ -45,7 +44,7 @@
 
 // Suspect merges a suspect that another entry host has published.
 func (p *platformHandler) Suspect(_ context.Context, request *peer.SuspectRequest) (*peer.Empty, error) {
-	p.host.post(func(time.Time) { p.host.mergeSuspect(request.Suspect) })
+	p.host.mergeSuspect(request.Suspect)
 	return &peer.Empty{}, nil
 }
 
@@ -91,20 +90,14 @@
 	}
 }
 
-// publishSuspect merges a suspect and sends it to all other entry hosts.
+// publishSuspect merges a suspect and sends it to the hosts of each zone that may be its relay, which pass it on to the
+// hosts that follow them. The number of calls grows with the zones and not with the hosts, because a backend server that
+// crashes makes suspects of all requests that it ran.
 func (h *Host) publishSuspect(s model.Suspect) {
 	h.Log.Info("suspect", zap.Uint64("Fingerprint", uint64(s.Fingerprint)), zap.Int("Deaths", s.Deaths), zap.String("Holder", s.Holder))
 	h.spawn(func(ctx context.Context) {
-		addresses, err := query(ctx, h, func(now time.Time) []string {
-			h.mergeSuspect(s)
-			var addresses []string
-			for _, p := range h.table.Live() {
-				if p.Name != h.Name {
-					addresses = append(addresses, p.Address)
-				}
-			}
-			return addresses
-		})
+		h.mergeSuspect(s)
+		addresses, err := query(ctx, h, func(time.Time) []string { return h.allRelays() })
 		if err != nil {
 			return
 		}
@@ -112,6 +105,23 @@
 	})
 }
 
+// allRelays returns the peer addresses of the hosts of all zones that may be relays, without this host.
+func (h *Host) allRelays() []string {
+	byZone := make(map[string][]model.Peer)
+	for _, p := range h.table.Live() {
+		byZone[p.Zone] = append(byZone[p.Zone], p)
+	}
+	var addresses []string
+	for _, peers := range byZone {
+		for _, p := range relayOrder(peers)[:min(len(peers), maxRelayCandidates)] {
+			if p.Name != h.Name {
+				addresses = append(addresses, p.Address)
+			}
+		}
+	}
+	return addresses
+}
+
 // sendSuspect sends a suspect to entry hosts and logs once how many it did not reach.
 func (h *Host) sendSuspect(ctx context.Context, s model.Suspect, addresses []string) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
@@ -132,16 +142,8 @@
 	}
 }
 
-// mergeSuspect merges a suspect into the recorded ones. It drops all recorded ones first if they have reached
-// suspectLimit.
+// mergeSuspect merges a suspect and retains it for the hosts that follow this one.
 func (h *Host) mergeSuspect(s model.Suspect) {
-	if known, found := h.suspects[s.Fingerprint]; found {
-		s = routing.MergeSuspect(known, s)
-	}
-	if len(h.suspects) >= suspectLimit {
-		h.Log.Warn("suspects dropped, limit reached", zap.Int("Suspects", len(h.suspects)))
-		clear(h.suspects)
-	}
-	h.suspects[s.Fingerprint] = s
-	h.viewChanged = true
+	h.router.MergeSuspects(h.Now(), []model.Suspect{s})
+	h.history.addSuspect(s)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,6 +26,10 @@
 	followMargin = 300 * time.Millisecond
 	// maxFreshWait is how long a host that is followed, but not fresh, may take to reach the store.
 	maxFreshWait = 500 * time.Millisecond
+	// followPause is the pause between two calls to the relay. It bounds the replies of a relay to many followers.
+	followPause = 100 * time.Millisecond
+	// maxSuspects bounds the suspects that a relay retains.
+	maxSuspects = 512
 	// maxChanges bounds the changes that a relay retains. Each follower requests changes about once a second.
 	maxChanges = 32
 )
@@ -38,6 +42,9 @@
 	changes      []store.Change // by ascending revision
 	respondedAt  time.Time      // last response of the store itself, not of a relay
 	changed      chan struct{}  // closed and replaced at each change
+
+	suspects        []model.Suspect // the latest maxSuspects that this host received, by the order of their arrival
+	suspectSequence int64           // of the last one
 }
 
 func newHistory() *history { return &history{changed: make(chan struct{})} }
@@ -80,6 +87,29 @@
 	h.notify()
 }
 
+// addSuspect retains a suspect.
+func (h *history) addSuspect(s model.Suspect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.suspects = append(h.suspects, s)
+	h.suspectSequence++
+	if len(h.suspects) > maxSuspects {
+		h.suspects = slices.Delete(h.suspects, 0, len(h.suspects)-maxSuspects)
+	}
+	h.notify()
+}
+
+// suspectsAfter returns the suspects after a sequence number, which another process of this host may have given.
+func (h *history) suspectsAfter(sequence int64) (suspects []model.Suspect, last int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := h.suspectSequence - sequence
+	if count < 0 || count > int64(len(h.suspects)) {
+		count = int64(len(h.suspects))
+	}
+	return slices.Clone(h.suspects[len(h.suspects)-int(count):]), h.suspectSequence
+}
+
 // notify wakes the goroutines that wait for a change. The caller holds the mutex.
 func (h *history) notify() {
 	close(h.changed)
@@ -108,11 +138,13 @@
 	for {
 		now := h.Now()
 		reply, changed := h.history.after(now, request.After)
+		reply.Suspects, reply.SuspectSequence = h.history.suspectsAfter(request.SuspectsAfter)
 		left := startedAt.Add(request.Wait).Sub(now)
+		if len(reply.Suspects) > 0 || reply.Fresh && (reply.Lost || !reply.Change.IsEmpty()) {
+			return &reply
+		}
 		if !reply.Fresh {
 			left = min(left, startedAt.Add(maxFreshWait).Sub(now))
-		} else if reply.Lost || !reply.Change.IsEmpty() {
-			return &reply
 		}
 		if left <= 0 {
 			return &reply
@@ -130,46 +162,51 @@
 	}
 }
 
-// takeRelayDuty records that another host follows this one. If this host follows a relay itself, it turns to the store
-// without waiting for the relay's reply.
+// takeRelayDuty records that another host follows this one. If this host follows a relay itself and may turn to the store,
+// it does so without waiting for the relay's reply.
 func (h *Host) takeRelayDuty() {
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
-	h.relays.follow(h.Now())
-	if h.endFollow != nil {
+	now := h.Now()
+	h.relays.follow(now)
+	if h.endFollow != nil && !now.Before(h.relays.directAt) {
 		h.endFollow()
 	}
 }
 
-// updateRelays updates the hosts that precede this one in the order of the zone's relays.
+// updateRelays updates the order of the zone's relays.
 func (h *Host) updateRelays() {
-	var local []model.Peer
+	local := []model.Peer{{Name: h.Name, Zone: h.Zone}}
 	for _, p := range h.table.Live() {
-		if p.Zone == h.Zone {
+		if p.Zone == h.Zone && p.Name != h.Name {
 			local = append(local, p)
 		}
 	}
-	var ahead []string
-	for _, p := range membership.Ranked(local, relayKey) {
-		if p.Name == h.Name {
-			break
+	ranked := relayOrder(local)
+	order := zoneOrder{first: ranked[0].Name == h.Name}
+	for _, p := range ranked {
+		if p.Name != h.Name && len(order.others) < maxRelayCandidates {
+			order.others = append(order.others, p.Address)
 		}
-		ahead = append(ahead, p.Address)
 	}
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
-	if !slices.Equal(ahead[:min(len(ahead), maxRelayCandidates)], h.ahead[:min(len(h.ahead), maxRelayCandidates)]) || (len(ahead) == 0) != (len(h.ahead) == 0) {
-		h.Log.Info("relays changed", zap.Strings("Relays", ahead[:min(len(ahead), maxRelayCandidates)]))
+	if order.first != h.order.first || !slices.Equal(order.others, h.order.others) {
+		h.Log.Info("relays changed", zap.Bool("First", order.first), zap.Strings("Others", order.others))
 	}
-	h.ahead = ahead
+	h.order = order
 }
 
+// relayOrder returns the hosts of a zone in the order in which they become its relay.
+func relayOrder(hosts []model.Peer) []model.Peer { return membership.Ranked(hosts, relayKey) }
+
 // chooseSource returns where the next changes come from, and the context of a call to the relay if it is one.
 func (h *Host) chooseSource(ctx context.Context) (source, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+followMargin)
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
-	s := h.relays.choose(h.Now(), h.ahead)
+	now := h.Now()
+	s := h.relays.choose(now, h.order, h.history.isStale(now))
 	if s != h.source {
 		h.Log.Info("source of changes chosen", zap.String("Relay", s.relay), zap.Bool("CatchUp", s.catchUp), zap.Duration("Wait", s.wait))
 	}
@@ -182,7 +219,15 @@
 
 // follow requests the changes after a revision from a relay. It returns false if the relay has none to use.
 func (h *Host) follow(ctx context.Context, address string, revision int64) (store.Change, bool) {
-	reply, err := h.Peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait})
+	after := h.suspectsAfter
+	if h.suspectsFrom != address {
+		after = 0
+	}
+	reply, err := h.Peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait, SuspectsAfter: after})
+	if err == nil {
+		h.suspectsFrom, h.suspectsAfter = address, reply.SuspectSequence
+		h.router.MergeSuspects(h.Now(), reply.Suspects)
+	}
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
 	h.endFollow = nil
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -47,33 +47,45 @@
 	wait    time.Duration // there is no source before this time has passed
 }
 
-// choose returns the source of the next changes. ahead holds the peer addresses of the hosts that precede this one.
-func (c *relayChoice) choose(now time.Time, ahead []string) source {
-	if len(ahead) == 0 || !c.followedAt.IsZero() && now.Sub(c.followedAt) < relayDuty {
+// zoneOrder is the order of a zone's relays as this host knows it.
+type zoneOrder struct {
+	others []string // peer addresses of the first maxRelayCandidates hosts other than this one
+	first  bool     // no other host precedes this one
+}
+
+// isRelay reports whether this host watches the store for others.
+func (c *relayChoice) isRelay(now time.Time, order zoneOrder) bool {
+	return order.first || !c.followedAt.IsZero() && now.Sub(c.followedAt) < relayDuty
+}
+
+// choose returns the source of the next changes. stale reports whether the store has not responded to this host for
+// longer than maxRelayAge. A relay that does not reach the store follows other hosts between its attempts.
+func (c *relayChoice) choose(now time.Time, order zoneOrder, stale bool) source {
+	mayWatch := !now.Before(c.directAt)
+	if c.isRelay(now, order) && mayWatch {
 		return source{}
 	}
-	if wait := c.directAt.Sub(now); c.behind && wait > 0 {
-		return source{wait: wait}
+	if c.isRelay(now, order) && !stale {
+		return source{wait: c.directAt.Sub(now)}
 	}
-	if c.behind || c.inRow >= maxRelayFailures && !now.Before(c.directAt) {
+	if !c.isRelay(now, order) && mayWatch && (c.behind || c.inRow >= maxRelayFailures) {
 		return source{catchUp: true}
 	}
-	var earliest time.Time
-	for _, address := range ahead[:min(len(ahead), maxRelayCandidates)] {
-		f := c.failures[address]
-		if !now.Before(f.until) {
-			return source{relay: address}
-		}
-		if earliest.IsZero() || f.until.Before(earliest) {
-			earliest = f.until
+	earliest := c.directAt
+	if !c.behind {
+		for _, address := range order.others {
+			f := c.failures[address]
+			if !now.Before(f.until) {
+				return source{relay: address}
+			}
+			if f.until.Before(earliest) {
+				earliest = f.until
+			}
 		}
 	}
-	if !now.Before(c.directAt) {
+	if mayWatch {
 		return source{catchUp: true}
 	}
-	if c.directAt.Before(earliest) {
-		earliest = c.directAt
-	}
 	return source{wait: earliest.Sub(now)}
 }
 
@@ -99,11 +111,16 @@
 	c.inRow, c.behind, c.directPause = 0, behind, 0
 }
 
-// watched records the outcome of a watch for lack of a relay.
-func (c *relayChoice) watched(now time.Time, succeeded bool) {
-	if succeeded {
+// watched records the outcome of a watch of the store.
+func (c *relayChoice) watched(now time.Time, relay, succeeded bool) {
+	switch {
+	case succeeded && relay:
+		c.inRow, c.behind, c.directPause = 0, false, 0
+	case succeeded:
 		c.inRow, c.behind, c.directPause = 0, false, minDirectPause
-	} else {
+	case relay:
+		c.directPause = maxRetryPause
+	default:
 		c.directPause = min(max(minDirectPause, 2*c.directPause), maxDirectPause)
 	}
 	c.directAt = now.Add(c.directPause)
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -90,7 +90,7 @@
 }
 
 // snapshot builds the snapshot by which requests are routed.
-func (v *view) snapshot(now time.Time, version int64, state model.DesiredState, routers int, suspects []model.Suspect) *model.Snapshot {
+func (v *view) snapshot(now time.Time, version int64, state model.DesiredState, routers int) *model.Snapshot {
 	if v.catalog == nil || v.catalog.declared != state.Version || state.Version == 0 {
 		v.catalog = newCatalog(state)
 		for id := range v.backends {
@@ -101,7 +101,7 @@
 	c.update(now, v, v.changed)
 	clear(v.changed)
 	s := &model.Snapshot{
-		Version: version, Complete: true, Zone: v.zone, Routers: routers, Suspects: suspects,
+		Version: version, Complete: true, Zone: v.zone, Routers: routers,
 		Models: slices.Clone(c.models), Declared: c.declared,
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
--- a/gateway/snapshot_bench_test.go
+++ b/gateway/snapshot_bench_test.go
@@ -39,7 +39,7 @@
 	for i := range b.N {
 		now = now.Add(time.Millisecond)
 		v.recordAdapter(now, fmt.Sprintf("backend%d", i%256), fmt.Sprintf("model%d", i%256%9), "a1", true)
-		pointer.Store(v.snapshot(now, int64(i), state, 60, nil))
+		pointer.Store(v.snapshot(now, int64(i), state, 60))
 		router.Step(now)
 	}
 }
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -103,7 +103,7 @@
 		"llm":  {Name: "llm", Engine: &model.EngineSpec{Models: map[string]model.ModelSpec{"a": {Name: "a"}, "b": {Name: "b"}}}},
 		"desk": {Name: "desk"},
 	}}
-	s := v.snapshot(start, 1, state, 2, nil)
+	s := v.snapshot(start, 1, state, 2)
 	if len(s.Models) != 2 || len(s.Services) != 1 {
 		t.Fatalf("got %d models and %d service endpoints, want 2 and 1", len(s.Models), len(s.Services))
 	}
@@ -175,9 +175,9 @@
 // 256 backend servers that took 3.3 ms of processor time, and a host of 0.19 cores fell behind its events.
 func TestSnapshotSharesUnchangedModels(t *testing.T) {
 	v, state := largeView(start)
-	before := v.snapshot(start, 1, state, 1, nil)
+	before := v.snapshot(start, 1, state, 1)
 	v.recordAdapter(start, "backend0", "model0", "a1", true)
-	after := v.snapshot(start, 2, state, 1, nil)
+	after := v.snapshot(start, 2, state, 1)
 	replaced := 0
 	for i := range after.Models {
 		if after.Models[i] != before.Models[i] {
@@ -222,10 +222,10 @@
 			v.expire(now)
 		}
 		v.expireObservations(now)
-		got := v.snapshot(now, i, state, 1, nil)
+		got := v.snapshot(now, i, state, 1)
 		updated := v.catalog
 		v.catalog = nil
-		want := v.snapshot(now, i, state, 1, nil)
+		want := v.snapshot(now, i, state, 1)
 		v.catalog = updated
 		if !reflect.DeepEqual(got.Services, want.Services) {
 			t.Fatalf("step %d: got service endpoints %+v, want %+v", i, got.Services, want.Services)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -56,6 +56,9 @@
 			h.Log.Warn("store lost", zap.Int64("Revision", revision), zap.Error(err))
 		}
 		isLost = true
+		if revision > 0 && h.caughtUp.Load() {
+			continue // relayChoice sets the pauses
+		}
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxRetryPause)
 	}
@@ -76,25 +79,31 @@
 	switch {
 	case s.wait > 0:
 		return revision, min(s.wait, maxRetryPause), nil
-	case s.catchUp:
-		next, _, err := h.watchDirectly(ctx, revision, catchUpWait)
-		h.relayMu.Lock()
-		h.relays.watched(h.Now(), err == nil)
-		h.relayMu.Unlock()
-		return next, 0, err
 	case s.relay == "":
-		wait := watchWait
-		if h.history.isStale(h.Now()) {
-			wait = catchUpWait // followers wait until this host is fresh
-		}
-		return h.watchDirectly(ctx, revision, wait)
+		return h.watchAs(ctx, revision, s)
 	}
 	change, followed := h.follow(relayCtx, s.relay, revision)
 	if !followed {
 		return revision, 0, nil
 	}
 	h.applyChange(change, false)
-	return change.Revision, 0, nil
+	return change.Revision, followPause, nil
+}
+
+// watchAs watches the store as the relay of the zone, or once for lack of one.
+func (h *Host) watchAs(ctx context.Context, revision int64, s source) (next int64, delay time.Duration, err error) {
+	wait := watchWait
+	if s.catchUp || h.history.isStale(h.Now()) {
+		wait = catchUpWait // followers wait until this host is fresh
+	}
+	next, delay, err = h.watchDirectly(ctx, revision, wait)
+	h.relayMu.Lock()
+	h.relays.watched(h.Now(), !s.catchUp, err == nil)
+	h.relayMu.Unlock()
+	if s.catchUp {
+		delay = 0
+	}
+	return next, delay, err
 }
 
 // readStore reads the complete store. The first read may return content that is some seconds old: the host is not ready
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -86,8 +86,9 @@
 
 // FollowRequest requests the changes of the store from the relay of the zone, so that not every host reads the store.
 type FollowRequest struct {
-	After int64         // revision after which changes are returned
-	Wait  time.Duration // maximum time to wait for a change
+	After         int64         // revision after which changes are returned
+	Wait          time.Duration // maximum time to wait for a change
+	SuspectsAfter int64         // sequence number after which suspects are returned, 0 for all that the relay retains
 }
 
 // FollowReply contains the changes of the store.
@@ -95,6 +96,9 @@
 	Fresh  bool // the store responded to the relay recently
 	Lost   bool // the relay no longer has all changes since the revision
 	Change store.Change
+
+	Suspects        []model.Suspect
+	SuspectSequence int64 // of the relay's last suspect
 }
 
 // Place requests that the leader of a model have it loaded.
--- a/routing/pin.go
+++ b/routing/pin.go
@@ -36,6 +36,14 @@
 	r.pins[f] = p
 }
 
+// MergeSuspects merges suspects outside of a snapshot, see mergeSuspects.
+func (r *Router) MergeSuspects(now time.Time, suspects []model.Suspect) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mergeSuspects(now, suspects)
+}
+
 // mergeSuspects merges the suspects of other entry hosts and revokes the local grants of requests that are suspects now.
 func (r *Router) mergeSuspects(now time.Time, suspects []model.Suspect) {
 	r.Suspects.Merge(now, suspects)
