ownership: compute intended owners once, and let few hosts claim at once

Cause: as long as one backend server was vacant, each host computed the intended owner of every backend server five times a second, and sorted all live hosts for each vacant one.

Ruled out: checking less often, which would delay takeovers.

TestVacantBackendIsClaimedByFew fails before: claims of zones that need not stand in, and more than three hosts at once.

--- a/membership/rendezvous.go
+++ b/membership/rendezvous.go
@@ -46,6 +46,17 @@
 	return ranked
 }
 
+// Rank returns how many hosts precede the one with the name in Ranked.
+func Rank(hosts []model.Peer, name, key string) int {
+	own, rank := score(name, key), 0
+	for _, h := range hosts {
+		if s := score(h.Name, key); s > own || s == own && h.Name < name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Assign assigns the backend servers to the hosts by rendezvous hashing. No host gets more than an even share, rounded
 // up.
 func Assign(hosts []model.Peer, backends []string) []Assignment {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -28,6 +28,9 @@
 	takeoverMargin = time.Second
 	// rankDelay is the delay per rank that staggers the claims of hosts, so that usually only one host claims.
 	rankDelay = 700 * time.Millisecond
+	// slowRanks is the number of ranks after which lateRankDelay staggers the claims instead.
+	slowRanks     = 8
+	lateRankDelay = 100 * time.Millisecond
 	// assignedOnlyPeriod is how long only the host assigned by rendezvous hashing may claim a vacant backend server.
 	assignedOnlyPeriod = 3 * rankDelay
 	// maxObservationAge is the maximum age of the observed store state. A host with older state claims nothing.
@@ -95,13 +98,22 @@
 	ObservedRevision int64     // all changes of the store up to it are in the table
 	unconfirmedAt    time.Time // start of the latest renewal since a registration that is not confirmed, zero if it is
 	vacantSince      map[string]time.Time
+	live             []model.Peer // result of Live, nil if hosts changed since
+	assignments      map[string]*assignment
+}
+
+// assignment holds the intended owners of a zone's backend servers, and what they were computed from.
+type assignment struct {
+	hosts    []model.Peer
+	backends []string // sorted
+	owners   map[string]string
 }
 
 // NewTable returns an empty table.
 func NewTable(self HostRecord, ownerChangeDelay time.Duration) *Table {
 	return &Table{
 		Self: self, OwnerChangeDelay: ownerChangeDelay, Hosts: make(map[string]Host), Owners: make(map[string]Owner),
-		vacantSince: make(map[string]time.Time),
+		vacantSince: make(map[string]time.Time), assignments: make(map[string]*assignment),
 	}
 }
 
@@ -112,7 +124,7 @@
 	t.Revision = revision
 	t.unconfirmedAt = startedAt
 	t.confirm()
-	t.Hosts[t.Self.Name] = Host{Record: t.Self, Revision: revision, LivenessRevision: revision}
+	t.setHost(t.Self.Name, Host{Record: t.Self, Revision: revision, LivenessRevision: revision})
 }
 
 // IsRegistered reports whether the registration of this host is valid in the observed store state.
@@ -141,7 +153,8 @@
 func (t *Table) Left(revision int64) {
 	own := t.Hosts[t.Self.Name]
 	own.Record, own.Revision = t.Self, revision
-	t.Revision, t.Hosts[t.Self.Name] = revision, own
+	t.Revision = revision
+	t.setHost(t.Self.Name, own)
 }
 
 // MayOrder reports whether this host may send orders now to the backend servers that it owns.
@@ -170,14 +183,14 @@
 		return
 	}
 	h.Record, h.Revision, h.SilentSince = record, revision, now
-	t.Hosts[record.Name] = h
+	t.setHost(record.Name, h)
 }
 
 // LivenessWritten updates the table with the revision of a host's liveness key.
 func (t *Table) LivenessWritten(name string, revision int64) {
 	h := t.Hosts[name]
 	h.LivenessRevision = max(h.LivenessRevision, revision)
-	t.Hosts[name] = h
+	t.setHost(name, h)
 }
 
 // LivenessEnded records that a host's lease had expired as of a store revision.
@@ -187,7 +200,7 @@
 		return
 	}
 	h.LivenessRevision, h.SilentSince = 0, now
-	t.Hosts[name] = h
+	t.setHost(name, h)
 }
 
 // Relisted updates the table from a complete list of the liveness keys in the store as of a revision.
@@ -205,9 +218,19 @@
 	t.confirm()
 }
 
+// setHost replaces the state of a host.
+func (t *Table) setHost(name string, h Host) {
+	t.Hosts[name] = h
+	t.live = nil
+}
+
 // Live returns the registered hosts with a lease that have not left, sorted by name. This host needs no lease to count.
+// The caller must not change the result.
 func (t *Table) Live() []model.Peer {
-	var live []model.Peer
+	if t.live != nil {
+		return t.live
+	}
+	live := make([]model.Peer, 0, len(t.Hosts))
 	for _, h := range t.Hosts {
 		r := h.Record
 		if r.Left || h.Revision == 0 || h.LivenessRevision == 0 && r.Name != t.Self.Name {
@@ -216,6 +239,7 @@
 		live = append(live, model.Peer{Name: r.Name, Zone: r.Zone, Address: r.PeerAddress, Incarnation: model.Incarnation(r.Incarnation)})
 	}
 	slices.SortFunc(live, func(a, b model.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	t.live = live
 	return live
 }
 
@@ -238,11 +262,12 @@
 	if len(vacant) == 0 {
 		return nil
 	}
+	zones := t.zonesOf(backends, vacant)
 	var claims []Claim
-	assigned := t.assigned(backends)
 	for _, b := range backends {
 		claim, isVacant := vacant[b.ID]
-		if !isVacant {
+		zone := zones[b.Zone]
+		if !isVacant || zone == nil {
 			continue
 		}
 		since, recorded := t.vacantSince[b.ID]
@@ -251,7 +276,7 @@
 			t.vacantSince[b.ID] = now
 		}
 		overdue := now.Sub(since) - assignedOnlyPeriod
-		if assigned[b.ID] == t.Self.Name || overdue >= 0 && overdue >= t.claimDelay(b.ID, b.Zone) {
+		if zone.owners[b.ID] == t.Self.Name || overdue >= 0 && overdue >= t.claimDelay(zone.hosts, b.ID) {
 			claims = append(claims, claim)
 		}
 	}
@@ -276,41 +301,59 @@
 	return claim, h.Record.Left || h.LivenessRevision == 0 && now.Sub(h.SilentSince) > Validity+takeoverMargin
 }
 
-// assigned returns the intended owner of each backend server by rendezvous hashing within each zone. Each host gets at
-// most an even share.
-func (t *Table) assigned(backends []Backend) map[string]string {
-	byZone := make(map[string][]string)
+// zonesOf returns the assignments of the zones that have vacant backend servers and whose backend servers this host may
+// claim.
+func (t *Table) zonesOf(backends []Backend, vacant map[string]Claim) map[string]*assignment {
+	ids, hasVacant := make(map[string][]string), make(map[string]bool)
 	for _, b := range backends {
-		byZone[b.Zone] = append(byZone[b.Zone], b.ID)
+		ids[b.Zone] = append(ids[b.Zone], b.ID)
+		_, isVacant := vacant[b.ID]
+		hasVacant[b.Zone] = hasVacant[b.Zone] || isVacant
 	}
-	owners := make(map[string]string, len(backends))
-	for zone, ids := range byZone {
-		for _, a := range membership.Assign(t.candidates(zone), ids) {
-			owners[a.Backend] = a.Owner
+	zones := make(map[string]*assignment)
+	for zone := range hasVacant {
+		hosts := t.candidates(zone)
+		if hasVacant[zone] && slices.ContainsFunc(hosts, func(p model.Peer) bool { return p.Name == t.Self.Name }) {
+			zones[zone] = t.assigned(zone, hosts, ids[zone])
 		}
 	}
-	return owners
+	return zones
 }
 
-// candidates returns the live hosts of a zone, or all live hosts when the zone has none.
+// assigned returns the intended owner of each backend server of a zone by rendezvous hashing. Each host gets at most an
+// even share. It is computed only if the hosts or backend servers have changed, since it compares each of them with each.
+func (t *Table) assigned(zone string, hosts []model.Peer, ids []string) *assignment {
+	slices.Sort(ids)
+	if a := t.assignments[zone]; a != nil && slices.Equal(a.hosts, hosts) && slices.Equal(a.backends, ids) {
+		return a
+	}
+	a := &assignment{hosts: hosts, backends: ids, owners: make(map[string]string, len(ids))}
+	for _, assigned := range membership.Assign(hosts, ids) {
+		a.owners[assigned.Backend] = assigned.Owner
+	}
+	t.assignments[zone] = a
+	return a
+}
+
+// candidates returns the live hosts of a zone, or all live hosts when the zone has none. A host with a lease reaches the
+// store, so those of other zones need not stand in for it.
 func (t *Table) candidates(zone string) []model.Peer {
-	live := t.Live()
-	local := slices.DeleteFunc(slices.Clone(live), func(p model.Peer) bool { return p.Zone != zone })
+	var local []model.Peer
+	for _, p := range t.Live() {
+		if p.Zone == zone {
+			local = append(local, p)
+		}
+	}
 	if len(local) == 0 {
-		return live
+		return t.Live()
 	}
 	return local
 }
 
-// claimDelay returns how long this host waits for the hosts that rank before it to claim the backend server.
-func (t *Table) claimDelay(key, zone string) time.Duration {
-	const maxRank = 8
-	for i, p := range membership.Ranked(t.candidates(zone), key) {
-		if p.Name == t.Self.Name {
-			return time.Duration(min(i, maxRank)) * rankDelay
-		}
-	}
-	return maxRank * rankDelay
+// claimDelay returns how long this host waits for the candidates that rank before it to claim the backend server.
+func (t *Table) claimDelay(candidates []model.Peer, id string) time.Duration {
+	rank := membership.Rank(candidates, t.Self.Name, id)
+	return time.Duration(min(rank, slowRanks))*rankDelay + time.Duration(max(0, rank-slowRanks))*lateRankDelay
 }
 
 // RecordOf returns the owner record that a claim writes.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -440,3 +440,42 @@
 		table.Claims(start, backends)
 	}
 }
+
+// TestVacantBackendIsClaimedByFew guards against claims of a whole fleet at once on a backend server that its intended
+// owner does not claim: each one is a call to the store, and all but one conflict.
+func TestVacantBackendIsClaimedByFew(t *testing.T) {
+	const hosts, zones, interval = 300, 5, 200 * time.Millisecond
+	s, now := newFakeStore(), start
+	var tables []*Table
+	for i := range hosts {
+		table := NewTable(HostRecord{Name: fmt.Sprintf("host-%d", i), Zone: fmt.Sprint("z", i%zones)}, ownerChangeDelay)
+		s.register(now, table)
+		tables = append(tables, table)
+	}
+	for _, table := range tables {
+		s.relist(now, table)
+	}
+	backends := []Backend{{ID: "i-1", Zone: "z1"}}
+	claimed := make(map[string]bool)
+	for now.Before(start.Add(Validity - 2*orderMargin)) {
+		first := 0
+		for _, table := range tables {
+			s.watch(now, table)
+			if len(table.Claims(now, backends)) == 0 || claimed[table.Self.Name] {
+				continue
+			}
+			claimed[table.Self.Name] = true
+			first++
+			if table.Self.Zone != "z1" {
+				t.Errorf("got a claim of %s in zone %s after %v, want claims of zone z1 only", table.Self.Name, table.Self.Zone, now.Sub(start))
+			}
+		}
+		if first > 3 {
+			t.Errorf("got %d hosts that claim after %v, want at most 3 at once", first, now.Sub(start))
+		}
+		now = now.Add(interval)
+	}
+	if len(claimed) < 8 {
+		t.Errorf("got claims of %d hosts in %v, want the next hosts to stand in for those that do not claim", len(claimed), now.Sub(start))
+	}
+}
