--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -24,7 +24,7 @@
 	catchUpWait = 50 * time.Millisecond
 	// startDelay is the delay between the first read and the watch that completes it. When all hosts start at once, that
 	// watch delivers all their registrations.
-	startDelay = 500 * time.Millisecond
+	startDelay = 300 * time.Millisecond
 	// watchDelay is the delay between two watches. It batches changes, since each response counts as a call to the
 	// store.
 	watchDelay = 600 * time.Millisecond
