gateway: shorten what a follower of a failing relay waits

A relay whose store falls silent counted as fresh for 2 s, its followers then waited up to 0.5 s for it and as long for each further relay that had lost the store too.

Now a watch waits 0.6 s and is repeated after 0.4 s, so that a relay is stale after 1.3 s; a relay whose connection was reset watches again after 50 ms, up to 1 s; and a host whose relay fails turns to the one that last replied with fresh changes.

Price: a relay makes up to 1 call a second while nothing changes (0.6 before).

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,7 +21,7 @@
 	relayKey = "relay"
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
-	maxRelayAge = watchWait + watchDelay + 400*time.Millisecond
+	maxRelayAge = watchWait + watchDelay + 300*time.Millisecond
 	// followMargin is how much longer than its wait a call to the relay may take.
 	followMargin = 300 * time.Millisecond
 	// maxFreshWait is how long a host that is followed, but not fresh, may take to reach the store.
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Timing and limits of the choice of a relay.
 const (
@@ -16,6 +19,9 @@
 	maxRelayFailures = 2
 	// relayDuty is how long a host watches the store after another host last followed it.
 	relayDuty = 3 * time.Second
+	// minRelayRetry and maxRelayRetry bound the pause of a relay whose watch failed, such as by a connection that was reset.
+	minRelayRetry = 50 * time.Millisecond
+	maxRelayRetry = time.Second
 	// minDirectPause and maxDirectPause bound the pause between two watches of a host that finds no relay. They keep the
 	// calls of a large zone that has lost its relays within the store's rate.
 	minDirectPause = time.Second
@@ -28,6 +34,7 @@
 type relayChoice struct {
 	failures    map[string]relayFailure // by peer address
 	inRow       int                     // failed relays since the last success
+	good        string                  // relay that last replied with fresh changes
 	behind      bool                    // the relay no longer has the changes that this host lacks
 	followedAt  time.Time               // when another host last asked this one for changes
 	directAt    time.Time               // no watch for lack of a relay before this time
@@ -68,6 +75,9 @@
 	if c.isRelay(now, order) && !stale {
 		return source{wait: c.directAt.Sub(now)}
 	}
+	if c.inRow > 0 && !c.behind && slices.Contains(order.others, c.good) && !now.Before(c.failures[c.good].until) {
+		return source{relay: c.good}
+	}
 	if !c.isRelay(now, order) && mayWatch && (c.behind || c.inRow >= maxRelayFailures) {
 		return source{catchUp: true}
 	}
@@ -108,6 +118,7 @@
 // followed records that a relay replied with fresh changes, or that it is fresh but no longer has all of them.
 func (c *relayChoice) followed(address string, behind bool) {
 	delete(c.failures, address)
+	c.good = address
 	c.inRow, c.behind, c.directPause = 0, behind, 0
 }
 
@@ -119,7 +130,7 @@
 	case succeeded:
 		c.inRow, c.behind, c.directPause = 0, false, minDirectPause
 	case relay:
-		c.directPause = maxRetryPause
+		c.directPause = min(max(minRelayRetry, 2*c.directPause), maxRelayRetry)
 	default:
 		c.directPause = min(max(minDirectPause, 2*c.directPause), maxDirectPause)
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,7 +19,7 @@
 const (
 	// watchWait is the wait of one watch. It is short because a watch whose history the store has dropped may keep
 	// waiting without receiving changes, and a desired state must be applied within two seconds.
-	watchWait = time.Second
+	watchWait = 600 * time.Millisecond
 	// catchUpWait is the wait of a watch that only has to deliver the changes that there are.
 	catchUpWait = 50 * time.Millisecond
 	// startDelay is the delay between the first read and the watch that completes it. When all hosts start at once, that
@@ -27,7 +27,7 @@
 	startDelay = 300 * time.Millisecond
 	// watchDelay is the delay between two watches. It batches changes, since each response counts as a call to the
 	// store.
-	watchDelay = 600 * time.Millisecond
+	watchDelay = 400 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause between calls to a store that does not respond.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
