Revert "gateway: replace replicas that leave or restart, and add several at once"

A load from the weight store keeps a backend server from all other orders for 6 s, adapters included, and on nine backend servers with 64 slots the rates that trigger it are normal.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -39,13 +39,7 @@
 // leader holds the placement decisions for the models that rendezvous hashing assigns to this host. One leader
 // per model ensures that a burst of requests at many routers starts a single load.
 type leader struct {
-	decisions map[decisionKey]decision
-}
-
-// decisionKey identifies what a decision is for: requests that wait for a model, or the relief of a backend server.
-type decisionKey struct {
-	model    model.ModelKey
-	relieves string // empty for requests that wait
+	decisions map[model.ModelKey]decision
 }
 
 // decision is the backend server that loads a model, and its owner.
@@ -55,18 +49,7 @@
 	at      time.Time
 }
 
-func newLeader() *leader { return &leader{decisions: make(map[decisionKey]decision)} }
-
-// loadingOn returns the backend servers that a model is being loaded on by the decisions in effect.
-func (l *leader) loadingOn(now time.Time, key model.ModelKey) []string {
-	var backends []string
-	for k, d := range l.decisions {
-		if k.model == key && d.backend != "" && now.Sub(d.at) < decisionTTL {
-			backends = append(backends, d.backend)
-		}
-	}
-	return backends
-}
+func newLeader() *leader { return &leader{decisions: make(map[model.ModelKey]decision)} }
 
 // ownerBackends is an owner with its backend servers that may load a model.
 type ownerBackends struct {
@@ -86,7 +69,7 @@
 // placeModel chooses a backend server for a model and sends a load request to its owner. It normally runs on the
 // model's leader.
 func (h *Host) placeModel(ctx context.Context, request *peer.PlaceRequest) (*peer.PlaceReply, error) {
-	key := decisionKey{model: modelKey(request.Service, request.Model), relieves: request.Relieves}
+	key := modelKey(request.Service, request.Model)
 	d, err := query(ctx, h, func(now time.Time) decision { return h.currentDecision(now, key, request) })
 	if err != nil {
 		return nil, err
@@ -118,7 +101,7 @@
 
 // currentDecision returns the decision in effect. If there is none, it records that offers are being collected and
 // returns an empty decision.
-func (h *Host) currentDecision(now time.Time, key decisionKey, request *peer.PlaceRequest) decision {
+func (h *Host) currentDecision(now time.Time, key model.ModelKey, request *peer.PlaceRequest) decision {
 	d, found := h.leader.decisions[key]
 	if found && now.Sub(d.at) < decisionTTL && !slices.Contains(request.Exclude, d.backend) && (d.backend == "" || h.view.backends[d.backend] != nil) {
 		if d.backend == "" && now.Sub(d.at) > 2*offerTimeout {
@@ -128,20 +111,13 @@
 			return d
 		}
 	}
-	maps.DeleteFunc(h.leader.decisions, func(_ decisionKey, d decision) bool { return now.Sub(d.at) >= decisionTTL })
 	h.leader.decisions[key] = decision{owner: "deciding", at: now}
 	return decision{}
 }
 
 // decide requests offers from owners and chooses the one with the lowest cost.
-func (h *Host) decide(ctx context.Context, key decisionKey, request *peer.PlaceRequest) (decision, error) {
-	asked := *request
-	owners, err := query(ctx, h, func(now time.Time) []ownerBackends {
-		if request.Spread {
-			asked.Exclude = slices.Concat(request.Exclude, h.leader.loadingOn(now, key.model))
-		}
-		return h.offerCandidates(now, &asked)
-	})
+func (h *Host) decide(ctx context.Context, key model.ModelKey, request *peer.PlaceRequest) (decision, error) {
+	owners, err := query(ctx, h, func(now time.Time) []ownerBackends { return h.offerCandidates(now, request) })
 	if err != nil {
 		return decision{}, err
 	}
@@ -171,7 +147,7 @@
 	for range owners {
 		r := <-results
 		for _, offer := range r.offers {
-			c, accepted := offerCost(&asked, offer, zones[offer.Backend])
+			c, accepted := offerCost(request, offer, zones[offer.Backend])
 			if !accepted {
 				continue
 			}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -71,9 +71,6 @@
 	for id, b := range h.owned {
 		view := h.view.backends[id]
 		term, owns := h.table.Owns(id)
-		if view != nil && owns && !view.isUsable() {
-			h.replaceLeaving(now, id, b, view)
-		}
 		if view == nil || !owns || !view.isUsable() {
 			b.rejectWaiters("not the owner any more")
 			delete(h.owned, id)
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -18,11 +18,8 @@
 	// overloadRate is the request rate of a backend server, per second, from which a model is spread even if it has to be
 	// read from the weight store. Prompts of 1,500 tokens then take a third of its time.
 	overloadRate = 5.0
-	// replaceRate is the request rate of a model, per second, from which it is loaded elsewhere when its backend server
-	// leaves.
-	replaceRate = 0.5
-	// maxColdSpreadWait covers a load from the weight store, one that it waits for, and the eviction of a model.
-	maxColdSpreadWait = 20 * time.Second
+	// maxColdSpreadWait covers a load from the weight store and the wait for a permit.
+	maxColdSpreadWait = 15 * time.Second
 	// spreadRenewal is the time between two requests for one placement. It is shorter than an owner keeps a demand.
 	spreadRenewal = time.Second
 	// spreadPause follows each spread of a model, so that its new replica receives its share of the requests first.
@@ -47,7 +44,7 @@
 			continue
 		}
 		h.lastSpread[key] = now
-		h.spreadModel(now, key, id, view.listing.Zone, maxWaitOfSpread(h.owned[id].account.Rate(now)))
+		h.spreadModel(now, key, view.listing.Zone, maxWaitOfSpread(h.owned[id].account.Rate(now)))
 	}
 }
 
@@ -59,17 +56,10 @@
 	return maxSpreadWait
 }
 
-// replaceLeaving has the busy models of an owned backend server that leaves loaded on others before it is gone.
-func (h *Host) replaceLeaving(now time.Time, id string, b *ownedBackend, view *backendView) {
-	for _, name := range b.account.BusyModels(now, replaceRate) {
-		h.spreadModel(now, modelKey(view.listing.Service, name), id, view.listing.Zone, maxColdSpreadWait)
-	}
-}
-
-// spreadModel requests a placement of a model of the backend server id on one that does not have it loaded, and repeats
-// the request until it is loaded there or cannot be.
-func (h *Host) spreadModel(now time.Time, key model.ModelKey, id, zone string, maxWait time.Duration) {
-	request := &peer.PlaceRequest{Service: key.Version, Model: key.Model, Zone: zone, Spread: true, MaxWait: maxWait, Relieves: id}
+// spreadModel requests a placement of the model on a backend server that does not have it loaded, and repeats the request
+// until it is loaded there or cannot be.
+func (h *Host) spreadModel(now time.Time, key model.ModelKey, zone string, maxWait time.Duration) {
+	request := &peer.PlaceRequest{Service: key.Version, Model: key.Model, Zone: zone, Spread: true, MaxWait: maxWait}
 	for _, b := range h.view.backendsWith(now, key.Version, key.Model) {
 		request.Exclude = append(request.Exclude, b.listing.Life.ID)
 	}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -30,13 +30,12 @@
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
 type PlaceRequest struct {
-	Service  string
-	Model    string
-	Zone     string        // zone of the host whose requests wait
-	Exclude  []string      // backend servers that have loaded the model but lack capacity
-	Spread   bool          // no request waits; the model is loaded only where no other model is evicted for it
-	MaxWait  time.Duration // of a spread: longest time until the model is loaded, 0 for the default
-	Relieves string        // of a spread: overloaded or leaving backend server, each of which adds a replica of its own
+	Service string
+	Model   string
+	Zone    string        // zone of the host whose requests wait
+	Exclude []string      // backend servers that have loaded the model but lack capacity
+	Spread  bool          // no request waits; the model is loaded only where no other model is evicted for it
+	MaxWait time.Duration // of a spread: longest time until the model is loaded, 0 for the default
 }
 
 // PlaceReply names the backend server that has loaded or will load the model.
--- a/residency/account.go
+++ b/residency/account.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -30,10 +29,6 @@
 	// SpreadRate is the request rate of a backend server, per second, from which its busiest model is also loaded
 	// elsewhere. Processing a prompt of 1,500 tokens stops all streams for about 70 ms.
 	SpreadRate = 2.0
-	// reloadRate is the request rate of a model, per second, from which a backend server that restarted empty loads it
-	// again without waiting for requests, at most for reloadTTL.
-	reloadRate = 0.5
-	reloadTTL  = 6 * time.Second
 	// maxMissingReports is the number of reports without a model after which its load counts as failed.
 	maxMissingReports = 3
 )
@@ -118,33 +113,12 @@
 		a.addUnresolved(now, *a.inFlight)
 		a.inFlight = nil
 	}
-	for _, name := range a.BusyModels(now, reloadRate) {
-		if !a.OnDisk[name] {
-			continue
-		}
-		a.demands = slices.DeleteFunc(a.demands, func(d *demand) bool { return d.model == name && d.adapter == "" })
-		a.demands = append(a.demands, &demand{model: name, until: now.Add(reloadTTL)})
-	}
 	a.Life = incarnation
 	a.Synced, a.Sequence, a.reportAt = false, 0, now
 	a.Models = make(map[string]*Resident)
 	a.InMemory = make(map[string]bool)
 }
 
-// BusyModels returns the loaded models with at least the given request rate, per second, the busiest first.
-func (a *Account) BusyModels(now time.Time, rate float64) []string {
-	var names []string
-	for name, r := range a.Models {
-		if r.State == Loaded && r.Rate(now) >= rate {
-			names = append(names, name)
-		}
-	}
-	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Or(cmp.Compare(a.Models[y].Rate(now), a.Models[x].Rate(now)), cmp.Compare(x, y))
-	})
-	return names
-}
-
 // NotBefore delays orders until the given time, for example until the previous owner has certainly stopped sending
 // orders.
 func (a *Account) NotBefore(at time.Time) {
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -385,23 +385,3 @@
 		}
 	}
 }
-
-// TestRestartReloadsBusyModels guards against a backend server that restarts empty and stays idle while the other
-// replicas of its models are overloaded.
-func TestRestartReloadsBusyModels(t *testing.T) {
-	a, now := synced("a", "d", "e"), start.Add(time.Minute)
-	for _, u := range []model.Usage{{Key: model.ModelKey{Model: "d"}, Requests: 2}, {Key: model.ModelKey{Model: "e"}, Requests: 6}, {Key: model.ModelKey{Model: "a"}, Requests: 9}} {
-		a.RecordUsage(now, "host", u)
-	}
-	restarted := model.BackendIncarnation{ID: "i-1", Born: 8}
-	a.ResetForIncarnation(now, restarted)
-	a.ApplyReport(now, model.BackendReport{Life: restarted, OnDisk: []string{"d", "e"}})
-	o := next(t, a, now, Load, "e") // a was busier, but is not on the disk
-	a.Answered(now, o, Accepted)
-	now = now.Add(testSpec().Models["e"].DiskLoad)
-	a.Answered(now, next(t, a, now, Load, "e"), AlreadyDone)
-	next(t, a, now, Load, "d")
-	if _, ok := a.Next(now.Add(reloadTTL), true); ok {
-		t.Error("got an order for a model that no request waits for long after the restart, want none")
-	}
-}
