Revert "residency: see the end of loads and unloads by the answers to orders"

Conclusion: a failed try. What remains of its idea, an end of loads that is seen sooner than by reports, needs a trace of what a repeated order does to requests that concern it.

--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -120,19 +120,12 @@
 		took := h.Now().Sub(now)
 		h.Metrics.CountOrder(o.Kind.String(), answer.String())
 		h.post(func(now time.Time) {
-			level := zap.InfoLevel
-			if answer == residency.Conflict {
-				level = zap.DebugLevel // sent to find out when a load or unload is complete
-			}
-			h.Log.Log(level, "order", zap.String("Backend", id), zap.Stringer("Kind", o.Kind), zap.String("Model", o.Model), zap.String("Adapter", o.Adapter),
+			h.Log.Info("order", zap.String("Backend", id), zap.Stringer("Kind", o.Kind), zap.String("Model", o.Model), zap.String("Adapter", o.Adapter),
 				zap.Int64("Expected", o.Expected), zap.Int64("Term", o.Term), zap.Int("Source", int(source)), zap.Stringer("Answer", answer), zap.Duration("Took", took), zap.Error(err))
 			b.account.Answered(now, o, answer)
 			if answer == residency.Accepted && o.Kind == residency.LoadAdapter {
 				h.stepAfter(residency.AdapterLoad)
 			}
-			if wait, inProgress := b.account.ProbeWait(now); inProgress && (answer == residency.Accepted || answer == residency.Conflict) {
-				h.stepAfter(wait)
-			}
 			if invariant := b.account.Check(); invariant != nil {
 				h.Log.Error("invariant violated", zap.Error(invariant))
 			}
--- a/residency/account.go
+++ b/residency/account.go
@@ -50,7 +50,6 @@
 	Expected time.Time // when the order in progress should be complete
 	LastUsed time.Time
 	Adapters map[string]*ResidentAdapter
-	source   Source           // of its load
 	usage    map[string]usage // by entry host
 	missing  int              // consecutive reports that do not list the model
 	rate     float64          // requests per second, as of rateAt
@@ -87,7 +86,6 @@
 	unresolved []unresolvedOrder
 	reportAt   time.Time // when to request the next report; zero for never
 	notBefore  time.Time // earliest time of the next order
-	probeAt    time.Time // earliest time of the next order during a load or unload
 	Failing    bool      // the latest call failed or another incarnation responded
 }
 
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -59,13 +59,8 @@
 		t.Errorf("got expected %d, want 0", o.Expected)
 	}
 	a.Answered(now, o, Accepted)
-	o = next(t, a, now, Load, "d") // refused until the unload is complete
-	a.Answered(now, o, Conflict)
 	if step, ok := a.Next(now, true); ok {
-		t.Fatalf("got order %v right after a refusal while one is in progress, want none", step.Order)
-	}
-	if a.Check() != nil || !a.Synced {
-		t.Errorf("got an account that is not exact after the refusal, want it unchanged: %v", a.Check())
+		t.Fatalf("got order %v while one is in progress, want none", step.Order)
 	}
 	a.ApplyReport(now, model.BackendReport{Life: a.Life, Sequence: 1, Models: []model.ReportedModel{{Name: "a"}, {Name: "b"}}})
 	o = next(t, a, now, Load, "d")
@@ -74,58 +69,6 @@
 	}
 }
 
-// TestLoadDoesNotWaitForReports guards against the delay of reports, which lag by some hundred milliseconds, in each
-// load that first unloads another model: the answers to the next order show the end of the unload and of the load.
-func TestLoadDoesNotWaitForReports(t *testing.T) {
-	a, now := synced("a", "b", "c"), start.Add(time.Minute)
-	a.AddDemand(now, "d", "")
-	unload := next(t, a, now, Unload, "a")
-	a.Answered(now, unload, Accepted)
-	load := next(t, a, now, Load, "d")
-	a.Answered(now, load, Accepted)
-	if got := len(a.Models); got != 3 || a.Models["a"] != nil || a.Sequence != 2 {
-		t.Fatalf("got %d models and sequence %d, want b, c and d at sequence 2", got, a.Sequence)
-	}
-	if step, ok := a.Next(now, true); ok {
-		t.Fatalf("got order %v before the load can be complete, want none", step.Order)
-	}
-	wait, inProgress := a.ProbeWait(now)
-	if limit := testSpec().Models["d"].DiskLoad; !inProgress || wait <= 0 || wait > limit {
-		t.Fatalf("got a wait of %v, in progress %v, want at most the %v of a load from disk", wait, inProgress, limit)
-	}
-	now = now.Add(wait)
-	again := next(t, a, now, Load, "d")
-	a.Answered(now, again, AlreadyDone)
-	if got := a.AddDemand(now, "d", ""); !got.Ready {
-		t.Errorf("got %+v once the backend server has confirmed the load, want ready", got)
-	}
-}
-
-// TestLoadAfterUnloadWaits covers the loads that must wait for a report: those from the weight store, since each attempt
-// would use up a permit, and those after an unload that waits for running requests.
-func TestLoadAfterUnloadWaits(t *testing.T) {
-	tests := []struct {
-		name    string
-		onDisk  bool
-		running int
-	}{{name: "from the weight store"}, {name: "requests run", onDisk: true, running: 1}}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			a, now := synced("a", "b", "c"), start.Add(time.Minute)
-			for _, name := range []string{"a", "b", "c"} {
-				a.RecordUsage(now, "host", model.Usage{Key: model.ModelKey{Model: name}, Running: tt.running})
-			}
-			a.OnDisk = map[string]bool{"d": tt.onDisk}
-			a.AddDemand(now, "d", "")
-			o := next(t, a, now, Unload, "a")
-			a.Answered(now, o, Accepted)
-			if step, ok := a.Next(now, true); ok {
-				t.Errorf("got order %v, want none before a report shows the unload", step.Order)
-			}
-		})
-	}
-}
-
 func TestModelWithFewestRequestsIsEvicted(t *testing.T) {
 	a, now := synced("a", "b", "c"), start.Add(time.Minute)
 	for i, name := range []string{"a", "b", "c"} {
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -12,8 +12,6 @@
 	demandTTL = 2 * time.Second
 	// conflictBackoff is the minimum delay between a refused or failed order and the next one.
 	conflictBackoff = 100 * time.Millisecond
-	// probeInterval is the time between two orders that show whether a load or unload is complete.
-	probeInterval = 100 * time.Millisecond
 	// busyEvictionWait is the expected time until the running requests of a model to be evicted have ended.
 	busyEvictionWait = 3500 * time.Millisecond
 	// recentAdapterUse is how recently an adapter must have been used for more requests with adapters to be expected.
@@ -200,12 +198,9 @@
 func (a *Account) Next(now time.Time, mayFetch bool) (Step, bool) {
 	a.demands = slices.DeleteFunc(a.demands, func(d *demand) bool { return now.After(d.until) || a.isMet(d) })
 	a.dropResolved(now)
-	if !a.Synced || a.inFlight != nil || now.Before(a.notBefore) {
+	if !a.Synced || a.inFlight != nil || now.Before(a.notBefore) || a.orderInProgress() {
 		return Step{}, false
 	}
-	if a.orderInProgress() {
-		return a.nextDuringOrder(now)
-	}
 	for _, d := range a.demands {
 		if d.adapter == "" {
 			continue
@@ -225,37 +220,6 @@
 	return Step{}, false
 }
 
-// nextDuringOrder returns an order that is sent while a load or unload is in progress. The backend server refuses it
-// until then, so that its answer shows the end of the load or unload at once, while reports lag by some hundred
-// milliseconds: the load of the same model again, or the load for which a model was unloaded. Loads from the weight
-// store are not sent this way, because each attempt would use up a permit.
-func (a *Account) nextDuringOrder(now time.Time) (Step, bool) {
-	if now.Before(a.probeAt) {
-		return Step{}, false
-	}
-	unloading := ""
-	for _, name := range slices.Sorted(maps.Keys(a.Models)) {
-		r := a.Models[name]
-		if r.State == Loading {
-			return Step{Order: a.order(Load, name, ""), Source: FromMemory}, r.source != FromStore && !now.Before(r.Expected)
-		}
-		if r.State == Unloading {
-			unloading = name
-		}
-	}
-	if unloading == "" || a.Models[unloading].Running(now) > 0 {
-		return Step{}, false
-	}
-	freed := a.Models[unloading].MB
-	for _, d := range a.demands {
-		if d.adapter != "" || a.Models[d.model] != nil || a.SourceOf(d.model) == FromStore || !a.fits(a.Spec.Models[d.model].MB-freed, 0) {
-			continue
-		}
-		return Step{Order: a.order(Load, d.model, ""), Source: a.SourceOf(d.model)}, true
-	}
-	return Step{}, false
-}
-
 func (a *Account) isMet(d *demand) bool {
 	r := a.Models[d.model]
 	if r == nil || r.State != Loaded {
@@ -377,9 +341,6 @@
 	}
 	a.inFlight = nil
 	a.Failing = answer == Unsent || answer == Unanswered || answer == OtherIncarnation
-	if a.orderInProgress() && a.answeredDuringOrder(now, o, answer) {
-		return
-	}
 	switch answer {
 	case Accepted:
 		a.apply(now, o)
@@ -396,41 +357,6 @@
 	}
 }
 
-// ProbeWait returns the time until Next may return an order during a load or unload, if one is in progress.
-func (a *Account) ProbeWait(now time.Time) (time.Duration, bool) {
-	if !a.orderInProgress() {
-		return 0, false
-	}
-	at := a.probeAt
-	for _, r := range a.Models {
-		if r.State == Loading && r.Expected.After(at) {
-			at = r.Expected
-		}
-	}
-	return max(0, at.Sub(now)), true
-}
-
-// answeredDuringOrder updates the account with the answer to an order of nextDuringOrder. It returns false if the answer
-// has no special meaning during a load or unload.
-func (a *Account) answeredDuringOrder(now time.Time, o Order, answer Answer) bool {
-	switch r := a.Models[o.Model]; answer {
-	case Conflict:
-		a.probeAt = now.Add(probeInterval) // not complete yet; a report shows if the sequence differs
-		return true
-	case AlreadyDone:
-		if r == nil || r.State != Loading {
-			return false
-		}
-		a.loaded(now, o.Model, r)
-		return true
-	case Accepted: // the order that was in progress is complete
-		maps.DeleteFunc(a.Models, func(_ string, r *Resident) bool { return r.State == Unloading })
-		a.apply(now, o)
-		return true
-	}
-	return false
-}
-
 // resync requires a report before the next order. The delay makes certain that the report is newer than now.
 func (a *Account) resync(now time.Time) {
 	a.Synced = false
@@ -444,9 +370,6 @@
 		a.apply(now, o)
 		return
 	}
-	if r := a.Models[o.Model]; o.Kind == Load && r != nil && r.State == Loaded {
-		return // a report showed the end of the load before the order's answer
-	}
 	a.resync(now)
 }
 
@@ -456,7 +379,6 @@
 	switch o.Kind {
 	case Load:
 		r := a.newResident(now, o.Model, Loading)
-		r.source = a.SourceOf(o.Model)
 		r.Expected = now.Add(a.LoadTime(o.Model))
 		a.Models[o.Model] = r
 		a.reportAt = r.Expected
--- a/residency/fuzz_test.go
+++ b/residency/fuzz_test.go
@@ -52,7 +52,6 @@
 		e.busyUntil = now.Add(e.spec.Models[o.Model].DiskLoad)
 	case Unload:
 		delete(e.models, o.Model)
-		e.busyUntil = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "unload")) * time.Millisecond)
 	case LoadAdapter:
 		loadedAdapters[o.Adapter] = true
 	case UnloadAdapter:
