--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,11 +21,11 @@
 	relayKey = "relay"
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
-	maxRelayAge = watchWait + watchDelay + 300*time.Millisecond
+	maxRelayAge = watchWait + watchDelay + 150*time.Millisecond
 	// followMargin is how much longer than its wait a call to the relay may take.
 	followMargin = 300 * time.Millisecond
 	// maxFreshWait is how long a host that is followed, but not fresh, may take to reach the store.
-	maxFreshWait = 500 * time.Millisecond
+	maxFreshWait = 200 * time.Millisecond
 	// followPause is the pause between two calls to the relay. It bounds the replies of a relay to many followers.
 	followPause = 100 * time.Millisecond
 	// maxSuspects bounds the suspects that a relay retains.
@@ -60,6 +60,14 @@
 	h.notify()
 }
 
+// markStale makes the history stale until the store responds again.
+func (h *history) markStale() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.respondedAt = time.Time{}
+	h.notify()
+}
+
 // isStale reports whether the store has not responded for longer than maxRelayAge.
 func (h *history) isStale(now time.Time) bool {
 	h.mu.Lock()
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -25,7 +25,7 @@
 	// minDirectPause and maxDirectPause bound the pause between two watches of a host that finds no relay. They keep the
 	// calls of a large zone that has lost its relays within the store's rate.
 	minDirectPause = time.Second
-	maxDirectPause = 2 * time.Second
+	maxDirectPause = 2500 * time.Millisecond
 )
 
 // relayChoice decides whether a host watches the store itself or follows another host of its zone. The first host in
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,7 +19,7 @@
 const (
 	// watchWait is the wait of one watch. It is short because a watch whose history the store has dropped may keep
 	// waiting without receiving changes, and a desired state must be applied within two seconds.
-	watchWait = 600 * time.Millisecond
+	watchWait = time.Second
 	// catchUpWait is the wait of a watch that only has to deliver the changes that there are.
 	catchUpWait = 50 * time.Millisecond
 	// startDelay is the delay between the first read and the watch that completes it. When all hosts start at once, that
@@ -27,7 +27,7 @@
 	startDelay = 300 * time.Millisecond
 	// watchDelay is the delay between two watches. It batches changes, since each response counts as a call to the
 	// store.
-	watchDelay = 400 * time.Millisecond
+	watchDelay = 600 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause between calls to a store that does not respond.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -97,6 +97,9 @@
 		wait = catchUpWait // followers wait until this host is fresh
 	}
 	next, delay, err = h.watchDirectly(ctx, revision, wait)
+	if err != nil {
+		h.history.markStale()
+	}
 	h.relayMu.Lock()
 	h.relays.watched(h.Now(), !s.catchUp, err == nil)
 	h.relayMu.Unlock()
