gateway: return to the store sooner in small zones, and after lost history

Ruled out: a stale relay; the host found none.

Now the pause of a host without relay grows with its zone, 0.25 s in one of 2 or 3 hosts and 2.5 s from 63 on, and a dropped history counts as a reply.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 test: lint
 	go test -race -count=1 $(OTHERS)
 	go test -race -count=1 $(FUZZED) -rapid.seed=1
+	go test -count=1 ./gateway
 
 # path-check runs the whole path on separate processes of the binary.
 path-check: build
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -72,6 +72,12 @@
 	s.apply([]store.Write{{Key: key, Value: []byte(value)}}, nil)
 }
 
+func (s *fleetStore) setLag(revisions int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = revisions
+}
+
 func (s *fleetStore) count(kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,6 +209,7 @@
 
 // testFleet is a fleet of entry hosts in one process and in virtual time, without a network.
 type testFleet struct {
+	mu           sync.Mutex // guards hosts while hosts are started
 	store        *fleetStore
 	hosts        map[string]*fleetHost // by peer address
 	suspectCalls atomic.Int64
@@ -246,7 +253,7 @@
 
 func (p fleetPeers) Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error) {
 	sleep(ctx, time.Millisecond)
-	to := p.fleet.hosts[address]
+	to := p.fleet.host(address)
 	if to.silent.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -276,6 +283,13 @@
 	sleep(ctx, wait)
 }
 
+// host returns the host with a peer address.
+func (f *testFleet) host(address string) *fleetHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[address]
+}
+
 func (f *testFleet) start(i int) *fleetHost {
 	name := fmt.Sprintf("host-%d", i)
 	h := &fleetHost{fleet: f}
@@ -304,7 +318,9 @@
 		cancel()
 		h.Host.cancel()
 	}
+	f.mu.Lock()
 	f.hosts[name] = h
+	f.mu.Unlock()
 	go func() { _ = h.control(ctx) }()
 	go func() { _ = h.watchStore(ctx) }()
 	return h
@@ -377,15 +393,16 @@
 // everything twice, and watching until it knows its relay.
 func TestStartOfFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const hosts = 300
+		const hosts = fleetHosts
 		f := newTestFleet(t, hosts, 10*time.Second)
 		calls, total := f.store.takeCalls()
 		if limit := 6 * hosts; total > limit {
 			t.Errorf("got %d calls %v, want at most %d", total, calls, limit)
 		}
 		for name, h := range f.hosts {
-			if !h.Ready() || !h.table.MayOrder(time.Now()) {
-				t.Fatalf("got host %s ready %v, with the right to send orders %v, want both", name, h.Ready(), h.table.MayOrder(time.Now()))
+			mayOrder, err := query(t.Context(), h.Host, func(now time.Time) bool { return h.table.MayOrder(now) })
+			if !h.Ready() || !mayOrder || err != nil {
+				t.Fatalf("got host %s ready %v, with the right to send orders %v, %v, want both", name, h.Ready(), mayOrder, err)
 			}
 		}
 		f.store.takeCalls()
@@ -404,7 +421,7 @@
 // with 1,375 models, and the relay sends it to sixty followers.
 func TestLargeDesiredState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 300, 10*time.Second)
+		f := newTestFleet(t, fleetHosts, 10*time.Second)
 		models := strings.Builder{}
 		for i := range 1375 {
 			fmt.Fprintf(&models, ` {"name":"daka51%04d","weightSize":%d,"loadTimeS":7.8,"adapters":%d,"adapterMb":180,"warmS":0.63,"diskLoadS":2.1}`, i*7, 65100+i, i%3)
@@ -435,7 +452,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newTestFleet(t, 300, 10*time.Second)
+				f := newTestFleet(t, fleetHosts, 10*time.Second)
 				affected := make(map[*fleetHost]bool)
 				for _, h := range f.relaysOf(tt.relays) {
 					affected[h] = true
@@ -457,7 +474,7 @@
 // TestThirdOfFleetLosesTheStore guards against calls of the other hosts when the store turns a third of them away.
 func TestThirdOfFleetLosesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const hosts = 300
+		const hosts = fleetHosts
 		f := newTestFleet(t, hosts, 10*time.Second)
 		for i := 0; i < hosts; i += 3 {
 			f.hosts[fmt.Sprintf("host-%d", i)].storeCut.Store(true)
@@ -477,7 +494,7 @@
 // take long to follow it again.
 func TestOutageOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const hosts = 300
+		const hosts = fleetHosts
 		f := newTestFleet(t, hosts, 10*time.Second)
 		for _, h := range f.hosts {
 			h.storeCut.Store(true)
@@ -502,7 +519,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 30, 10*time.Second)
 		f.store.put("config", "2")
-		f.store.lag = 5
+		f.store.setLag(5)
 		for i := range 4 {
 			f.store.put(fmt.Sprintf("other/%d", i), "y")
 		}
@@ -521,7 +538,7 @@
 
 func (p fleetPeers) Suspect(ctx context.Context, address string, request *peer.SuspectRequest) error {
 	sleep(ctx, time.Millisecond)
-	to := p.fleet.hosts[address]
+	to := p.fleet.host(address)
 	p.fleet.suspectCalls.Add(1)
 	if to.silent.Load() {
 		<-ctx.Done()
@@ -538,7 +555,7 @@
 	for _, failedRelays := range []int{0, 1} {
 		t.Run(fmt.Sprint(failedRelays, " relays without store"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const hosts, suspects = 300, 50
+				const hosts, suspects = fleetHosts, 50
 				f := newTestFleet(t, hosts, 10*time.Second)
 				if failedRelays > 0 {
 					for _, h := range f.relaysOf(failedRelays) {
@@ -570,18 +587,18 @@
 func TestPermitsUnderContention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const contenders, keys, duration = 60, 4, 60 * time.Second
-		f := newTestFleet(t, 300, 10*time.Second)
+		f := newTestFleet(t, fleetHosts, 10*time.Second)
 		spec := &model.EngineSpec{LoadsPerSecond: 87, Models: map[string]model.ModelSpec{"m": {ColdLoad: 7800 * time.Millisecond}}}
 		f.store.takeCalls()
-		acquired := 0
+		var counted atomic.Int64
 		for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for i := range contenders {
 				h := f.hosts[fmt.Sprintf("host-%d", i)]
-				h.MaxWeightLoads, h.WeightLoadWindow, h.WeightLoadOverage = keys, 5*time.Second, 1.1
 				h.post(func(now time.Time) {
+					h.MaxWeightLoads, h.WeightLoadWindow, h.WeightLoadOverage = keys, 5*time.Second, 1.1
 					if h.permits.ready(now) {
 						h.permits.consume()
-						acquired++
+						counted.Add(1)
 					}
 					h.requestPermit(now, spec)
 				})
@@ -589,6 +606,7 @@
 			synctest.Wait()
 		}
 		calls, _ := f.store.takeCalls()
+		acquired := int(counted.Load())
 		most := int(duration/spec.Models["m"].ColdLoad) * keys
 		if acquired < most*2/3 {
 			t.Errorf("got %d permits acquired in %v, want at least two thirds of the %d that %d keys allow", acquired, duration, most, keys)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -208,7 +208,7 @@
 		}
 	}
 	ranked := relayOrder(local)
-	order := zoneOrder{first: ranked[0].Name == h.Name}
+	order := zoneOrder{first: ranked[0].Name == h.Name, hosts: len(ranked)}
 	for _, p := range ranked {
 		if p.Name != h.Name && len(order.others) < maxRelayCandidates {
 			order.others = append(order.others, p.Address)
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -22,10 +22,13 @@
 	// minRelayRetry and maxRelayRetry bound the pause of a relay whose watch failed, such as by a connection that was reset.
 	minRelayRetry = 50 * time.Millisecond
 	maxRelayRetry = time.Second
-	// minDirectPause and maxDirectPause bound the pause between two watches of a host that finds no relay. They keep the
-	// calls of a large zone that has lost its relays within the store's rate.
-	minDirectPause = time.Second
-	maxDirectPause = 2500 * time.Millisecond
+	// minDirectPause and maxDirectPause bound the pause between two watches of a host that finds no relay. In between it
+	// grows by directPausePerHost with the zone, so that a zone that has lost its relays makes some 25 calls a second.
+	minDirectPause     = 250 * time.Millisecond
+	maxDirectPause     = 2500 * time.Millisecond
+	directPausePerHost = 40 * time.Millisecond
+	// catchUpPause is the longest pause after a watch that succeeded.
+	catchUpPause = time.Second
 )
 
 // relayChoice decides whether a host watches the store itself or follows another host of its zone. The first host in
@@ -58,6 +61,12 @@
 type zoneOrder struct {
 	others []string // peer addresses of the first maxRelayCandidates hosts other than this one
 	first  bool     // no other host precedes this one
+	hosts  int      // number of hosts of the zone, this one included
+}
+
+// maxPause returns the longest pause between two watches of a host of the zone that finds no relay.
+func (o zoneOrder) maxPause() time.Duration {
+	return min(max(time.Duration(o.hosts)*directPausePerHost, minDirectPause), maxDirectPause)
 }
 
 // isRelay reports whether this host watches the store for others.
@@ -122,17 +131,17 @@
 	c.inRow, c.behind, c.directPause = 0, behind, 0
 }
 
-// watched records the outcome of a watch of the store.
-func (c *relayChoice) watched(now time.Time, relay, succeeded bool) {
+// watched records the outcome of a watch of the store, as the relay of the zone or for lack of one.
+func (c *relayChoice) watched(now time.Time, order zoneOrder, relay, succeeded bool) {
 	switch {
 	case succeeded && relay:
 		c.inRow, c.behind, c.directPause = 0, false, 0
 	case succeeded:
-		c.inRow, c.behind, c.directPause = 0, false, minDirectPause
+		c.inRow, c.behind, c.directPause = 0, false, min(order.maxPause(), catchUpPause)
 	case relay:
 		c.directPause = min(max(minRelayRetry, 2*c.directPause), maxRelayRetry)
 	default:
-		c.directPause = min(max(minDirectPause, 2*c.directPause), maxDirectPause)
+		c.directPause = min(max(order.maxPause()*2/5, 2*c.directPause), order.maxPause())
 	}
 	c.directAt = now.Add(c.directPause)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -100,8 +100,10 @@
 	if err != nil {
 		h.history.markStale()
 	}
+	var historyLost *store.HistoryLostError
+	responded := err == nil || errors.As(err, &historyLost)
 	h.relayMu.Lock()
-	h.relays.watched(h.Now(), !s.catchUp, err == nil)
+	h.relays.watched(h.Now(), h.order, !s.catchUp, responded)
 	h.relayMu.Unlock()
 	if s.catchUp {
 		delay = 0
