--- a/gateway/fleet_size_test.go
+++ b/gateway/fleet_size_test.go
@@ -2,5 +2,8 @@
 
 package gateway
 
-// fleetHosts is the number of entry hosts of a test fleet.
-const fleetHosts = 300
+// Size of a test fleet.
+const (
+	fleetHosts = 300
+	fleetZones = 5
+)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	fleetZones         = 5
 	callDuration       = 4 * time.Millisecond
 	linkBytesPerSecond = 10 << 17 // 10 Mbit/s
 	fakeKeyCount       = 600      // other keys in the store, which a complete read returns
