--- a/gateway/host.go
+++ b/gateway/host.go
@@ -52,7 +52,8 @@
 	PeerAddress       string
 	Store             Store
 	BackendClient     BackendClient
-	Peers             Peers // nil for calls over the network
+	Peers             Peers        // nil for calls over the network
+	Listener          net.Listener // for calls of other entry hosts, nil to listen on PeerAddress
 	Decoder           Decoder
 	Log               *zap.Logger
 	Metrics           *metrics.Metrics
@@ -150,9 +151,11 @@
 // Run runs the control thread, the watch of the store, the router and the peer server until ctx ends or one of them
 // fails.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "gateway: listen on the peer address")
+	var err error
+	if h.Listener == nil {
+		if h.Listener, err = net.Listen("tcp", h.PeerAddress); err != nil {
+			return errors.Wrap(err, "gateway: listen on the peer address")
+		}
 	}
 	traffic := &peer.Traffic{}
 	if h.Peers == nil {
@@ -169,7 +172,7 @@
 	add(h.control)
 	add(h.watchStore)
 	add(h.router.Run)
-	add((&peer.Server{Handler: &platformHandler{host: h}, Listener: listener, Traffic: traffic}).Run)
+	add((&peer.Server{Handler: &platformHandler{host: h}, Listener: h.Listener, Traffic: traffic}).Run)
 	err = group.Run()
 	h.tasks.Wait()
 	if errors.Is(err, context.Canceled) {
