--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -31,7 +31,7 @@
 	// It allows a load from disk without the eviction of a model in use.
 	maxSpreadWait = 1500 * time.Millisecond
 	// maxOfferOwners bounds the owners that receive an offer request in a large fleet.
-	maxOfferOwners = 16
+	maxOfferOwners = 8
 	// decidingWait is the wait returned to requests that arrive while offers are being collected.
 	decidingWait = 100 * time.Millisecond
 )
@@ -147,8 +147,14 @@
 	for range owners {
 		r := <-results
 		for _, offer := range r.offers {
-			c, accepted := offerCost(request, offer, zones[offer.Backend])
-			if !accepted {
+			c := offer.Wait + time.Duration(offer.Rate*float64(requestRateCost))
+			if request.Spread && (offer.Wait > maxSpreadWait || offer.Rate > residency.SpreadRate) {
+				continue
+			}
+			if zones[offer.Backend] != request.Zone {
+				c += crossZoneCost
+			}
+			if slices.Contains(request.Exclude, offer.Backend) || zones[offer.Backend] == "" {
 				continue
 			}
 			if best.backend == "" || c < cost || c == cost && rendezvous(offer.Backend, request.Model) > rendezvous(best.backend, request.Model) {
@@ -169,22 +175,6 @@
 	})
 }
 
-// offerCost returns the cost of an offer from a backend server of a zone, and whether it may be accepted. A model that no
-// request waits for is only spread to backend servers that have time for it, and only if it is loaded soon enough.
-func offerCost(request *peer.PlaceRequest, offer peer.Offer, zone string) (cost time.Duration, accepted bool) {
-	if zone == "" || slices.Contains(request.Exclude, offer.Backend) {
-		return 0, false
-	}
-	if request.Spread && (offer.Wait > max(maxSpreadWait, request.MaxWait) || offer.Rate > residency.SpreadRate) {
-		return 0, false
-	}
-	cost = offer.Wait + time.Duration(offer.Rate*float64(requestRateCost))
-	if zone != request.Zone {
-		cost += crossZoneCost
-	}
-	return cost, true
-}
-
 // rendezvous returns the rendezvous hashing score of a pair.
 func rendezvous(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
 
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -32,10 +32,9 @@
 type PlaceRequest struct {
 	Service string
 	Model   string
-	Zone    string        // zone of the host whose requests wait
-	Exclude []string      // backend servers that have loaded the model but lack capacity
-	Spread  bool          // no request waits; the model is loaded only where no other model is evicted for it
-	MaxWait time.Duration // of a spread: longest time until the model is loaded, 0 for the default
+	Zone    string   // zone of the host whose requests wait
+	Exclude []string // backend servers that have loaded the model but lack capacity
+	Spread  bool     // no request waits; the model is loaded only where no other model is evicted for it
 }
 
 // PlaceReply names the backend server that has loaded or will load the model.
--- a/residency/decide.go
+++ b/residency/decide.go
@@ -13,7 +13,7 @@
 	// conflictBackoff is the minimum delay between a refused or failed order and the next one.
 	conflictBackoff = 100 * time.Millisecond
 	// probeInterval is the time between two orders that show whether a load or unload is complete.
-	probeInterval = 40 * time.Millisecond
+	probeInterval = 100 * time.Millisecond
 	// busyEvictionWait is the expected time until the running requests of a model to be evicted have ended.
 	busyEvictionWait = 3500 * time.Millisecond
 	// recentAdapterUse is how recently an adapter must have been used for more requests with adapters to be expected.
