routing: check calls of plain services for suspects

Cause: only requests that name a model passed the check for suspects. The dispatcher chose an endpoint of a plain service without it and dropped the outcome of the call, so no crash was ever attributed to such a request. The callers' side of citronspread's own interface did the same.

Fix: AcquireEndpoint clears a request like Acquire, and EndpointGrant.Done reports the outcome to the suspects. A crash is attributed to a trial alone, as on engines, and trials avoid each other's endpoints. A trial starts with its claim: waiting 200 ms for the claim to spread would cost each repeat after a lost answer its latency target of 100 ms, and two copies that start at once crash one backend server each at most.

Ruled out: late propagation (no suspects existed).

--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -373,3 +373,31 @@
 		t.Errorf("got %d sends of two requests, want 2", got)
 	}
 }
+
+// TestCopiesOfCrashingCallAreRefused guards against a call that crashes a host of a plain service each time it is sent.
+func TestCopiesOfCrashingCallAreRefused(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			a, b := &bookingService{abort: true}, &bookingService{abort: true}
+			env := newBookingEnvs(t, 1, nil, listen(t, a), listen(t, b))[0]
+			var last *http.Response
+			for range 6 {
+				request, err := http.NewRequestWithContext(t.Context(), method, env.url+pathVan, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if last, err = http.DefaultClient.Do(request); err != nil {
+					t.Fatal(err)
+				}
+				last.Body.Close()
+			}
+			if got := a.count("") + b.count(""); got > 2 {
+				t.Errorf("got %d sends of a call that crashes its host, want at most 2", got)
+			}
+			if last.StatusCode != http.StatusUnprocessableEntity || last.Header.Get(headerRun) != runStatusNotRun {
+				t.Errorf("got status %d, %s, want %d, %s", last.StatusCode, last.Header.Get(headerRun), http.StatusUnprocessableEntity, runStatusNotRun)
+			}
+		})
+	}
+}
--- a/caller/services.go
+++ b/caller/services.go
@@ -9,11 +9,13 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
 	"citronspread/attempt"
 	"citronspread/httponce"
+	"citronspread/model"
 	"citronspread/routing"
 	"citronspread/service"
 )
@@ -28,10 +30,12 @@
 
 // serviceCall is one call of a plain service and its progress.
 type serviceCall struct {
-	service    string
-	call       service.Call
-	idempotent bool
-	ran        bool // an attempt may have run
+	service     string
+	call        service.Call
+	fingerprint model.Fingerprint
+	deadline    time.Time
+	idempotent  bool
+	ran         bool // an attempt may have run
 }
 
 // callService serves /services/{service} and the paths below it.
@@ -54,9 +58,11 @@
 	defer cancel()
 	c := &serviceCall{
 		service:    name,
+		deadline:   options.deadline,
 		idempotent: s.isIdempotent(r.Method),
 		call:       service.Call{Method: r.Method, Path: servicePath(r, name), Header: r.Header, Body: body},
 	}
+	c.fingerprint = model.Fingerprint(xxhash.Sum64String(strings.Join([]string{name, r.Method, c.call.Path, string(body)}, "\x00")))
 	key := r.Header.Get(headerIdempotencyKey)
 	if c.idempotent || key == "" {
 		s.callUnclaimed(ctx, w, c)
@@ -103,12 +109,13 @@
 
 // Done reports the outcome of the call to the router.
 func (g endpointGrant) Done(now time.Time, outcome routing.Outcome) {
-	g.grant.Done(now, outcome != routing.OutcomeUnreachable)
+	g.grant.Done(now, outcome)
 }
 
 // Acquire chooses a host of the service.
-func (e *serviceSender) Acquire(_ context.Context, p *attempt.Progress) (attempt.Grant, error) {
-	grant, err := e.server.Router.AcquireEndpoint(time.Now(), e.call.service, p.Failed)
+func (e *serviceSender) Acquire(ctx context.Context, p *attempt.Progress) (attempt.Grant, error) {
+	request := routing.Request{Service: e.call.service, Fingerprint: e.call.fingerprint, Deadline: e.call.deadline, Avoid: p.Failed}
+	grant, err := e.server.Router.AcquireEndpoint(ctx, request)
 	if err != nil {
 		return nil, err
 	}
@@ -127,10 +134,12 @@
 		return attempt.Outcome{Result: attempt.Complete, Routing: routing.OutcomeComplete}
 	case certainlyNotRun(err):
 		return attempt.Outcome{Result: attempt.Unsent, Routing: routing.OutcomeUnreachable, Err: err}
+	case errors.As(err, &incomplete) && ctx.Err() != nil:
+		return attempt.Outcome{Result: attempt.MayHaveRun, Routing: routing.OutcomeAbandoned, Err: err}
 	case errors.As(err, &incomplete):
-		return attempt.Outcome{Result: attempt.MayHaveRun, Routing: routing.OutcomeBad, Err: err}
+		return attempt.Outcome{Result: attempt.MayHaveRun, Routing: routing.OutcomeConnectionLost, Err: err}
 	}
-	return attempt.Outcome{Result: attempt.Final, Routing: routing.OutcomeBad, Err: err}
+	return attempt.Outcome{Result: attempt.Final, Routing: routing.OutcomeRejected, Err: err}
 }
 
 // Continuation allows only idempotent calls to run again.
@@ -156,6 +165,8 @@
 	var unsent *httponce.UnsentError
 	var tooLarge *service.ResponseTooLargeError
 	switch {
+	case errors.As(err, &refused) && refused.Reason == routing.ReasonSuspect:
+		return refusal(refused, run)
 	case errors.As(err, &refused) && !c.ran, errors.As(err, &unsent):
 		return failure{status: http.StatusServiceUnavailable, code: codeUnreachable, message: "no host of the service could be reached", run: run, retryAfter: retryAfter}
 	case errors.As(err, &tooLarge):
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -106,7 +106,7 @@
 // Acquire waits for the right to send the request to a backend server.
 func (d *Dispatcher) Acquire(ctx context.Context, r RoutedRequest, p *attempt.Progress) (*Grant, error) {
 	if r.Model == "" {
-		return d.acquireEndpoint(r, p)
+		return d.acquireEndpoint(ctx, r, p)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -151,8 +151,9 @@
 	return r.ArrivedAt.Add(timeout)
 }
 
-func (d *Dispatcher) acquireEndpoint(r RoutedRequest, p *attempt.Progress) (*Grant, error) {
-	endpoint, err := d.host.router.AcquireEndpoint(d.host.Now(), r.Service, p.Failed)
+func (d *Dispatcher) acquireEndpoint(ctx context.Context, r RoutedRequest, p *attempt.Progress) (*Grant, error) {
+	request := routing.Request{ID: r.ID, Service: r.Service, Fingerprint: r.Fingerprint, Deadline: r.Deadline, Avoid: p.Failed}
+	endpoint, err := d.host.router.AcquireEndpoint(ctx, request)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/grant.go
+++ b/gateway/grant.go
@@ -29,7 +29,7 @@
 // Done reports the outcome of the attempt and releases the grant.
 func (g *Grant) Done(now time.Time, outcome routing.Outcome) {
 	if g.endpointGrant != nil {
-		g.endpointGrant.Done(now, outcome == routing.OutcomeComplete || outcome == routing.OutcomeRejected || outcome == routing.OutcomeAbandoned)
+		g.endpointGrant.Done(now, outcome)
 		return
 	}
 	g.grant.Done(now, outcome)
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"slices"
+	"context"
 	"time"
 
 	"citronspread/model"
@@ -9,15 +9,25 @@
 
 // endpointCalls holds this router's calls to the endpoints of plain services, by address.
 type endpointCalls struct {
-	running     map[string]int
-	pausedUntil map[string]time.Time
+	running      map[string]int
+	trials       map[string]int       // of running, trials of suspects
+	trialCrashAt map[string]time.Time // when a crash was last attributed to a trial
+	pausedUntil  map[string]time.Time
+}
+
+func newEndpointCalls() endpointCalls {
+	return endpointCalls{
+		running: make(map[string]int), trials: make(map[string]int), trialCrashAt: make(map[string]time.Time), pausedUntil: make(map[string]time.Time),
+	}
 }
 
 // EndpointGrant is the right to send one call to an endpoint of a plain service, which is a service without an engine.
 // Done must be called once.
 type EndpointGrant struct {
-	Endpoint model.ServiceEndpoint
-	router   *Router
+	Endpoint    model.ServiceEndpoint
+	router      *Router
+	fingerprint model.Fingerprint
+	trial       bool
 }
 
 // HasService reports whether the current snapshot lists an endpoint of the service.
@@ -29,57 +39,108 @@
 	return len(r.index.endpoints[service]) > 0
 }
 
-// AcquireEndpoint chooses an endpoint of the service and counts a call to it. It skips leaving endpoints, endpoints with
-// MaxEndpointCalls calls and the addresses in avoid, where the call has failed. It prefers reachable endpoints, and
-// among these the ones in the router's zone.
-func (r *Router) AcquireEndpoint(now time.Time, service string, avoid []string) (*EndpointGrant, error) {
+// AcquireEndpoint grants a call to an endpoint of the request's service, or refuses it with a *RefusedError. A suspect
+// runs as a trial without waiting until its claim has reached the other entry hosts: a call is over sooner than that.
+func (r *Router) AcquireEndpoint(ctx context.Context, request Request) (*EndpointGrant, error) {
 	r.once.Do(r.init)
+	cleared, err := r.awaitClearance(ctx, &request, true)
+	if err != nil {
+		return nil, err
+	}
+	grant, err := r.grantEndpoint(r.Now(), &request, cleared.trial)
+	if err != nil && cleared.trial {
+		r.Suspects.Release(request.Fingerprint)
+	}
+	return grant, err
+}
+
+// grantEndpoint chooses an endpoint and counts a call to it. It skips leaving endpoints, endpoints with MaxEndpointCalls
+// calls and those whose address is in Avoid.
+func (r *Router) grantEndpoint(now time.Time, request *Request, trial bool) (*EndpointGrant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reindex(now)
 	best, found := model.ServiceEndpoint{}, false
-	for _, e := range r.index.endpoints[service] {
-		if e.Leaving || slices.Contains(avoid, e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+	for _, e := range r.index.endpoints[request.Service] {
+		if e.Leaving || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
 			continue
 		}
-		if !found || r.endpointBefore(now, e, best) {
+		if !found || r.endpointBefore(now, e, best, trial) {
 			best, found = e, true
 		}
 	}
 	if !found {
 		return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: minRetryAfter}
 	}
-	if r.endpointCalls.running == nil {
-		r.endpointCalls.running = make(map[string]int)
-		r.endpointCalls.pausedUntil = make(map[string]time.Time)
-	}
 	r.endpointCalls.running[best.Address]++
-	return &EndpointGrant{Endpoint: best, router: r}, nil
+	if trial {
+		r.endpointCalls.trials[best.Address]++
+	}
+	return &EndpointGrant{Endpoint: best, router: r, fingerprint: request.Fingerprint, trial: trial}, nil
 }
 
-// Done ends the call. An endpoint that was not reached is used last for Policy.FailurePause.
-func (g *EndpointGrant) Done(now time.Time, reached bool) {
+// Done ends the call. An endpoint that did not respond as expected is used last for Policy.FailurePause.
+func (g *EndpointGrant) Done(now time.Time, outcome Outcome) {
 	r := g.router
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.endpointCalls.running[g.Endpoint.Address]--
-	if r.endpointCalls.running[g.Endpoint.Address] <= 0 {
-		delete(r.endpointCalls.running, g.Endpoint.Address)
-	}
-	if reached {
+	possibleCause := r.endpointCalls.finish(now, g, outcome)
+	switch outcome {
+	case OutcomeComplete, OutcomeRejected, OutcomeAbandoned:
 		delete(r.endpointCalls.pausedUntil, g.Endpoint.Address)
-		return
+	default:
+		r.endpointCalls.pausedUntil[g.Endpoint.Address] = now.Add(r.Policy.FailurePause)
 	}
-	r.endpointCalls.pausedUntil[g.Endpoint.Address] = now.Add(r.Policy.FailurePause)
+	r.mu.Unlock()
+	r.Suspects.recordOutcome(now, suspectRun{fingerprint: g.fingerprint, backend: g.backendName(), trial: g.trial, recent: true}, outcome, possibleCause)
 }
 
-// endpointBefore reports whether endpoint a is preferred to endpoint b: reachable ones first, then those in the router's
-// zone, then those with fewer calls. Ties are broken at random.
-func (r *Router) endpointBefore(now time.Time, a, b model.ServiceEndpoint) bool {
+// backendName returns the name of the backend server: its ID, which changes at a restart, or else its address.
+func (g *EndpointGrant) backendName() string {
+	if g.Endpoint.Backend != "" {
+		return g.Endpoint.Backend
+	}
+	return g.Endpoint.Address
+}
+
+// finish ends a call and reports whether its request may have crashed the backend server. If a trial was running there,
+// the crash is attributed to the trial alone.
+func (c *endpointCalls) finish(now time.Time, g *EndpointGrant, outcome Outcome) (possibleCause bool) {
+	address := g.Endpoint.Address
+	trials := c.trials[address]
+	decrement(c.running, address)
+	if g.trial {
+		decrement(c.trials, address)
+	}
+	switch {
+	case outcome != OutcomeConnectionLost:
+		return false
+	case g.trial:
+		c.trialCrashAt[address] = now
+		return true
+	}
+	at, known := c.trialCrashAt[address]
+	return trials == 0 && (!known || now.Sub(at) >= sameCrashWindow)
+}
+
+// decrement lowers a count and removes it at 0.
+func decrement(counts map[string]int, key string) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
+	}
+}
+
+// endpointBefore reports whether endpoint a is preferred to endpoint b: reachable ones first, for a trial those without
+// another trial, then those in the router's zone, then those with fewer calls. Ties are broken at random.
+func (r *Router) endpointBefore(now time.Time, a, b model.ServiceEndpoint, trial bool) bool {
 	pausedA, pausedB := now.Before(r.endpointCalls.pausedUntil[a.Address]), now.Before(r.endpointCalls.pausedUntil[b.Address])
 	if pausedA != pausedB {
 		return pausedB
 	}
+	sharedA, sharedB := r.endpointCalls.trials[a.Address] > 0, r.endpointCalls.trials[b.Address] > 0
+	if trial && sharedA != sharedB {
+		return sharedB
+	}
 	localA, localB := a.Zone == r.Zone, b.Zone == r.Zone
 	if localA != localB {
 		return localA
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -105,23 +105,10 @@
 	possibleCause := r.finish(now, g, outcome)
 	r.dispatch(now)
 	r.mu.Unlock()
-	g.updateSuspects(now, outcome, possibleCause)
-}
-
-// updateSuspects updates the suspects with the outcome of the attempt.
-func (g *Grant) updateSuspects(now time.Time, outcome Outcome, possibleCause bool) {
-	f, suspects := g.ticket.Fingerprint, g.router.Suspects
-	switch {
-	case possibleCause && suspects.Proven(f) && !g.ticket.trial:
-		suspects.RevokeProof(f)
-	case possibleCause:
-		recent := g.ticket.recent || now.Sub(g.startedAt) <= recentAge
-		suspects.RecordCrash(now, f, g.Replica.Backend, recent, g.ticket.Delivered+g.tokens)
-	case outcome == OutcomeComplete:
-		suspects.RecordResponse(now, f)
-	case g.ticket.trial:
-		suspects.Release(f)
-	}
+	r.Suspects.recordOutcome(now, suspectRun{
+		fingerprint: g.ticket.Fingerprint, backend: g.Replica.Backend, trial: g.ticket.trial,
+		recent: g.ticket.recent || now.Sub(g.startedAt) <= recentAge, tokens: g.ticket.Delivered + g.tokens,
+	}, outcome, possibleCause)
 }
 
 // finish frees the capacity of the attempt and reports whether its request may have crashed the backend server.
--- a/routing/router.go
+++ b/routing/router.go
@@ -81,7 +81,7 @@
 func (r *Router) Acquire(ctx context.Context, request Request) (*Grant, error) {
 	r.once.Do(r.init)
 	for {
-		cleared, err := r.awaitClearance(ctx, &request)
+		cleared, err := r.awaitClearance(ctx, &request, false)
 		if err != nil {
 			return nil, err
 		}
@@ -194,6 +194,7 @@
 	r.readyAt = make(map[Target]time.Time)
 	r.demandSentAt = make(map[Target]time.Time)
 	r.pins = make(map[model.Fingerprint]pin)
+	r.endpointCalls = newEndpointCalls()
 	if r.Now == nil {
 		r.Now = time.Now
 	}
@@ -207,8 +208,9 @@
 }
 
 // awaitClearance returns at once for a request that is not a suspect.
-// A suspect waits until it may run as a trial or is refused.
-func (r *Router) awaitClearance(ctx context.Context, request *Request) (clearance, error) {
+// A suspect waits until it may run as a trial or is refused. If immediate is set, the trial starts with the claim, before
+// the other entry hosts know of it.
+func (r *Router) awaitClearance(ctx context.Context, request *Request, immediate bool) (clearance, error) {
 	for {
 		now := r.Now()
 		if !now.Before(request.Deadline) {
@@ -223,6 +225,9 @@
 			return clearance{}, &RefusedError{Reason: ReasonSuspect, RetryAfter: verdict.Until.Sub(now)}
 		case StateClaimed:
 			wait = verdict.Until.Sub(now)
+			if immediate {
+				wait = 0
+			}
 		}
 		if err := sleep(ctx, wait); err != nil {
 			if verdict.State == StateClaimed {
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -118,6 +118,29 @@
 	s.publish(e)
 }
 
+// suspectRun is one run of a request on a backend server.
+type suspectRun struct {
+	fingerprint model.Fingerprint
+	backend     string
+	trial       bool
+	recent      bool // it had started shortly before it ended
+	tokens      int  // delivered to the caller, also by earlier runs
+}
+
+// recordOutcome records how a run ended. The flag possibleCause is set if it may have crashed its backend server.
+func (s *Suspects) recordOutcome(now time.Time, run suspectRun, outcome Outcome, possibleCause bool) {
+	switch {
+	case possibleCause && s.Proven(run.fingerprint) && !run.trial:
+		s.RevokeProof(run.fingerprint)
+	case possibleCause:
+		s.RecordCrash(now, run.fingerprint, run.backend, run.recent, run.tokens)
+	case outcome == OutcomeComplete:
+		s.RecordResponse(now, run.fingerprint)
+	case run.trial:
+		s.Release(run.fingerprint)
+	}
+}
+
 // RecordCrash records that a backend server crashed while running the request, and how many tokens it had delivered.
 // The flag recent is set if the request had started shortly before the crash.
 func (s *Suspects) RecordCrash(now time.Time, f model.Fingerprint, backend string, recent bool, tokens int) {
