gateway: read the times of other hosts' suspects on the own clock

Cause: the times of a suspect (crashes, end of the refusal, claim) are those of the sender's boot clock, and the receiver compared them with its own. Machines boot at different times: to one that booted hours later a refusal is over and its crashes are so old that the suspect is dropped at once, to one that booted earlier it lasts for hours. On the platform suspects have worked only between hosts that booted within minutes of each other, for models too.

Fix: a message that carries suspects states the sender's time, and the receiver shifts their times by the difference. Hosts of earlier builds do not state it and ignore it; between them and new ones nothing changes. No other message between hosts carries an absolute time.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -294,7 +294,7 @@
 	h := &fleetHost{fleet: f}
 	h.Host = &Host{
 		Name: name, Zone: fmt.Sprintf("z%d", i%fleetZones), PeerAddress: name, Store: hostStore{f.store, h}, Peers: fleetPeers{fleet: f},
-		Log: zap.NewNop(), Now: time.Now,
+		Log: zap.NewNop(), Now: func() time.Time { return time.Now().Add(time.Duration(i) * time.Hour) },
 		Decoder: Decoder{
 			ConfigurationKey: "config", ListingPrefix: "servers/",
 			DecodeConfiguration: func(value []byte) (s model.DesiredState, err error) {
@@ -543,8 +543,8 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	to.mergeSuspect(request.Suspect)
-	return nil
+	_, err := (&platformHandler{host: to.Host}).Suspect(ctx, request)
+	return err
 }
 
 // TestSuspectsOfCrashedBackends guards against a call to every host for each request that ran on a crashed backend
@@ -563,7 +563,8 @@
 					time.Sleep(5 * time.Second)
 				}
 				for i := range suspects {
-					f.hosts[fmt.Sprintf("host-%d", i)].router.Suspects.RecordCrash(time.Now(), model.Fingerprint(i+1), "b", true, 0)
+					h := f.hosts[fmt.Sprintf("host-%d", i)]
+					h.router.Suspects.RecordCrash(h.Now(), model.Fingerprint(i+1), "b", true, 0)
 				}
 				time.Sleep(suspectClaimPropagationDelay)
 				for name, h := range f.hosts {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"citronspread/model"
 	"citronspread/peer"
+	"citronspread/routing"
 )
 
 const (
@@ -44,7 +45,8 @@
 
 // Suspect merges a suspect that another entry host has published.
 func (p *platformHandler) Suspect(_ context.Context, request *peer.SuspectRequest) (*peer.Empty, error) {
-	p.host.mergeSuspect(request.Suspect)
+	h := p.host
+	h.mergeSuspect(onOwnClock(h.Now(), request.SentAt, request.Suspect))
 	return &peer.Empty{}, nil
 }
 
@@ -130,7 +132,7 @@
 	var failed atomic.Int64
 	for _, address := range addresses {
 		sends.Go(func() {
-			if err := h.Peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s}); err != nil {
+			if err := h.Peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s, SentAt: h.Now()}); err != nil {
 				failed.Add(1)
 				h.Log.Debug("suspect not told", zap.String("Peer", address), zap.Error(err))
 			}
@@ -147,3 +149,13 @@
 	h.router.MergeSuspects(h.Now(), []model.Suspect{s})
 	h.history.addSuspect(s)
 }
+
+// onOwnClock returns a suspect of another host with its times on the clock of this host, which shows now. The clocks of
+// two hosts differ by any time, because they count from the start of each machine. sentAt is what the other clock showed
+// when the suspect was sent; hosts of earlier builds do not state it.
+func onOwnClock(now, sentAt time.Time, s model.Suspect) model.Suspect {
+	if sentAt.IsZero() {
+		return s
+	}
+	return routing.ShiftSuspect(s, now.Sub(sentAt))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -152,6 +152,7 @@
 func (h *Host) serveFollow(ctx context.Context, request *peer.FollowRequest) *peer.FollowReply {
 	h.takeRelayDuty()
 	reply := h.awaitChange(ctx, request)
+	reply.SentAt = h.Now()
 	if request.AcceptsPacked {
 		h.history.pack(reply)
 	}
@@ -251,7 +252,11 @@
 	reply, err := h.Peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait, SuspectsAfter: after, AcceptsPacked: true})
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter = address, reply.SuspectSequence
-		h.router.MergeSuspects(h.Now(), reply.Suspects)
+		now := h.Now()
+		for i := range reply.Suspects {
+			reply.Suspects[i] = onOwnClock(now, reply.SentAt, reply.Suspects[i])
+		}
+		h.router.MergeSuspects(now, reply.Suspects)
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -82,6 +82,7 @@
 // SuspectRequest reports a request that was running when a backend server failed.
 type SuspectRequest struct {
 	Suspect model.Suspect
+	SentAt  time.Time // on the clock of the sender, to which the times of the suspect refer
 }
 
 // FollowRequest requests the changes of the store from the relay of the zone, so that not every host reads the store.
@@ -100,7 +101,8 @@
 	Packed []PackedEntry // large entries of the change, which are not in Change
 
 	Suspects        []model.Suspect
-	SuspectSequence int64 // of the relay's last suspect
+	SuspectSequence int64     // of the relay's last suspect
+	SentAt          time.Time // on the clock of the relay, to which the times of the suspects refer
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
--- a/routing/merge.go
+++ b/routing/merge.go
@@ -31,6 +31,24 @@
 	return merged
 }
 
+// ShiftSuspect returns a suspect whose times are later by an offset: those of another entry host's clock on the own one.
+func ShiftSuspect(s model.Suspect, offset time.Duration) model.Suspect {
+	s.RefuseUntil, s.ClearedAt, s.HeldUntil = shift(s.RefuseUntil, offset), shift(s.ClearedAt, offset), shift(s.HeldUntil, offset)
+	s.Lost = slices.Clone(s.Lost)
+	for i := range s.Lost {
+		s.Lost[i].At = shift(s.Lost[i].At, offset)
+	}
+	return s
+}
+
+// shift leaves the zero time, which means that there is none.
+func shift(t time.Time, offset time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(offset)
+}
+
 // winningClaim returns the view whose claim wins: the one with the higher epoch, or else with the smaller holder name. A
 // claim with a holder wins against none. If both have the same holder, the claim that ends later wins.
 func winningClaim(a, b model.Suspect) model.Suspect {
