gateway: hosts that were restarted or cut off learn which requests are refused

After a restart of the first relay of a zone, copies of a request that had crashed two backend servers crash two more.

Cause: suspects are sent once, and a host that follows a relay gets those that the relay retains. The first relay follows no host, so after a restart it knows none, and neither do the hosts that follow it then. A host that was cut off when the message was sent never gets it either.

Fix: a host that may be a relay asks the relays of all zones once at its start which suspects they refuse (12 hosts in a fleet of three zones). A host that refuses a request publishes its suspect again, at most once a second, so that a host that missed it learns it while copies still come. Relays retain only what is news to them, so that their followers are not woken for it.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -262,6 +262,11 @@
 	return reply, ctx.Err()
 }
 
+func (p fleetPeers) ListRefused(ctx context.Context, address string) (*peer.RefusedReply, error) {
+	sleep(ctx, time.Millisecond)
+	return (&platformHandler{host: p.fleet.host(address).Host}).ListRefused(ctx, &peer.Empty{})
+}
+
 // send takes the time that a reply takes on the host's link, behind the replies that were sent before.
 func (h *fleetHost) send(ctx context.Context, reply *peer.FollowReply) {
 	size := 0
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -109,6 +109,7 @@
 	claiming        bool          // a claim is in progress
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
+	suspectsLearned bool // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -202,13 +202,7 @@
 
 // updateRelays updates the order of the zone's relays.
 func (h *Host) updateRelays() {
-	local := []model.Peer{{Name: h.Name, Zone: h.Zone}}
-	for _, p := range h.table.Live() {
-		if p.Zone == h.Zone && p.Name != h.Name {
-			local = append(local, p)
-		}
-	}
-	ranked := relayOrder(local)
+	ranked := h.rankedZone()
 	order := zoneOrder{first: ranked[0].Name == h.Name, hosts: len(ranked)}
 	for _, p := range ranked {
 		if p.Name != h.Name && len(order.others) < maxRelayCandidates {
@@ -223,6 +217,23 @@
 	h.order = order
 }
 
+// isRelayCandidate reports whether this host may be the relay of its zone.
+func (h *Host) isRelayCandidate() bool {
+	ranked := h.rankedZone()
+	return slices.ContainsFunc(ranked[:min(len(ranked), maxRelayCandidates)], func(p model.Peer) bool { return p.Name == h.Name })
+}
+
+// rankedZone returns the hosts of this host's zone, itself included, in the order in which they become its relay.
+func (h *Host) rankedZone() []model.Peer {
+	local := []model.Peer{{Name: h.Name, Zone: h.Zone}}
+	for _, p := range h.table.Live() {
+		if p.Zone == h.Zone && p.Name != h.Name {
+			local = append(local, p)
+		}
+	}
+	return relayOrder(local)
+}
+
 // relayOrder returns the hosts of a zone in the order in which they become its relay.
 func relayOrder(hosts []model.Peer) []model.Peer { return membership.Ranked(hosts, relayKey) }
 
@@ -253,10 +264,7 @@
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter = address, reply.SuspectSequence
 		now := h.Now()
-		for i := range reply.Suspects {
-			reply.Suspects[i] = onOwnClock(now, reply.SentAt, reply.Suspects[i])
-		}
-		h.router.MergeSuspects(now, reply.Suspects)
+		h.router.MergeSuspects(now, onOwnClock(now, reply.SentAt, reply.Suspects))
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -207,6 +207,7 @@
 	h.table.Observed(now, revision)
 	h.updateHostCount()
 	h.updateRelays()
+	h.learnSuspects()
 }
 
 // keyKind is the kind of a key in the store.
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -16,6 +16,7 @@
 	LoadModel(ctx context.Context, request *LoadModelRequest) (*LoadModelReply, error)
 	ReportPlatformUsage(ctx context.Context, request *UsageRequest) (*Empty, error)
 	Suspect(ctx context.Context, request *SuspectRequest) (*Empty, error)
+	ListRefused(ctx context.Context, request *Empty) (*RefusedReply, error)
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 }
 
@@ -25,6 +26,7 @@
 	unary("/Fleet/Hold", PlatformHandler.LoadModel),
 	unary("/Fleet/Use", PlatformHandler.ReportPlatformUsage),
 	unary("/Fleet/Suspect", PlatformHandler.Suspect),
+	unary("/Fleet/Refused", PlatformHandler.ListRefused),
 	unary("/Fleet/Follow", PlatformHandler.Follow),
 }
 
@@ -85,6 +87,12 @@
 	SentAt  time.Time // on the clock of the sender, to which the times of the suspect refer
 }
 
+// RefusedReply lists the suspects that an entry host refuses.
+type RefusedReply struct {
+	Suspects []model.Suspect
+	SentAt   time.Time // as in SuspectRequest
+}
+
 // FollowRequest requests the changes of the store from the relay of the zone, so that not every host reads the store.
 type FollowRequest struct {
 	After         int64         // revision after which changes are returned
@@ -139,6 +147,11 @@
 	return err
 }
 
+// ListRefused requests the suspects that another entry host refuses.
+func (c *Client) ListRefused(ctx context.Context, address string) (*RefusedReply, error) {
+	return invoke[RefusedReply](ctx, c, address, "/Fleet/Refused", &Empty{})
+}
+
 // Follow requests the changes of the store from the relay of the zone.
 func (c *Client) Follow(ctx context.Context, address string, request *FollowRequest) (*FollowReply, error) {
 	return invoke[FollowReply](ctx, c, address, "/Fleet/Follow", request)
--- a/routing/pin.go
+++ b/routing/pin.go
@@ -37,16 +37,17 @@
 }
 
 // MergeSuspects merges suspects outside of a snapshot, see mergeSuspects.
-func (r *Router) MergeSuspects(now time.Time, suspects []model.Suspect) {
+func (r *Router) MergeSuspects(now time.Time, suspects []model.Suspect) (news []model.Suspect) {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mergeSuspects(now, suspects)
+	return r.mergeSuspects(now, suspects)
 }
 
 // mergeSuspects merges the suspects of other entry hosts and revokes the local grants of requests that are suspects now.
-func (r *Router) mergeSuspects(now time.Time, suspects []model.Suspect) {
-	r.Suspects.Merge(now, suspects)
+// It returns the suspects that were news.
+func (r *Router) mergeSuspects(now time.Time, suspects []model.Suspect) (news []model.Suspect) {
+	news = r.Suspects.Merge(now, suspects)
 	for i := range suspects {
 		p, pinned := r.pins[suspects[i].Fingerprint]
 		if !pinned || !r.Suspects.IsSuspect(suspects[i].Fingerprint) {
@@ -56,4 +57,5 @@
 			g.revoke()
 		}
 	}
+	return news
 }
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -12,6 +12,8 @@
 const (
 	crashesToRefuse = 2    // crashes from which a request is refused
 	maxProven       = 4096 // proven fingerprints before all are dropped
+	// republishInterval is the shortest time between two publications of a suspect that is refused.
+	republishInterval = time.Second
 )
 
 // SuspectState describes whether a request may run now.
@@ -51,11 +53,12 @@
 	TrialClaimTTL         time.Duration       // a claim expires after this time unless it is renewed
 	Retention             time.Duration       // a suspect is removed after this time without a change
 	Limit                 int                 // maximum number of suspects
-	Publish               func(model.Suspect) // sends a changed suspect to the other entry hosts
+	Publish               func(model.Suspect) // sends a suspect to the other entry hosts
 
 	mu      sync.Mutex
 	entries map[model.Fingerprint]model.Suspect
 	running map[model.Fingerprint]bool      // trials of this entry host
+	told    map[model.Fingerprint]time.Time // when a refused suspect was last published
 	proven  map[model.Fingerprint]time.Time // time of the last complete response
 	totals  SuspectTotals
 }
@@ -70,7 +73,11 @@
 	}
 	if e.Deaths >= crashesToRefuse && now.Before(e.RefuseUntil) {
 		s.totals.Refused++
+		tell := s.takeTelling(now, f)
 		s.mu.Unlock()
+		if tell {
+			s.publish(e)
+		}
 		return Verdict{State: StateRefused, Until: e.RefuseUntil}
 	}
 	held := e.Holder != "" && now.Before(e.HeldUntil) && e.Holder != s.Name
@@ -88,6 +95,19 @@
 	return Verdict{State: StateClaimed, Until: now.Add(s.ClaimPropagationDelay), Recent: e.Recent, Tokens: e.Tokens}
 }
 
+// takeTelling reports whether a refused suspect is to be published again. Entry hosts that were restarted or cut off in
+// the meantime do not know it, and copies of its request may reach them too.
+func (s *Suspects) takeTelling(now time.Time, f model.Fingerprint) bool {
+	if now.Sub(s.told[f]) < republishInterval {
+		return false
+	}
+	if s.told == nil {
+		s.told = make(map[model.Fingerprint]time.Time)
+	}
+	s.told[f] = now
+	return true
+}
+
 // Confirm reports whether the claim still holds after ClaimPropagationDelay. It drops the claim
 // if another entry host has won it or the request is refused by now.
 func (s *Suspects) Confirm(now time.Time, f model.Fingerprint) bool {
@@ -210,8 +230,8 @@
 	return s.entries[f].Deaths > 0
 }
 
-// Merge merges the suspects of other entry hosts.
-func (s *Suspects) Merge(now time.Time, others []model.Suspect) {
+// Merge merges the suspects of other entry hosts and returns those that were news.
+func (s *Suspects) Merge(now time.Time, others []model.Suspect) (news []model.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, other := range others {
@@ -219,6 +239,7 @@
 		if !known {
 			if now.Sub(lastChange(other)) < s.Retention {
 				s.put(other)
+				news = append(news, other)
 			}
 			continue
 		}
@@ -227,7 +248,18 @@
 			merged.RefuseUntil = lastChange(merged).Add(s.RefuseFor)
 		}
 		s.put(merged)
+		if differs(e, merged) {
+			news = append(news, merged)
+		}
 	}
+	return news
+}
+
+// differs reports whether a merge has changed a suspect by more than the delay of a message.
+func differs(before, after model.Suspect) bool {
+	return before.Deaths != after.Deaths || before.Epoch != after.Epoch || before.Holder != after.Holder ||
+		before.RefuseUntil.IsZero() != after.RefuseUntil.IsZero() ||
+		after.HeldUntil.Sub(before.HeldUntil) > sameCrashWindow || after.ClearedAt.Sub(before.ClearedAt) > sameCrashWindow
 }
 
 // Tick renews the claims of running trials and removes suspects and proofs older than Retention.
@@ -246,6 +278,7 @@
 	for f, e := range s.entries {
 		if !s.running[f] && now.Sub(lastChange(e)) >= s.Retention {
 			delete(s.entries, f)
+			delete(s.told, f)
 		}
 	}
 	for f, at := range s.proven {
@@ -259,6 +292,18 @@
 	}
 }
 
+// Refused returns the suspects that are refused now, the latest first, at most limit.
+func (s *Suspects) Refused(now time.Time, limit int) []model.Suspect {
+	var refused []model.Suspect
+	for _, e := range s.List() {
+		if e.Deaths >= crashesToRefuse && now.Before(e.RefuseUntil) {
+			refused = append(refused, e)
+		}
+	}
+	slices.SortStableFunc(refused, func(a, b model.Suspect) int { return lastChange(b).Compare(lastChange(a)) })
+	return refused[:min(len(refused), limit)]
+}
+
 // List returns all suspects, sorted by fingerprint.
 func (s *Suspects) List() []model.Suspect {
 	s.mu.Lock()
@@ -303,6 +348,7 @@
 	}
 	if found {
 		delete(s.entries, victim.Fingerprint)
+		delete(s.told, victim.Fingerprint)
 	}
 }
 
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -320,6 +320,30 @@
 	}
 }
 
+// TestRefusalIsToldToHostsThatMissedIt guards against an entry host that was cut off when the others learned of two
+// crashes and that accepts copies of the request ever after.
+func TestRefusalIsToldToHostsThatMissedIt(t *testing.T) {
+	var published []model.Suspect
+	s := newRouter(DefaultPolicy()).Suspects
+	s.RecordCrash(testTime, 1, "a", true, 0)
+	s.RecordCrash(testTime.Add(time.Second), 1, "b", true, 0)
+	s.Publish = func(e model.Suspect) { published = append(published, e) }
+	const refusals, interval = 30, 100 * time.Millisecond
+	for i := range refusals {
+		if got := s.Check(testTime.Add(2*time.Second+time.Duration(i)*interval), 1).State; got != StateRefused {
+			t.Fatalf("got state %d, want %d", got, StateRefused)
+		}
+	}
+	if want := 3; len(published) != want {
+		t.Fatalf("got %d publications in 3 s of refusals, want %d", len(published), want)
+	}
+	missed := newRouter(DefaultPolicy()).Suspects
+	now := testTime.Add(5 * time.Second)
+	if news := missed.Merge(now, published); len(news) != 1 || missed.Check(now, 1).State != StateRefused {
+		t.Errorf("got %d news and state %d, want 1 and %d", len(news), missed.Check(now, 1).State, StateRefused)
+	}
+}
+
 func TestMergeSuspect(t *testing.T) {
 	crash := func(name string, after time.Duration) model.BackendCrash {
 		return model.BackendCrash{Backend: name, At: testTime.Add(after)}
