--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -17,6 +17,7 @@
 	ArrivedAt   time.Time
 	Deadline    time.Time
 	Fingerprint model.Fingerprint
+	PromptParts []string // IDs of the shared parts of the prompt, in order
 }
 
 // IsNonIdempotent reports whether the request must not run twice.
