routing: block the parts of prompts that crash backend servers

Cause: only copies of one request were recognized. A request with the part made a suspect of itself, was refused after its repeat had crashed a second backend server, and the next one was a new request. Nothing looked for what the lost requests have in common.

All crashes have a request with the part that had just begun: the head of its response had arrived, the end of the connection followed some 50 ms later. Requests that only waited lost their connections without a head.

Fix: routing.PromptParts. A host records for each shared part of a prompt the crashes at which a response to a request with it had begun within the last second, and when a response to such a request was completed or lasted longer, which clears the part. Hosts share the crashes, the clearing and nothing else, and decide from them in the same way: a part is blocked if different requests crashed backend servers at two times a second apart, or at three if it was ever found sound, and if no other blocked part explains the crashes; of parts with equal evidence the deepest is blocked, since others share the parts before it. Requests with a blocked part are refused as not run; those that wait are checked again, and those that were sent and have not begun are ended.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -116,6 +116,7 @@
 		Target:      targetOf(r),
 		Service:     r.Service,
 		Fingerprint: r.Fingerprint,
+		PromptParts: r.PromptParts,
 		Priority:    max(0, maxPriority-priorityStep*r.Route.Priority),
 		Deadline:    r.Deadline,
 		StartBy:     startDeadline(d.host.Now(), r, p),
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -262,6 +262,13 @@
 	return reply, ctx.Err()
 }
 
+func (p fleetPeers) SuspectParts(ctx context.Context, address string, request *peer.SuspectPartsRequest) error {
+	sleep(ctx, time.Millisecond)
+	p.fleet.suspectCalls.Add(1)
+	_, err := (&platformHandler{host: p.fleet.host(address).Host}).SuspectParts(ctx, request)
+	return err
+}
+
 func (p fleetPeers) ListRefused(ctx context.Context, address string) (*peer.RefusedReply, error) {
 	sleep(ctx, time.Millisecond)
 	return (&platformHandler{host: p.fleet.host(address).Host}).ListRefused(ctx, &peer.Empty{})
--- a/gateway/grant.go
+++ b/gateway/grant.go
@@ -35,6 +35,13 @@
 	g.grant.Done(now, outcome)
 }
 
+// RecordBegin records that the response has begun.
+func (g *Grant) RecordBegin(now time.Time) {
+	if g.grant != nil {
+		g.grant.Begin(now)
+	}
+}
+
 // RecordEvent records the delivery of an event of a stream.
 func (g *Grant) RecordEvent(now time.Time) {
 	if g.grant != nil {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -33,6 +33,9 @@
 	suspectTrialClaimTTL         = 10 * time.Second // lifetime of a claim that is not renewed
 	suspectRetention             = 15 * time.Minute
 	suspectLimit                 = 10_000
+	// blockPromptPartFor is longer than callers keep sending requests with a part that crashes backend servers.
+	blockPromptPartFor    = 10 * time.Minute
+	suspectPromptPartsMax = 1024
 )
 
 // Times that the router assumes until owners report better estimates.
@@ -91,6 +94,7 @@
 	// The fields below are used by the watch only.
 	suspectsFrom  string // relay that sent the latest suspects
 	suspectsAfter int64  // its sequence number of the last one
+	partsAfter    int64  // its sequence number of the last suspect part
 
 	// The fields below are used by the control thread only.
 	view            *view
@@ -145,6 +149,9 @@
 			Name: h.Name, RefuseFor: refuseSuspectFor, ClaimPropagationDelay: suspectClaimPropagationDelay, TrialClaimTTL: suspectTrialClaimTTL,
 			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect,
 		},
+		PromptParts: &routing.PromptParts{
+			BlockFor: blockPromptPartFor, Limit: suspectPromptPartsMax, Publish: h.publishSuspectParts, Changed: h.logSuspectPart,
+		},
 		Snapshot: &h.snapshot, Now: h.Now, Seed: rand.Uint64(),
 	}
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -31,6 +31,7 @@
 	LoadModel(ctx context.Context, address string, request *peer.LoadModelRequest) (*peer.LoadModelReply, error)
 	ReportPlatformUsage(ctx context.Context, address string, request *peer.UsageRequest) error
 	Suspect(ctx context.Context, address string, request *peer.SuspectRequest) error
+	SuspectParts(ctx context.Context, address string, request *peer.SuspectPartsRequest) error
 	ListRefused(ctx context.Context, address string) (*peer.RefusedReply, error)
 	Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -28,7 +28,7 @@
 	maxFreshWait = 200 * time.Millisecond
 	// followPause is the pause between two calls to the relay. It bounds the replies of a relay to many followers.
 	followPause = 100 * time.Millisecond
-	// maxSuspects bounds the suspects that a relay retains.
+	// maxSuspects bounds the suspects, and the suspect parts, that a relay retains.
 	maxSuspects = 512
 	// maxChanges bounds the changes that a relay retains. Each follower requests changes about once a second.
 	maxChanges = 32
@@ -43,8 +43,8 @@
 	respondedAt  time.Time      // last response of the store itself, not of a relay
 	changed      chan struct{}  // closed and replaced at each change
 
-	suspects        []model.Suspect // the latest maxSuspects that this host received, by the order of their arrival
-	suspectSequence int64           // of the last one
+	suspects sequenced[model.Suspect]     // that this host received
+	parts    sequenced[model.SuspectPart] // that this host received
 
 	packer packer
 }
@@ -101,11 +101,15 @@
 func (h *history) addSuspect(s model.Suspect) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.suspects = append(h.suspects, s)
-	h.suspectSequence++
-	if len(h.suspects) > maxSuspects {
-		h.suspects = slices.Delete(h.suspects, 0, len(h.suspects)-maxSuspects)
-	}
+	h.suspects.add(s)
+	h.notify()
+}
+
+// addSuspectPart retains a suspect part of prompts.
+func (h *history) addSuspectPart(p model.SuspectPart) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.parts.add(p)
 	h.notify()
 }
 
@@ -116,15 +120,12 @@
 	reply.Packed = h.packer.pack(&reply.Change)
 }
 
-// suspectsAfter returns the suspects after a sequence number, which another process of this host may have given.
-func (h *history) suspectsAfter(sequence int64) (suspects []model.Suspect, last int64) {
+// addSuspectsAfter adds the suspects and suspect parts after two sequence numbers to a reply.
+func (h *history) addSuspectsAfter(reply *peer.FollowReply, suspects, parts int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	count := h.suspectSequence - sequence
-	if count < 0 || count > int64(len(h.suspects)) {
-		count = int64(len(h.suspects))
-	}
-	return slices.Clone(h.suspects[len(h.suspects)-int(count):]), h.suspectSequence
+	reply.Suspects, reply.SuspectSequence = h.suspects.after(suspects)
+	reply.Parts, reply.PartSequence = h.parts.after(parts)
 }
 
 // notify wakes the goroutines that wait for a change. The caller holds the mutex.
@@ -164,9 +165,9 @@
 	for {
 		now := h.Now()
 		reply, changed := h.history.after(now, request.After)
-		reply.Suspects, reply.SuspectSequence = h.history.suspectsAfter(request.SuspectsAfter)
+		h.history.addSuspectsAfter(&reply, request.SuspectsAfter, request.PartsAfter)
 		left := startedAt.Add(request.Wait).Sub(now)
-		if len(reply.Suspects) > 0 || reply.Fresh && (reply.Lost || !reply.Change.IsEmpty()) {
+		if len(reply.Suspects) > 0 || len(reply.Parts) > 0 || reply.Fresh && (reply.Lost || !reply.Change.IsEmpty()) {
 			return &reply
 		}
 		if !reply.Fresh {
@@ -256,15 +257,16 @@
 
 // follow requests the changes after a revision from a relay. It returns false if the relay has none to use.
 func (h *Host) follow(ctx context.Context, address string, revision int64) (store.Change, bool) {
-	after := h.suspectsAfter
 	if h.suspectsFrom != address {
-		after = 0
+		h.suspectsAfter, h.partsAfter = 0, 0
 	}
-	reply, err := h.Peers.Follow(ctx, address, &peer.FollowRequest{After: revision, Wait: watchWait, SuspectsAfter: after, AcceptsPacked: true})
+	request := &peer.FollowRequest{After: revision, Wait: watchWait, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, AcceptsPacked: true}
+	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
-		h.suspectsFrom, h.suspectsAfter = address, reply.SuspectSequence
+		h.suspectsFrom, h.suspectsAfter, h.partsAfter = address, reply.SuspectSequence, reply.PartSequence
 		now := h.Now()
 		h.router.MergeSuspects(now, onOwnClock(now, reply.SentAt, reply.Suspects))
+		h.router.MergeSuspectParts(now, partsOnOwnClock(now, reply.SentAt, reply.Parts))
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -23,10 +23,17 @@
 	return &peer.Empty{}, nil
 }
 
-// ListRefused returns the suspects that this host refuses.
+// SuspectParts merges suspect parts that another entry host has published.
+func (p *platformHandler) SuspectParts(_ context.Context, request *peer.SuspectPartsRequest) (*peer.Empty, error) {
+	h := p.host
+	h.mergeSuspectParts(partsOnOwnClock(h.Now(), request.SentAt, request.Parts))
+	return &peer.Empty{}, nil
+}
+
+// ListRefused returns the suspects that this host refuses and the parts of prompts that it blocks.
 func (p *platformHandler) ListRefused(context.Context, *peer.Empty) (*peer.RefusedReply, error) {
-	now := p.host.Now()
-	return &peer.RefusedReply{Suspects: p.host.router.Suspects.Refused(now, maxSuspects), SentAt: now}, nil
+	now, router := p.host.Now(), p.host.router
+	return &peer.RefusedReply{Suspects: router.Suspects.Refused(now, maxSuspects), Parts: router.PromptParts.Blocked(now), SentAt: now}, nil
 }
 
 // publishSuspect merges an own suspect, which revokes other grants of its request, and sends it to the hosts of each zone
@@ -45,24 +52,64 @@
 	})
 }
 
+// publishSuspectParts retains own suspect parts and sends them to the same hosts as publishSuspect.
+func (h *Host) publishSuspectParts(parts []model.SuspectPart) {
+	h.spawn(func(ctx context.Context) {
+		for _, p := range parts {
+			h.history.addSuspectPart(p)
+		}
+		addresses, err := query(ctx, h, func(time.Time) []string { return h.allRelays() })
+		if err != nil {
+			return
+		}
+		failed := h.sendToAll(ctx, addresses, func(ctx context.Context, address string) error {
+			return h.Peers.SuspectParts(ctx, address, &peer.SuspectPartsRequest{Parts: parts, SentAt: h.Now()})
+		})
+		if failed > 0 {
+			h.Log.Info("suspect parts not told", zap.Int("Parts", len(parts)), zap.Int64("Peers", failed), zap.Int("Of", len(addresses)))
+		}
+	})
+}
+
+// logSuspectPart logs that requests with a part of a prompt are refused now, or no longer.
+func (h *Host) logSuspectPart(p model.SuspectPart, blocked bool) {
+	message := "prompt part blocked"
+	if !blocked {
+		message = "prompt part no longer blocked"
+	}
+	var backends []string
+	for _, c := range p.Crashes {
+		backends = append(backends, c.Backend)
+	}
+	h.Log.Warn(message, zap.String("Part", p.Part), zap.Int("Depth", p.Depth), zap.Strings("Backends", backends), zap.Bool("SoundBefore", !p.SoundAt.IsZero()))
+}
+
 // sendSuspect sends a suspect to entry hosts and logs once how many it did not reach.
 func (h *Host) sendSuspect(ctx context.Context, s model.Suspect, addresses []string) {
+	failed := h.sendToAll(ctx, addresses, func(ctx context.Context, address string) error {
+		return h.Peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s, SentAt: h.Now()})
+	})
+	if failed > 0 {
+		h.Log.Info("suspect not told", zap.Uint64("Fingerprint", uint64(s.Fingerprint)), zap.Int64("Peers", failed), zap.Int("Of", len(addresses)))
+	}
+}
+
+// sendToAll makes one call to each address at the same time and returns how many have failed.
+func (h *Host) sendToAll(ctx context.Context, addresses []string, call func(ctx context.Context, address string) error) (failed int64) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
 	var sends sync.WaitGroup
-	var failed atomic.Int64
+	var failures atomic.Int64
 	for _, address := range addresses {
 		sends.Go(func() {
-			if err := h.Peers.Suspect(ctx, address, &peer.SuspectRequest{Suspect: s, SentAt: h.Now()}); err != nil {
-				failed.Add(1)
-				h.Log.Debug("suspect not told", zap.String("Peer", address), zap.Error(err))
+			if err := call(ctx, address); err != nil {
+				failures.Add(1)
+				h.Log.Debug("peer not reached with suspects", zap.String("Peer", address), zap.Error(err))
 			}
 		})
 	}
 	sends.Wait()
-	if failed.Load() > 0 {
-		h.Log.Info("suspect not told", zap.Uint64("Fingerprint", uint64(s.Fingerprint)), zap.Int64("Peers", failed.Load()), zap.Int("Of", len(addresses)))
-	}
+	return failures.Load()
 }
 
 // mergeSuspects merges suspects and retains those that were news for the hosts that follow this one.
@@ -72,7 +119,14 @@
 	}
 }
 
-// learnSuspects asks the relays of all zones which suspects they refuse, if this host is one of them. A host that starts
+// mergeSuspectParts merges suspect parts and retains those that were news for the hosts that follow this one.
+func (h *Host) mergeSuspectParts(parts []model.SuspectPart) {
+	for _, p := range h.router.MergeSuspectParts(h.Now(), parts) {
+		h.history.addSuspectPart(p)
+	}
+}
+
+// learnSuspects asks the relays of all zones what they refuse, if this host is one of them. A host that starts
 // knows none, and as the first relay of its zone it follows no host that would pass them on.
 func (h *Host) learnSuspects() {
 	addresses := h.allRelays()
@@ -89,10 +143,12 @@
 				h.Log.Info("refused suspects not learned", zap.String("Peer", address), zap.Error(err))
 				return
 			}
-			if len(reply.Suspects) > 0 {
-				h.Log.Info("refused suspects learned", zap.String("Peer", address), zap.Int("Suspects", len(reply.Suspects)))
+			if len(reply.Suspects)+len(reply.Parts) > 0 {
+				h.Log.Info("refused suspects learned", zap.String("Peer", address), zap.Int("Suspects", len(reply.Suspects)), zap.Int("Parts", len(reply.Parts)))
 			}
-			h.mergeSuspects(onOwnClock(h.Now(), reply.SentAt, reply.Suspects))
+			now := h.Now()
+			h.mergeSuspects(onOwnClock(now, reply.SentAt, reply.Suspects))
+			h.mergeSuspectParts(partsOnOwnClock(now, reply.SentAt, reply.Parts))
 		})
 	}
 }
@@ -110,3 +166,12 @@
 	}
 	return shifted
 }
+
+// partsOnOwnClock returns the suspect parts of another host with their times on the clock of this host, see onOwnClock.
+func partsOnOwnClock(now, sentAt time.Time, parts []model.SuspectPart) []model.SuspectPart {
+	shifted := make([]model.SuspectPart, len(parts))
+	for i, p := range parts {
+		shifted[i] = routing.ShiftSuspectPart(p, now.Sub(sentAt))
+	}
+	return shifted
+}
--- a/model/replica.go
+++ b/model/replica.go
@@ -82,3 +82,19 @@
 	Priority int       // highest priority among the waiting requests
 	Deadline time.Time // the earliest deadline among the waiting requests
 }
+
+// SuspectPart is a part of prompts whose requests were running when backend servers crashed and that may have caused the
+// crashes. Two views of one part are merged by routing.MergeSuspectPart.
+type SuspectPart struct {
+	Part    string
+	Depth   int         // its position in the prompts, 0 for the first part
+	Crashes []PartCrash // by time, without those up to SoundAt
+	SoundAt time.Time   // when a request with the part was last found not to crash its backend server, zero if never
+}
+
+// PartCrash is the failure of a backend server that had just begun to respond to a request with a suspect part.
+type PartCrash struct {
+	Backend string
+	At      time.Time
+	Request Fingerprint
+}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -16,6 +16,7 @@
 	LoadModel(ctx context.Context, request *LoadModelRequest) (*LoadModelReply, error)
 	ReportPlatformUsage(ctx context.Context, request *UsageRequest) (*Empty, error)
 	Suspect(ctx context.Context, request *SuspectRequest) (*Empty, error)
+	SuspectParts(ctx context.Context, request *SuspectPartsRequest) (*Empty, error)
 	ListRefused(ctx context.Context, request *Empty) (*RefusedReply, error)
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 }
@@ -26,6 +27,7 @@
 	unary("/Fleet/Hold", PlatformHandler.LoadModel),
 	unary("/Fleet/Use", PlatformHandler.ReportPlatformUsage),
 	unary("/Fleet/Suspect", PlatformHandler.Suspect),
+	unary("/Fleet/Parts", PlatformHandler.SuspectParts),
 	unary("/Fleet/Refused", PlatformHandler.ListRefused),
 	unary("/Fleet/Follow", PlatformHandler.Follow),
 }
@@ -87,9 +89,16 @@
 	SentAt  time.Time // on the clock of the sender, to which the times of the suspect refer
 }
 
-// RefusedReply lists the suspects that an entry host refuses.
+// SuspectPartsRequest reports parts of prompts whose requests were running when backend servers failed.
+type SuspectPartsRequest struct {
+	Parts  []model.SuspectPart
+	SentAt time.Time // as in SuspectRequest
+}
+
+// RefusedReply lists the suspects that an entry host refuses and the parts of prompts that it blocks.
 type RefusedReply struct {
 	Suspects []model.Suspect
+	Parts    []model.SuspectPart
 	SentAt   time.Time // as in SuspectRequest
 }
 
@@ -98,6 +107,7 @@
 	After         int64         // revision after which changes are returned
 	Wait          time.Duration // maximum time to wait for a change
 	SuspectsAfter int64         // sequence number after which suspects are returned, 0 for all that the relay retains
+	PartsAfter    int64         // the same for suspect parts
 	AcceptsPacked bool          // the follower reads FollowReply.Packed
 }
 
@@ -109,8 +119,10 @@
 	Packed []PackedEntry // large entries of the change, which are not in Change
 
 	Suspects        []model.Suspect
-	SuspectSequence int64     // of the relay's last suspect
-	SentAt          time.Time // on the clock of the relay, to which the times of the suspects refer
+	SuspectSequence int64 // of the relay's last suspect
+	Parts           []model.SuspectPart
+	PartSequence    int64     // of the relay's last suspect part
+	SentAt          time.Time // on the clock of the relay, to which the times of suspects and parts refer
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
@@ -147,7 +159,13 @@
 	return err
 }
 
-// ListRefused requests the suspects that another entry host refuses.
+// SuspectParts sends suspect parts of prompts to another entry host.
+func (c *Client) SuspectParts(ctx context.Context, address string, request *SuspectPartsRequest) error {
+	_, err := invoke[Empty](ctx, c, address, "/Fleet/Parts", request)
+	return err
+}
+
+// ListRefused requests the suspects that another entry host refuses and the parts that it blocks.
 func (c *Client) ListRefused(ctx context.Context, address string) (*RefusedReply, error) {
 	return invoke[RefusedReply](ctx, c, address, "/Fleet/Refused", &Empty{})
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -76,7 +76,7 @@
 		t := cursors[best].ticket()
 		if r.isTooLate(now, t) {
 			r.refuse(now, t, ReasonLate)
-		} else if !t.trial && r.Suspects.IsSuspect(t.Fingerprint) {
+		} else if !t.trial && r.Suspects.IsSuspect(t.Fingerprint) || r.PromptParts.IsBlocked(now, t.PromptParts) {
 			r.returnSuspect(t)
 		} else if replica := r.chooseReplica(now, t, longWaiting); replica != nil {
 			r.grant(now, t, replica, longWaiting)
@@ -90,7 +90,8 @@
 	}
 }
 
-// returnSuspect removes a ticket whose request became a suspect while it waited. Acquire then checks the request again.
+// returnSuspect removes a ticket whose request became a suspect, or has a part of its prompt blocked, since it waits. Acquire
+// then checks the request again.
 func (r *Router) returnSuspect(t *Ticket) {
 	if r.queue.Withdraw(t) {
 		t.resolve(result{suspected: true})
@@ -151,6 +152,9 @@
 		long:      t.Class == Long,
 	}
 	r.pin(g)
+	if len(t.PromptParts) > 0 {
+		r.unbegun[g] = true
+	}
 	t.resolve(result{grant: g})
 }
 
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -13,6 +13,7 @@
 	ReasonDisplaced  Reason = "displaced" // a request of higher priority took its place in the full queue
 	ReasonLate       Reason = "deadline_exceeded"
 	ReasonSuspect    Reason = "suspect_request"
+	ReasonPromptPart Reason = "suspect_prompt" // a part of its prompt crashes backend servers
 	ReasonUnknown    Reason = "model_not_found"
 	ReasonAbandoned  Reason = "abandoned"
 	ReasonNoEndpoint Reason = "no_endpoint"
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -42,7 +42,9 @@
 	long        bool
 	ended       bool
 	revoked     bool
-	passed      bool // the trial has delivered passTokens tokens
+	passed      bool      // the trial has delivered passTokens tokens
+	beganAt     time.Time // when the response began, zero before
+	sound       bool      // the parts of the prompt are known to be sound
 	onRevoke    func()
 }
 
@@ -62,12 +64,25 @@
 	if g.ticket.trial || g.revoked {
 		return
 	}
+	g.stop()
+}
+
+// stop ends the attempt. The router's mutex must be held.
+func (g *Grant) stop() {
 	g.revoked = true
 	if g.onRevoke != nil {
 		g.onRevoke()
 	}
 }
 
+// Begin records that the backend server has begun to respond.
+func (g *Grant) Begin(now time.Time) {
+	g.router.mu.Lock()
+	defer g.router.mu.Unlock()
+	g.beganAt = now
+	delete(g.router.unbegun, g)
+}
+
 // Token records the delivery of a token.
 func (g *Grant) Token(now time.Time) {
 	r := g.router
@@ -87,6 +102,10 @@
 		g.passed = true
 		b.endTrial(g.ticket)
 	}
+	if !g.sound && !g.beganAt.IsZero() && now.Sub(g.beganAt) >= crashWindow {
+		g.sound = true
+		r.PromptParts.RecordSound(now, g.ticket.PromptParts)
+	}
 	if !g.long && g.tokens >= r.Policy.LongTokens {
 		g.long = true
 		b.ownLongRequests++
@@ -102,6 +121,7 @@
 		return
 	}
 	g.ended = true
+	delete(r.unbegun, g)
 	possibleCause := r.finish(now, g, outcome)
 	r.dispatch(now)
 	r.mu.Unlock()
@@ -109,6 +129,43 @@
 		fingerprint: g.ticket.Fingerprint, backend: g.Replica.Backend, trial: g.ticket.trial,
 		recent: g.ticket.recent || now.Sub(g.startedAt) <= recentAge, tokens: g.ticket.Delivered + g.tokens,
 	}, outcome, possibleCause)
+	g.recordPromptParts(now, outcome)
+}
+
+// recordPromptParts records what the end of the attempt shows about the parts of its prompt. Nothing is known of a request
+// that its backend server had not begun to respond to.
+func (g *Grant) recordPromptParts(now time.Time, outcome Outcome) {
+	r, parts := g.router, g.ticket.PromptParts
+	switch {
+	case g.beganAt.IsZero():
+	case outcome == OutcomeComplete:
+		r.PromptParts.RecordSound(now, parts)
+	case outcome == OutcomeConnectionLost && now.Sub(g.beganAt) < crashWindow:
+		if r.PromptParts.RecordCrash(now, parts, g.Replica.Backend, g.ticket.Fingerprint) {
+			r.stopBlocked(now)
+		}
+	}
+}
+
+// stopBlocked ends the attempts whose prompts have a blocked part and whose responses have not begun.
+func (r *Router) stopBlocked(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for g := range r.unbegun {
+		if r.PromptParts.IsBlocked(now, g.ticket.PromptParts) {
+			g.stop()
+		}
+	}
+}
+
+// MergeSuspectParts merges the suspect parts of another entry host and returns those that were news.
+func (r *Router) MergeSuspectParts(now time.Time, parts []model.SuspectPart) (news []model.SuspectPart) {
+	r.once.Do(r.init)
+	news, blocked := r.PromptParts.Merge(now, parts)
+	if blocked {
+		r.stopBlocked(now)
+	}
+	return news
 }
 
 // finish frees the capacity of the attempt and reports whether its request may have crashed the backend server.
--- a/routing/merge.go
+++ b/routing/merge.go
@@ -31,6 +31,43 @@
 	return merged
 }
 
+// MergeSuspectPart merges two views of one suspect part. The result does not depend on the order of merging.
+func MergeSuspectPart(a, b model.SuspectPart) model.SuspectPart {
+	merged := model.SuspectPart{Part: a.Part, Depth: max(a.Depth, b.Depth), SoundAt: later(a.SoundAt, b.SoundAt)}
+	for _, c := range mergePartCrashes(a.Crashes, b.Crashes) {
+		if c.At.After(merged.SoundAt) {
+			merged.Crashes = append(merged.Crashes, c)
+		}
+	}
+	return merged
+}
+
+// mergePartCrashes merges two lists of crashes in order of time, and keeps the latest maxPartCrashes. Crashes of one
+// backend server with one request within sameCrashWindow count as one.
+func mergePartCrashes(a, b []model.PartCrash) []model.PartCrash {
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, func(x, y model.PartCrash) int {
+		return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Backend, y.Backend), cmp.Compare(x.Request, y.Request))
+	})
+	var crashes []model.PartCrash
+	for _, c := range all {
+		if !slices.ContainsFunc(crashes, func(k model.PartCrash) bool { return k.Request == c.Request && isSameCrash(k, c) }) {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes[max(0, len(crashes)-maxPartCrashes):]
+}
+
+// ShiftSuspectPart returns a suspect part whose times are later by an offset, see ShiftSuspect.
+func ShiftSuspectPart(p model.SuspectPart, offset time.Duration) model.SuspectPart {
+	p.SoundAt = shift(p.SoundAt, offset)
+	p.Crashes = slices.Clone(p.Crashes)
+	for i := range p.Crashes {
+		p.Crashes[i].At = shift(p.Crashes[i].At, offset)
+	}
+	return p
+}
+
 // ShiftSuspect returns a suspect whose times are later by an offset: those of another entry host's clock on the own one.
 func ShiftSuspect(s model.Suspect, offset time.Duration) model.Suspect {
 	s.RefuseUntil, s.ClearedAt, s.HeldUntil = shift(s.RefuseUntil, offset), shift(s.ClearedAt, offset), shift(s.HeldUntil, offset)
--- /dev/null
+++ b/routing/promptparts_test.go
@@ -0,0 +1,192 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"citronspread/model"
+)
+
+func newPromptParts() *PromptParts { return &PromptParts{BlockFor: 10 * time.Minute, Limit: 100} }
+
+// partObservation is a crash, or a sound response if backend is empty, of a request with the parts.
+type partObservation struct {
+	after   time.Duration
+	backend string
+	request model.Fingerprint
+	parts   []string
+}
+
+func TestBlockedPromptParts(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name         string
+		observations []partObservation
+		blocked      []string
+	}{
+		{name: "two requests at different times", observations: []partObservation{
+			{0, "", 1, []string{"root"}},
+			{1 * second, "a", 2, []string{"root", "bad"}},
+			{3 * second, "b", 3, []string{"root", "bad"}},
+		}, blocked: []string{"bad"}},
+		{name: "copies of one request", observations: []partObservation{
+			{1 * second, "a", 2, []string{"root", "bad"}},
+			{3 * second, "b", 2, []string{"root", "bad"}},
+		}},
+		{name: "many backend servers at once", observations: []partObservation{
+			{1000 * time.Millisecond, "a", 2, []string{"root", "x"}},
+			{1100 * time.Millisecond, "b", 3, []string{"root", "x"}},
+			{1200 * time.Millisecond, "c", 4, []string{"root", "x"}},
+			{1900 * time.Millisecond, "d", 5, []string{"root", "x"}},
+		}},
+		{name: "sound after the first crash", observations: []partObservation{
+			{1 * second, "a", 2, []string{"root", "x"}},
+			{2 * second, "", 3, []string{"root", "x"}},
+			{3 * second, "b", 4, []string{"root", "x"}},
+		}},
+		{name: "sound after it was blocked", observations: []partObservation{
+			{1 * second, "a", 2, []string{"x"}},
+			{3 * second, "b", 3, []string{"x"}},
+			{4 * second, "", 4, []string{"x"}},
+		}},
+		{name: "two parts beside each other", observations: []partObservation{
+			{0, "", 1, []string{"root"}},
+			{1 * second, "a", 2, []string{"root", "bad1"}},
+			{2 * second, "b", 3, []string{"root", "bad2"}},
+			{3 * second, "c", 4, []string{"root", "bad1"}},
+			{4 * second, "", 5, []string{"root"}},
+			{5 * second, "d", 6, []string{"root", "bad2"}},
+		}, blocked: []string{"bad1", "bad2"}},
+		{name: "parts before it were never sound", observations: []partObservation{
+			{1 * second, "a", 2, []string{"root", "branch", "bad"}},
+			{3 * second, "b", 3, []string{"root", "branch", "bad"}},
+			{5 * second, "c", 4, []string{"root", "branch", "bad"}},
+		}, blocked: []string{"bad"}},
+		{name: "the part before it crashes without it too", observations: []partObservation{
+			{1 * second, "a", 2, []string{"bad", "x"}},
+			{3 * second, "b", 3, []string{"bad", "x"}},
+			{5 * second, "c", 4, []string{"bad", "y"}},
+			{7 * second, "d", 5, []string{"bad", "z"}},
+		}, blocked: []string{"bad"}},
+		{name: "sound requests on the crashed backend servers", observations: []partObservation{
+			{0, "", 1, []string{"popular"}},
+			{1 * second, "a", 2, []string{"bad"}},
+			{1 * second, "a", 3, []string{"popular"}},
+			{3 * second, "b", 4, []string{"bad"}},
+			{3 * second, "b", 5, []string{"popular"}},
+			{5 * second, "c", 6, []string{"popular"}},
+		}, blocked: []string{"bad"}},
+	}
+	for _, tt := range tests {
+		s := newPromptParts()
+		for _, o := range tt.observations {
+			s.observe(o)
+		}
+		var got []string
+		for _, p := range s.Blocked(testTime.Add(10 * second)) {
+			got = append(got, p.Part)
+		}
+		if !slices.Equal(got, tt.blocked) {
+			t.Errorf("%s: got %q blocked, want %q", tt.name, got, tt.blocked)
+		}
+	}
+}
+
+func (s *PromptParts) observe(o partObservation) {
+	if o.backend == "" {
+		s.RecordSound(testTime.Add(o.after), o.parts)
+		return
+	}
+	s.RecordCrash(testTime.Add(o.after), o.parts, o.backend, o.request)
+}
+
+// TestWaitingRequestsDoNotBlockParts guards against blocking the parts of requests that only waited on backend servers
+// that crashed, or had been responded to for long.
+func TestWaitingRequestsDoNotBlockParts(t *testing.T) {
+	for _, began := range []time.Duration{0, crashWindow + time.Millisecond} {
+		r := newRouter(DefaultPolicy(), replica("a", 8), replica("b", 8))
+		r.PromptParts = newPromptParts()
+		for i := range 4 {
+			now := testTime.Add(time.Duration(i) * 2 * time.Second)
+			tk := ticket(now, 10, time.Minute)
+			tk.PromptParts = []string{"root"}
+			r.admit(now, tk)
+			_, g := tk.outcome()
+			if g == nil {
+				t.Fatalf("got no grant for request %d, want one", i)
+			}
+			if began > 0 {
+				g.Begin(now)
+			}
+			g.Done(now.Add(began), OutcomeConnectionLost)
+		}
+		if got := r.PromptParts.Blocked(testTime.Add(10 * time.Second)); len(got) > 0 {
+			t.Errorf("got %v blocked by requests that began %v before the crash, want none", got, began)
+		}
+	}
+}
+
+// TestBlockedPartStopsRequests guards against requests with a blocked part that are sent because they waited, or were
+// already sent, when it was blocked.
+func TestBlockedPartStopsRequests(t *testing.T) {
+	r := newRouter(DefaultPolicy(), replica("a", 1))
+	r.Now = func() time.Time { return testTime }
+	r.PromptParts = newPromptParts()
+	withPart := func() *Ticket {
+		tk := ticket(testTime, 10, time.Minute)
+		tk.PromptParts = []string{"root", "bad"}
+		r.admit(testTime, tk)
+		return tk
+	}
+	sent, waiting := withPart(), withPart()
+	_, g := sent.outcome()
+	stopped := false
+	g.OnRevoke(func() { stopped = true })
+	r.MergeSuspectParts(testTime, []model.SuspectPart{{Part: "bad", Depth: 1, Crashes: []model.PartCrash{
+		{Backend: "x", At: testTime.Add(-3 * time.Second), Request: 1}, {Backend: "y", At: testTime.Add(-time.Second), Request: 2},
+	}}})
+	g.Done(testTime, OutcomeAbandoned)
+	if got, _ := waiting.outcome(); !stopped || got != "suspected" {
+		t.Errorf("got stopped %v and %s, want true and suspected", stopped, got)
+	}
+	_, err := r.awaitClearance(t.Context(), &Request{PromptParts: []string{"bad"}, Deadline: testTime.Add(time.Minute)}, false)
+	want := &RefusedError{Reason: ReasonPromptPart, RetryAfter: r.PromptParts.BlockFor - time.Second}
+	if !reflect.DeepEqual(err, want) {
+		t.Errorf("got %v, want %v", err, want)
+	}
+}
+
+func TestMergeSuspectPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) model.SuspectPart {
+			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, name), 1))
+			p := model.SuspectPart{Part: "p", Depth: random.IntN(3)}
+			if random.IntN(2) == 0 {
+				p.SoundAt = testTime.Add(time.Duration(random.IntN(5)) * time.Second)
+			}
+			for range random.IntN(4) {
+				p.Crashes = append(p.Crashes, model.PartCrash{
+					Backend: fmt.Sprint(random.IntN(3)), At: testTime.Add(time.Duration(random.IntN(5)) * 2 * time.Second), Request: model.Fingerprint(random.IntN(3)),
+				})
+			}
+			return p
+		}
+		a, b, c := draw("a"), draw("b"), draw("c")
+		if got, want := MergeSuspectPart(a, b), MergeSuspectPart(b, a); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v and %+v for two orders, want the same", got, want)
+		}
+		if got, want := MergeSuspectPart(MergeSuspectPart(a, b), c), MergeSuspectPart(a, MergeSuspectPart(b, c)); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v and %+v for two orders, want the same", got, want)
+		}
+		merged := MergeSuspectPart(a, b)
+		if got := MergeSuspectPart(merged, merged); !reflect.DeepEqual(got, merged) {
+			t.Fatalf("got %+v for a view merged with itself, want %+v", got, merged)
+		}
+	})
+}
--- a/routing/request.go
+++ b/routing/request.go
@@ -19,7 +19,8 @@
 	Target      Target
 	Service     string
 	Fingerprint model.Fingerprint
-	Priority    int // 0 (lowest) to 100
+	PromptParts []string // IDs of the parts of the prompt that other requests may share, in order
+	Priority    int      // 0 (lowest) to 100
 	Deadline    time.Time
 	StartBy     time.Time // the caller disconnects if the response has not started by then; zero if there is no such limit
 	MaxTokens   int       // 0 if the caller set no limit
--- a/routing/router.go
+++ b/routing/router.go
@@ -40,6 +40,7 @@
 	DemandReporter DemandReporter
 	Budget         *Budget
 	Suspects       *Suspects
+	PromptParts    *PromptParts // nil if no request has PromptParts
 	Snapshot       *atomic.Pointer[model.Snapshot]
 	Now            func() time.Time
 	Seed           uint64
@@ -60,6 +61,7 @@
 	readyAt       map[Target]time.Time // when such a target is expected to be loaded, set by SetReadyAt
 	demandSentAt  map[Target]time.Time // when the last load demand was sent
 	pins          map[model.Fingerprint]pin
+	unbegun       map[*Grant]bool // grants of requests with PromptParts whose responses have not begun
 	endpointCalls endpointCalls
 	usages        usages
 }
@@ -74,7 +76,7 @@
 type result struct {
 	grant     *Grant
 	err       error
-	suspected bool // the request became a suspect while it waited and must be checked again
+	suspected bool // the request became a suspect or a part of its prompt was blocked while it waited; it must be checked again
 }
 
 // Acquire waits until a replica is granted or the request is refused with a *RefusedError.
@@ -89,6 +91,9 @@
 		r.sendDemands(r.admit(r.Now(), t))
 		res := r.await(ctx, t)
 		if res.suspected {
+			if cleared.trial {
+				r.Suspects.Release(request.Fingerprint)
+			}
 			continue
 		}
 		if res.err != nil && cleared.trial {
@@ -177,6 +182,9 @@
 	r.mu.Unlock()
 	r.sendDemands(demands)
 	r.Suspects.Tick(now)
+	if r.PromptParts != nil {
+		r.PromptParts.Tick(now)
+	}
 }
 
 // wasFrozen reports whether the last step was so long ago that the process must have been frozen.
@@ -194,6 +202,7 @@
 	r.readyAt = make(map[Target]time.Time)
 	r.demandSentAt = make(map[Target]time.Time)
 	r.pins = make(map[model.Fingerprint]pin)
+	r.unbegun = make(map[*Grant]bool)
 	r.endpointCalls = newEndpointCalls()
 	if r.Now == nil {
 		r.Now = time.Now
@@ -216,6 +225,9 @@
 		if !now.Before(request.Deadline) {
 			return clearance{}, &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}
 		}
+		if _, until, blocked := r.PromptParts.Check(now, request.PromptParts); blocked {
+			return clearance{}, &RefusedError{Reason: ReasonPromptPart, RetryAfter: until.Sub(now)}
+		}
 		verdict := r.Suspects.Check(now, request.Fingerprint)
 		wait := heldPollInterval
 		switch verdict.State {
