residency: a new owner evicts models in use last

Cause: a newly loaded model is protected from eviction for 1.5 s unless it is used after it was loaded, by the request that it was loaded for. A new owner takes the models of the first report for loaded at that moment, so for 1.5 s all of them were protected but those in use, which were evicted first.

Evidence: the orders in the log, Unload 0.6 to 1.0 s after the start of the new owners; TestNewOwnerKeepsModelsInUse failed with the model in use evicted.

Fix: models that an owner finds count as loaded long ago. Models that it has loaded itself keep the time when the account is read again.

--- a/residency/account.go
+++ b/residency/account.go
@@ -171,8 +171,9 @@
 	a.Models = make(map[string]*Resident, len(report.Models))
 	for _, listedModel := range report.Models {
 		r := a.newResident(now, listedModel.Name, Loaded)
+		r.Since = time.Time{} // an earlier owner loaded it
 		if previous := old[listedModel.Name]; previous != nil {
-			r.LastUsed, r.usage = previous.LastUsed, previous.usage
+			r.Since, r.LastUsed, r.usage = previous.Since, previous.LastUsed, previous.usage
 		}
 		for _, adapter := range listedModel.Adapters {
 			r.Adapters[adapter] = a.newAdapter(now, listedModel.Name)
--- a/residency/account_test.go
+++ b/residency/account_test.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// TestNewOwnerKeepsModelsInUse guards against a new owner that takes all models it finds for newly loaded ones, so that
+// those in use, which need no protection any more, are evicted first.
+func TestNewOwnerKeepsModelsInUse(t *testing.T) {
+	a, now := synced("a", "b", "c"), start.Add(evictionGrace/2)
+	a.RecordUsage(now, "host", model.Usage{Key: model.ModelKey{Model: "a"}})
+	a.AddDemand(now, "d", "")
+	next(t, a, now, Unload, "b")
+}
+
 func TestAdapterLoadEvictsLeastRecentlyUsed(t *testing.T) {
 	a, now := synced("a"), start.Add(time.Minute)
 	for _, adapter := range []string{"x", "y"} {
