--- a/routing/promptparts_test.go
+++ b/routing/promptparts_test.go
@@ -190,3 +190,131 @@
 		}
 	})
 }
+
+// partSimulation simulates entry hosts and backend servers, and requests of which some have a part that crashes backend
+// servers. Each host learns what the others observe after a delay.
+type partSimulation struct {
+	random  *rand.Rand
+	now     time.Time
+	hosts   []*PromptParts
+	updates []partUpdate
+	downTo  []time.Time // by backend server, when it is back
+	crashes map[string][]time.Time
+	late    map[string]int // requests with the part that were sent later than contact after the fifth crash
+	refused int            // sound requests refused later than twice contact after the latest crash
+	sound   int            // sound requests since then
+}
+
+type partUpdate struct {
+	at    time.Time
+	host  int
+	parts []model.SuspectPart
+}
+
+const (
+	partContact      = 3 * time.Second
+	partBeginTime    = 50 * time.Millisecond // from the begin of a response to the crash
+	partMaxSpread    = 300 * time.Millisecond
+	partRequestEvery = 40 * time.Millisecond
+)
+
+func newPartSimulation(seed uint64, hosts, backends int) *partSimulation {
+	sm := &partSimulation{
+		random: rand.New(rand.NewPCG(seed, 1)), now: testTime, downTo: make([]time.Time, backends),
+		crashes: make(map[string][]time.Time), late: make(map[string]int),
+	}
+	for i := range hosts {
+		s := newPromptParts()
+		s.Publish = func(parts []model.SuspectPart) {
+			for j := range sm.hosts {
+				if j != i {
+					delay := time.Duration(sm.random.Int64N(int64(partMaxSpread)))
+					sm.updates = append(sm.updates, partUpdate{at: sm.now.Add(delay), host: j, parts: parts})
+				}
+			}
+		}
+		sm.hosts = append(sm.hosts, s)
+	}
+	return sm
+}
+
+// run sends requests for 30 s. Each deadly part is in a share of them, below the shared parts that all requests have.
+func (sm *partSimulation) run(deadly []string, share float64) {
+	for step := range 30 * time.Second / partRequestEvery {
+		sm.now = sm.now.Add(partRequestEvery)
+		due := sm.updates
+		sm.updates = slices.DeleteFunc(slices.Clone(due), func(u partUpdate) bool { return !u.at.After(sm.now) })
+		for _, u := range due {
+			if !u.at.After(sm.now) {
+				sm.hosts[u.host].Merge(sm.now, u.parts)
+			}
+		}
+		parts, part := []string{"root", fmt.Sprint("branch", sm.random.IntN(4))}, ""
+		if sm.now.Sub(testTime) > 2*time.Second && sm.random.Float64() < share {
+			part = deadly[sm.random.IntN(len(deadly))]
+			parts = append(parts, part)
+		}
+		sm.send(sm.random.IntN(len(sm.hosts)), model.Fingerprint(step+1), parts, part)
+	}
+}
+
+func (sm *partSimulation) send(host int, request model.Fingerprint, parts []string, deadly string) {
+	s := sm.hosts[host]
+	if deadly == "" {
+		sm.sendSound(s, parts)
+		return
+	}
+	for range 2 { // the request and its repeat
+		crashes := sm.crashes[deadly]
+		backend := sm.random.IntN(len(sm.downTo))
+		if _, _, blocked := s.Check(sm.now, parts); blocked || sm.now.Before(sm.downTo[backend]) {
+			return
+		}
+		if len(crashes) >= 5 && sm.now.Sub(crashes[4]) > partContact {
+			sm.late[deadly]++
+		}
+		sm.crashes[deadly] = append(crashes, sm.now)
+		sm.downTo[backend] = sm.now.Add(restartTime)
+		s.RecordCrash(sm.now.Add(partBeginTime), parts, fmt.Sprint(backend), request)
+		if sm.random.IntN(2) == 0 { // another request had just begun there
+			other := sm.hosts[sm.random.IntN(len(sm.hosts))]
+			other.RecordCrash(sm.now.Add(partBeginTime), parts[:2], fmt.Sprint(backend), request+1_000_000)
+		}
+	}
+}
+
+func (sm *partSimulation) sendSound(s *PromptParts, parts []string) {
+	backend := sm.random.IntN(len(sm.downTo))
+	var latest time.Time
+	for _, crashes := range sm.crashes {
+		latest = later(latest, crashes[len(crashes)-1])
+	}
+	_, _, blocked := s.Check(sm.now, parts)
+	if !latest.IsZero() && sm.now.Sub(latest) > 2*partContact {
+		sm.sound++
+		if blocked {
+			sm.refused++
+		}
+	}
+	if !blocked && !sm.now.Before(sm.downTo[backend]) {
+		s.RecordSound(sm.now, parts)
+	}
+}
+
+// TestPartsAreFoundAndSoundRequestsServed guards against a part that is found too late, and against refusing the sound
+// requests that share the other parts with it, with one or two parts at once and what hosts observe known late.
+func TestPartsAreFoundAndSoundRequestsServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sm := newPartSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 8).Draw(t, "hosts"), rapid.IntRange(4, 20).Draw(t, "backends"))
+		deadly := []string{"bad1", "bad2"}[:rapid.IntRange(1, 2).Draw(t, "parts")]
+		sm.run(deadly, rapid.Float64Range(0.02, 0.3).Draw(t, "share"))
+		for part, late := range sm.late {
+			if late > 3 {
+				t.Fatalf("got %d requests with %s sent later than %v after the fifth crash, want at most 3", late, part, partContact)
+			}
+		}
+		if sm.refused > 0 {
+			t.Fatalf("got %d of %d sound requests refused, want none", sm.refused, sm.sound)
+		}
+	})
+}
