--- a/cli/explain.go
+++ b/cli/explain.go
@@ -36,7 +36,8 @@
 var relatedEvents = []string{
 	"backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "entries did not come back", "entry hosts changed",
 	"invariant violated", "lead does not answer, deciding here", "no offer", "no report", "not placed", "not renewed", "order", "owner does not answer",
-	"ownership lost", "ownership regained", "placed", "spread", "store lost", "store regained", "stopping", "suspect",
+	"ownership lost", "ownership regained", "placed", "prompt part blocked", "prompt part no longer blocked", "spread", "store lost", "store regained",
+	"stopping", "suspect",
 }
 
 type explainCommand struct {
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -23,8 +23,12 @@
 type RefusedError struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	Part       string // the blocked part of the prompt, for ReasonPromptPart
 }
 
 func (e *RefusedError) Error() string {
+	if e.Part != "" {
+		return fmt.Sprintf("routing: refused: %s, part %s, retry after %s", e.Reason, e.Part, e.RetryAfter)
+	}
 	return fmt.Sprintf("routing: refused: %s, retry after %s", e.Reason, e.RetryAfter)
 }
--- a/routing/promptparts_test.go
+++ b/routing/promptparts_test.go
@@ -156,7 +156,7 @@
 		t.Errorf("got stopped %v and %s, want true and suspected", stopped, got)
 	}
 	_, err := r.awaitClearance(t.Context(), &Request{PromptParts: []string{"bad"}, Deadline: testTime.Add(time.Minute)}, false)
-	want := &RefusedError{Reason: ReasonPromptPart, RetryAfter: r.PromptParts.BlockFor - time.Second}
+	want := &RefusedError{Reason: ReasonPromptPart, RetryAfter: r.PromptParts.BlockFor - time.Second, Part: "bad"}
 	if !reflect.DeepEqual(err, want) {
 		t.Errorf("got %v, want %v", err, want)
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -225,8 +225,8 @@
 		if !now.Before(request.Deadline) {
 			return clearance{}, &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}
 		}
-		if _, until, blocked := r.PromptParts.Check(now, request.PromptParts); blocked {
-			return clearance{}, &RefusedError{Reason: ReasonPromptPart, RetryAfter: until.Sub(now)}
+		if part, until, blocked := r.PromptParts.Check(now, request.PromptParts); blocked {
+			return clearance{}, &RefusedError{Reason: ReasonPromptPart, RetryAfter: until.Sub(now), Part: part}
 		}
 		verdict := r.Suspects.Check(now, request.Fingerprint)
 		wait := heldPollInterval
