--- a/gateway/host.go
+++ b/gateway/host.go
@@ -147,7 +147,7 @@
 		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, DemandReporter: h, Budget: &routing.Budget{},
 		Suspects: &routing.Suspects{
 			Name: h.Name, RefuseFor: refuseSuspectFor, ClaimPropagationDelay: suspectClaimPropagationDelay, TrialClaimTTL: suspectTrialClaimTTL,
-			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect,
+			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect, Republish: h.publishSuspect,
 		},
 		PromptParts: &routing.PromptParts{
 			BlockFor: blockPromptPartFor, Limit: suspectPromptPartsMax, Publish: h.publishSuspectParts, Changed: h.logSuspectPart,
--- a/routing/promptparts.go
+++ b/routing/promptparts.go
@@ -41,8 +41,9 @@
 	suspects map[string]model.SuspectPart
 	sound    map[string]time.Time // when this entry host last found a part to be sound
 	blocked  map[string]time.Time // end of the block
-	told     map[string]time.Time // when a blocked part was last published
 	tickedAt time.Time
+
+	republishedAt map[string]time.Time // when a blocked part was last published again
 }
 
 // partChange is a part that is blocked or no longer blocked.
@@ -65,8 +66,8 @@
 	}
 	until = s.blocked[part]
 	var published []model.SuspectPart
-	if now.Sub(s.told[part]) >= republishInterval {
-		s.told[part] = now
+	if now.Sub(s.republishedAt[part]) >= republishInterval {
+		s.republishedAt[part] = now
 		published = append(published, s.suspects[part])
 	}
 	s.mu.Unlock()
@@ -106,11 +107,8 @@
 	s.mu.Lock()
 	var observed []model.SuspectPart
 	for depth, part := range parts {
-		p, known := s.suspects[part]
-		if !known {
-			p = model.SuspectPart{Part: part, SoundAt: s.sound[part]}
-		}
-		p.Depth = max(p.Depth, depth)
+		p := s.suspects[part]
+		p.Part, p.Depth, p.SoundAt = part, max(p.Depth, depth), later(p.SoundAt, s.sound[part])
 		p.Crashes = mergePartCrashes(p.Crashes, []model.PartCrash{{Backend: backend, At: now, Request: request}})
 		s.put(p)
 		observed = append(observed, p)
@@ -184,7 +182,7 @@
 	for part, p := range s.suspects {
 		if now.Sub(later(p.SoundAt, lastPartCrash(p))) >= s.BlockFor {
 			delete(s.suspects, part)
-			delete(s.told, part)
+			delete(s.republishedAt, part)
 		}
 	}
 	for part, at := range s.sound {
@@ -310,7 +308,7 @@
 
 func (s *PromptParts) put(p model.SuspectPart) {
 	if s.suspects == nil {
-		s.suspects, s.told = make(map[string]model.SuspectPart), make(map[string]time.Time)
+		s.suspects, s.republishedAt = make(map[string]model.SuspectPart), make(map[string]time.Time)
 	}
 	if _, known := s.suspects[p.Part]; !known && len(s.suspects) >= s.Limit {
 		s.evict()
@@ -332,7 +330,7 @@
 	}
 	if found {
 		delete(s.suspects, victim.Part)
-		delete(s.told, victim.Part)
+		delete(s.republishedAt, victim.Part)
 	}
 }
 
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -53,14 +53,16 @@
 	TrialClaimTTL         time.Duration       // a claim expires after this time unless it is renewed
 	Retention             time.Duration       // a suspect is removed after this time without a change
 	Limit                 int                 // maximum number of suspects
-	Publish               func(model.Suspect) // sends a suspect to the other entry hosts
+	Publish               func(model.Suspect) // sends a changed suspect to the other entry hosts
+	Republish             func(model.Suspect) // sends a refused suspect again; nil if every entry host gets all suspects in time
 
 	mu      sync.Mutex
 	entries map[model.Fingerprint]model.Suspect
 	running map[model.Fingerprint]bool      // trials of this entry host
-	told    map[model.Fingerprint]time.Time // when a refused suspect was last published
 	proven  map[model.Fingerprint]time.Time // time of the last complete response
 	totals  SuspectTotals
+
+	republishedAt map[model.Fingerprint]time.Time // when a refused suspect was last published again
 }
 
 // Check returns whether a request may run. If the request is a suspect of which no trial runs, Check claims it.
@@ -73,10 +75,10 @@
 	}
 	if e.Deaths >= crashesToRefuse && now.Before(e.RefuseUntil) {
 		s.totals.Refused++
-		tell := s.takeTelling(now, f)
+		again := s.mayRepublish(now, f)
 		s.mu.Unlock()
-		if tell {
-			s.publish(e)
+		if again {
+			s.Republish(e)
 		}
 		return Verdict{State: StateRefused, Until: e.RefuseUntil}
 	}
@@ -95,16 +97,16 @@
 	return Verdict{State: StateClaimed, Until: now.Add(s.ClaimPropagationDelay), Recent: e.Recent, Tokens: e.Tokens}
 }
 
-// takeTelling reports whether a refused suspect is to be published again. Entry hosts that were restarted or cut off in
-// the meantime do not know it, and copies of its request may reach them too.
-func (s *Suspects) takeTelling(now time.Time, f model.Fingerprint) bool {
-	if now.Sub(s.told[f]) < republishInterval {
+// mayRepublish reports whether a refused suspect is due to be published again. Entry hosts that were restarted or cut off
+// in the meantime do not know it, and copies of its request may reach them too.
+func (s *Suspects) mayRepublish(now time.Time, f model.Fingerprint) bool {
+	if s.Republish == nil || now.Sub(s.republishedAt[f]) < republishInterval {
 		return false
 	}
-	if s.told == nil {
-		s.told = make(map[model.Fingerprint]time.Time)
+	if s.republishedAt == nil {
+		s.republishedAt = make(map[model.Fingerprint]time.Time)
 	}
-	s.told[f] = now
+	s.republishedAt[f] = now
 	return true
 }
 
@@ -278,7 +280,7 @@
 	for f, e := range s.entries {
 		if !s.running[f] && now.Sub(lastChange(e)) >= s.Retention {
 			delete(s.entries, f)
-			delete(s.told, f)
+			delete(s.republishedAt, f)
 		}
 	}
 	for f, at := range s.proven {
@@ -348,7 +350,7 @@
 	}
 	if found {
 		delete(s.entries, victim.Fingerprint)
-		delete(s.told, victim.Fingerprint)
+		delete(s.republishedAt, victim.Fingerprint)
 	}
 }
 
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -327,7 +327,7 @@
 	s := newRouter(DefaultPolicy()).Suspects
 	s.RecordCrash(testTime, 1, "a", true, 0)
 	s.RecordCrash(testTime.Add(time.Second), 1, "b", true, 0)
-	s.Publish = func(e model.Suspect) { published = append(published, e) }
+	s.Republish = func(e model.Suspect) { published = append(published, e) }
 	const refusals, interval = 30, 100 * time.Millisecond
 	for i := range refusals {
 		if got := s.Check(testTime.Add(2*time.Second+time.Duration(i)*interval), 1).State; got != StateRefused {
