routing: withdraw the crash of a lost response if the backend server goes on responding

What callers would see: since calls of plain services pass the check for suspects, two lost responses in a row made all hosts refuse a request for ten minutes, also one that all callers send, such as a GET of one path, although no backend server had crashed.

Cause: a lost connection counts as a crash, and nothing told it from one.

Evidence: TestLostResponsesOfLivingServiceAreNoCrashes failed with 503 at both hosts, a second after both backend servers had responded to eight other requests.

Fix: a host keeps its losses for a second. If the backend server responds to an attempt that started after the loss, the crash is withdrawn from the suspect, also at the other hosts, and the parts of the prompt count as sound. A restart takes longer than that second. Endpoints without an ID are left out: a restarted process can't be told from the old one.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -28,6 +28,7 @@
 	router      *Router
 	fingerprint model.Fingerprint
 	trial       bool
+	startedAt   time.Time
 }
 
 // HasService reports whether the current snapshot lists an endpoint of the service.
@@ -76,7 +77,7 @@
 	if trial {
 		r.endpointCalls.trials[best.Address]++
 	}
-	return &EndpointGrant{Endpoint: best, router: r, fingerprint: request.Fingerprint, trial: trial}, nil
+	return &EndpointGrant{Endpoint: best, router: r, fingerprint: request.Fingerprint, trial: trial, startedAt: now}, nil
 }
 
 // Done ends the call. An endpoint that did not respond as expected is used last for Policy.FailurePause.
@@ -84,14 +85,22 @@
 	r := g.router
 	r.mu.Lock()
 	possibleCause := r.endpointCalls.finish(now, g, outcome)
+	var survived []loss
+	if possibleCause {
+		r.losses.add(loss{backend: g.backendName(), at: now, fingerprint: g.fingerprint})
+	}
 	switch outcome {
 	case OutcomeComplete, OutcomeRejected, OutcomeAbandoned:
 		delete(r.endpointCalls.pausedUntil, g.Endpoint.Address)
+		if outcome != OutcomeAbandoned && g.Endpoint.Backend != "" { // without an ID it may have been restarted
+			survived = r.losses.takeSurvived(now, g.Endpoint.Backend, g.startedAt)
+		}
 	default:
 		r.endpointCalls.pausedUntil[g.Endpoint.Address] = now.Add(r.Policy.FailurePause)
 	}
 	r.mu.Unlock()
 	r.Suspects.recordOutcome(now, suspectRun{fingerprint: g.fingerprint, backend: g.backendName(), trial: g.trial, recent: true}, outcome, possibleCause)
+	r.withdraw(now, survived)
 }
 
 // backendName returns the name of the backend server: its ID, which changes at a restart, or else its address.
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -77,10 +77,13 @@
 
 // Begin records that the backend server has begun to respond.
 func (g *Grant) Begin(now time.Time) {
-	g.router.mu.Lock()
-	defer g.router.mu.Unlock()
+	r := g.router
+	r.mu.Lock()
 	g.beganAt = now
-	delete(g.router.unbegun, g)
+	delete(r.unbegun, g)
+	survived := r.losses.takeSurvived(now, g.Replica.Backend, g.startedAt)
+	r.mu.Unlock()
+	r.withdraw(now, survived)
 }
 
 // Token records the delivery of a token.
@@ -123,28 +126,31 @@
 	g.ended = true
 	delete(r.unbegun, g)
 	possibleCause := r.finish(now, g, outcome)
+	crashParts := g.crashParts(now, outcome)
+	if possibleCause || len(crashParts) > 0 {
+		r.losses.add(loss{backend: g.Replica.Backend, at: now, fingerprint: g.ticket.Fingerprint, parts: crashParts})
+	}
 	r.dispatch(now)
 	r.mu.Unlock()
 	r.Suspects.recordOutcome(now, suspectRun{
 		fingerprint: g.ticket.Fingerprint, backend: g.Replica.Backend, trial: g.ticket.trial,
 		recent: g.ticket.recent || now.Sub(g.startedAt) <= recentAge, tokens: g.ticket.Delivered + g.tokens,
 	}, outcome, possibleCause)
-	g.recordPromptParts(now, outcome)
+	if outcome == OutcomeComplete && !g.beganAt.IsZero() {
+		r.PromptParts.RecordSound(now, g.ticket.PromptParts)
+	}
+	if r.PromptParts.RecordCrash(now, crashParts, g.Replica.Backend, g.ticket.Fingerprint) {
+		r.stopBlocked(now)
+	}
 }
 
-// recordPromptParts records what the end of the attempt shows about the parts of its prompt. Nothing is known of a request
-// that its backend server had not begun to respond to.
-func (g *Grant) recordPromptParts(now time.Time, outcome Outcome) {
-	r, parts := g.router, g.ticket.PromptParts
-	switch {
-	case g.beganAt.IsZero():
-	case outcome == OutcomeComplete:
-		r.PromptParts.RecordSound(now, parts)
-	case outcome == OutcomeConnectionLost && now.Sub(g.beganAt) < crashWindow:
-		if r.PromptParts.RecordCrash(now, parts, g.Replica.Backend, g.ticket.Fingerprint) {
-			r.stopBlocked(now)
-		}
+// crashParts returns the parts of the prompt of an attempt that may have crashed its backend server, because the response
+// had just begun when the connection was lost.
+func (g *Grant) crashParts(now time.Time, outcome Outcome) []string {
+	if outcome != OutcomeConnectionLost || g.beganAt.IsZero() || now.Sub(g.beganAt) >= crashWindow {
+		return nil
 	}
+	return g.ticket.PromptParts
 }
 
 // stopBlocked ends the attempts whose prompts have a blocked part and whose responses have not begun.
--- a/routing/router.go
+++ b/routing/router.go
@@ -62,6 +62,7 @@
 	demandSentAt  map[Target]time.Time // when the last load demand was sent
 	pins          map[model.Fingerprint]pin
 	unbegun       map[*Grant]bool // grants of requests with PromptParts whose responses have not begun
+	losses        losses
 	endpointCalls endpointCalls
 	usages        usages
 }
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -190,6 +190,22 @@
 	s.publish(e)
 }
 
+// WithdrawCrash removes the crashes of a request up to a time, because the backend server has not crashed then.
+func (s *Suspects) WithdrawCrash(f model.Fingerprint, at time.Time) {
+	s.mu.Lock()
+	e, known := s.entries[f]
+	if !known {
+		s.mu.Unlock()
+		return
+	}
+	e.ClearedAt = later(e.ClearedAt, at)
+	e.Lost = slices.DeleteFunc(slices.Clone(e.Lost), func(c model.BackendCrash) bool { return !c.At.After(e.ClearedAt) })
+	e.Deaths = len(e.Lost)
+	s.put(e)
+	s.mu.Unlock()
+	s.publish(e)
+}
+
 // RecordResponse records that the request got its complete response. This clears a suspect that ran as a trial.
 func (s *Suspects) RecordResponse(now time.Time, f model.Fingerprint) {
 	s.mu.Lock()
