--- a/gateway/host.go
+++ b/gateway/host.go
@@ -34,8 +34,8 @@
 	suspectRetention             = 15 * time.Minute
 	suspectLimit                 = 10_000
 	// blockPromptPartFor is longer than callers keep sending requests with a part that crashes backend servers.
-	blockPromptPartFor    = 10 * time.Minute
-	suspectPromptPartsMax = 1024
+	blockPromptPartFor = 10 * time.Minute
+	suspectPartLimit   = 1024
 )
 
 // Times that the router assumes until owners report better estimates.
@@ -150,7 +150,7 @@
 			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect, Republish: h.publishSuspect,
 		},
 		PromptParts: &routing.PromptParts{
-			BlockFor: blockPromptPartFor, Limit: suspectPromptPartsMax, Publish: h.publishSuspectParts, Changed: h.logSuspectPart,
+			BlockFor: blockPromptPartFor, Limit: suspectPartLimit, Publish: h.publishSuspectParts, Changed: h.logSuspectPart,
 		},
 		Snapshot: &h.snapshot, Now: h.Now, Seed: rand.Uint64(),
 	}
