routing: keep crashes of a part that lie apart, and send new ones only

Cause: a host kept the latest 16 crashes of a part. At more than 13 a second these lie within about one second and count as one, so the part was not blocked until fewer came. Each message also repeated all crashes of a part, and relays passed the merged view on to all followers of their zone.

Evidence: TestManyCrashesInShortTimeBlockPart, 40 crashes in 1.6 s, failed with nothing blocked.

Fix: of more than maxPartCrashes those are dropped that follow another one most closely. A message carries the new crash; a relay passes on what was new to it, and a part as a whole when it is blocked.

--- a/routing/merge.go
+++ b/routing/merge.go
@@ -33,7 +33,7 @@
 
 // MergeSuspectPart merges two views of one suspect part. The result does not depend on the order of merging.
 func MergeSuspectPart(a, b model.SuspectPart) model.SuspectPart {
-	merged := model.SuspectPart{Part: a.Part, Depth: max(a.Depth, b.Depth), SoundAt: later(a.SoundAt, b.SoundAt)}
+	merged := model.SuspectPart{Part: cmp.Or(a.Part, b.Part), Depth: max(a.Depth, b.Depth), SoundAt: later(a.SoundAt, b.SoundAt)}
 	for _, c := range mergePartCrashes(a.Crashes, b.Crashes) {
 		if c.At.After(merged.SoundAt) {
 			merged.Crashes = append(merged.Crashes, c)
@@ -42,8 +42,9 @@
 	return merged
 }
 
-// mergePartCrashes merges two lists of crashes in order of time, and keeps the latest maxPartCrashes. Crashes of one
-// backend server with one request within sameCrashWindow count as one.
+// mergePartCrashes merges two lists of crashes in order of time. Crashes of one backend server with one request within
+// sameCrashWindow count as one. Of more than maxPartCrashes those are dropped that follow another one most closely, since
+// crashes at different times say more.
 func mergePartCrashes(a, b []model.PartCrash) []model.PartCrash {
 	all := slices.Concat(a, b)
 	slices.SortFunc(all, func(x, y model.PartCrash) int {
@@ -55,7 +56,16 @@
 			crashes = append(crashes, c)
 		}
 	}
-	return crashes[max(0, len(crashes)-maxPartCrashes):]
+	for len(crashes) > maxPartCrashes {
+		closest := 1
+		for i := 2; i < len(crashes); i++ {
+			if crashes[i].At.Sub(crashes[i-1].At) < crashes[closest].At.Sub(crashes[closest-1].At) {
+				closest = i
+			}
+		}
+		crashes = slices.Delete(crashes, closest, closest+1)
+	}
+	return crashes
 }
 
 // ShiftSuspectPart returns a suspect part whose times are later by an offset, see ShiftSuspect.
--- a/routing/promptparts.go
+++ b/routing/promptparts.go
@@ -107,11 +107,10 @@
 	s.mu.Lock()
 	var observed []model.SuspectPart
 	for depth, part := range parts {
-		p := s.suspects[part]
-		p.Part, p.Depth, p.SoundAt = part, max(p.Depth, depth), later(p.SoundAt, s.sound[part])
-		p.Crashes = mergePartCrashes(p.Crashes, []model.PartCrash{{Backend: backend, At: now, Request: request}})
-		s.put(p)
+		p := model.SuspectPart{Part: part, Depth: depth, SoundAt: later(s.sound[part], s.suspects[part].SoundAt)}
+		p.Crashes = []model.PartCrash{{Backend: backend, At: now, Request: request}}
 		observed = append(observed, p)
+		s.put(MergeSuspectPart(s.suspects[p.Part], p))
 	}
 	changes := s.evaluate(now)
 	s.mu.Unlock()
@@ -143,8 +142,7 @@
 	s.notify(cleared, changes)
 }
 
-// Merge merges the suspect parts of another entry host. It returns those that were news and reports whether a part is
-// blocked since.
+// Merge merges the suspect parts of another entry host. It returns what was news, and whole parts that are blocked since.
 func (s *PromptParts) Merge(now time.Time, others []model.SuspectPart) (news []model.SuspectPart, blocked bool) {
 	s.mu.Lock()
 	var corrected []model.SuspectPart
@@ -157,14 +155,21 @@
 			continue
 		}
 		s.put(merged)
-		if len(merged.Crashes) != len(before.Crashes) {
-			news = append(news, merged)
+		_, isBlocked := s.blocked[other.Part]
+		changed := !slices.Equal(merged.Crashes, before.Crashes)
+		if changed && (!isBlocked || len(merged.Crashes) == 0) {
+			news = append(news, other)
 		}
 		if s.sound[other.Part].After(other.SoundAt) && len(other.Crashes) > 0 && len(merged.Crashes) == 0 {
 			corrected = append(corrected, merged)
 		}
 	}
 	changes := s.evaluate(now)
+	for _, c := range changes {
+		if c.blocked {
+			news = append(news, c.part)
+		}
+	}
 	s.mu.Unlock()
 	s.notify(corrected, changes)
 	return news, hasBlocked(changes)
--- a/routing/promptparts_test.go
+++ b/routing/promptparts_test.go
@@ -23,6 +23,18 @@
 	parts   []string
 }
 
+// TestManyCrashesInShortTimeBlockPart guards against a part that crashes so many backend servers a second that the crashes
+// which a host retains all lie within one second and count once.
+func TestManyCrashesInShortTimeBlockPart(t *testing.T) {
+	s := newPromptParts()
+	for i := range 40 {
+		s.observe(partObservation{time.Duration(i) * 40 * time.Millisecond, fmt.Sprint(i), model.Fingerprint(i), []string{"root", "bad"}})
+	}
+	if got := s.Blocked(testTime.Add(2 * time.Second)); len(got) != 1 || got[0].Part != "bad" {
+		t.Errorf("got %v blocked, want the part", got)
+	}
+}
+
 func TestBlockedPromptParts(t *testing.T) {
 	const second = time.Second
 	tests := []struct {
