--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -76,6 +76,7 @@
 	logger = logger.With(zap.String("Host", s.Name))
 	debug.SetGCPercent(gcPercent)
 	store := platform.NewStore(s.StoreAddress)
+	store.Log = logger
 	host := newGatewayHost(s, store, logger, c.parallelLoads)
 	host.Metrics.AddGauge("citronspread_store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(store.Calls.Load()) })
 	host.Metrics.AddGauge("citronspread_limited_backends", "Backend servers that have stated a limit.", func() float64 { return float64(host.LimitedBackends()) })
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -287,6 +287,9 @@
 		return
 	}
 	if current := h.routes.Load(); current != nil && state.Version <= current.state.Version {
+		if state.Version < current.state.Version {
+			h.Log.Info("older desired state ignored", zap.Int64("Version", state.Version), zap.Int64("Current", current.state.Version), zap.Int64("Revision", e.Revision))
+		}
 		return
 	}
 	h.routes.Store(newRouteTable(state))
