--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	d.host.Metrics.ObserveGrantWait(grant.Waited)
-	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone),
+	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone), zap.String("Software", grant.Replica.Software),
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
 		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed))
 	return &Grant{
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -117,6 +117,7 @@
 		Zone:      b.listing.Zone,
 		Address:   b.listing.Address,
 		Service:   b.listing.Service,
+		Software:  b.listing.Software,
 		Adapters:  slices.Sorted(maps.Keys(b.adapters[name])),
 		Capacity:  b.listing.Slots,
 		Draining:  b.listing.Draining,
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -371,7 +371,7 @@
 	}
 	if before == nil || restarted || listing.Draining != wasDraining {
 		h.Log.Info("backend server listed", zap.String("Backend", id), zap.String("Service", listing.Service), zap.String("Address", listing.Address),
-			zap.String("Zone", listing.Zone), zap.Bool("Draining", listing.Draining), zap.Bool("Reborn", restarted),
+			zap.String("Zone", listing.Zone), zap.String("Software", listing.Software), zap.Bool("Draining", listing.Draining), zap.Bool("Reborn", restarted),
 			zap.Int64("Revision", e.Revision), zap.Strings("Models", listing.Models))
 	}
 	if b := h.owned[id]; b != nil && restarted {
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -86,6 +86,7 @@
 	Service  string
 	Address  string // IP:port
 	Zone     string
+	Software string // version of the backend server's software, empty if it states none
 	Slots    int
 	Draining bool
 	Models   []string // loaded models
--- a/model/replica.go
+++ b/model/replica.go
@@ -9,6 +9,7 @@
 	Zone      string
 	Address   string // IP:port of the engine
 	Service   string
+	Software  string // version of the backend server's software, empty if it states none
 	Adapters  []string
 	Capacity  int  // requests the engine's batch can hold
 	Running   int  // from the owner's last report
