gateway, platform, routing: a stream goes on only at the software version that began it

Cause: neither the choice of a backend server nor what a host knows of a stream had a software version. A host that gets a stream taken up can't know where it began, the less after a restart.

Change: - the version is a part of the routing target, so that such requests queue, are predicted and have models loaded on their own. It is fixed when the first event is delivered. If no backend server of it takes requests, the request is refused at once; - the store keeps a base version a service, the one that was most common at first. A stream that begins at another version is recorded before its first event is delivered; streams that begin at the same time share a transaction. A stream without a record began at the base version. The base changes one minute after its last backend server left. Records end with their lease, are repeated by their host in a restored store, and are not passed on by relays; - a host that gets a stream taken up reads the record by Resumes. While only the base version has served for a minute, it needs none; - streams that go on are granted first, with the engines' first priority.

Ruled out: a version by a hash of the request, which would force models to be loaded twice; telling other hosts only, which all may be killed at once.

A stream at another than the base version costs one write at most.

--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -43,7 +43,7 @@
 
 // addDemand starts a demand, or extends the one in progress.
 func (h *Host) addDemand(now time.Time, reported model.LoadDemand) {
-	target := routing.Target{Key: reported.Key, Adapter: reported.Adapter}
+	target := routing.Target{Key: reported.Key, Adapter: reported.Adapter, Software: reported.Software}
 	if d := h.demands[target]; d != nil {
 		d.expiresAt = now.Add(demandTTL)
 		return
@@ -79,6 +79,9 @@
 	}
 	key := d.target.Key
 	candidates := h.view.backendsWith(now, key.Version, key.Model)
+	if d.target.Software != "" {
+		candidates = slices.DeleteFunc(candidates, func(b *backendView) bool { return b.listing.Software != d.target.Software })
+	}
 	if d.target.Adapter != "" && len(candidates) > 0 {
 		if id, address, found := h.chooseAdapterBackend(now, d, candidates); found {
 			return plan{load: &peer.LoadModelRequest{Backend: id, Model: key.Model, Adapter: d.target.Adapter}, address: address}
@@ -88,6 +91,9 @@
 	for _, b := range candidates {
 		request.Exclude = append(request.Exclude, b.listing.Life.ID)
 	}
+	if d.target.Software != "" {
+		request.Exclude = append(request.Exclude, h.view.otherSoftware(key.Version, d.target.Software)...)
+	}
 	return plan{place: request, address: h.leaderAddress(now, key)}
 }
 
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -27,6 +27,9 @@
 	startTimeoutGaps    = 8
 	// startMargin is the part of this timeout that is left for producing the first event.
 	startMargin = 300 * time.Millisecond
+	// softwareRetryAfter is when a caller may take up a stream again whose software version serves no more. It comes back
+	// only if backend servers of it are started again.
+	softwareRetryAfter = 5 * time.Second
 	// budgetShare is the part of the shared retry budget that the hosts use. The rest is a margin for hosts that
 	// count different numbers of live hosts.
 	budgetShare = 0.8
@@ -113,13 +116,20 @@
 	if r.Model == "" {
 		return d.acquireEndpoint(ctx, r, p)
 	}
+	if r.Software != "" && d.softwareOfService(r.Service).Serving[r.Software] == 0 {
+		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
+	}
+	priority, enginePriority := max(0, maxPriority-priorityStep*r.Route.Priority), min(r.Route.Priority, maxEnginePriority)
+	if r.TakenUp || p.Resuming {
+		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
+	}
 	request := routing.Request{
 		ID:          r.ID,
 		Target:      targetOf(r),
 		Service:     r.Service,
 		Fingerprint: r.Fingerprint,
 		PromptParts: r.PromptParts,
-		Priority:    max(0, maxPriority-priorityStep*r.Route.Priority),
+		Priority:    priority,
 		Deadline:    r.Deadline,
 		StartBy:     startDeadline(d.host.Now(), r, p),
 		MaxTokens:   r.MaxTokens,
@@ -136,7 +146,8 @@
 	return &Grant{
 		Address:     grant.Replica.Address,
 		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend},
-		Priority:    min(r.Route.Priority, maxEnginePriority),
+		Software:    grant.Replica.Software,
+		Priority:    enginePriority,
 		grant:       grant,
 	}, nil
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -167,6 +167,17 @@
 	return ctx.Err()
 }
 
+func (s hostStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.call(ctx, "key"); err != nil {
+		return store.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[key]
+	e.Key = key
+	return e, nil
+}
+
 func (s hostStore) List(ctx context.Context, _ string, consistency store.Consistency) (store.Listing, error) {
 	if err := s.call(ctx, "range"); err != nil {
 		return store.Listing{}, err
--- a/gateway/grant.go
+++ b/gateway/grant.go
@@ -11,7 +11,8 @@
 type Grant struct {
 	Address     string
 	Incarnation model.BackendIncarnation
-	Priority    int // for the engine, 0 (most urgent) to 9; -1 for a plain service
+	Software    string // version of the backend server's software, empty if it states none
+	Priority    int    // for the engine, 0 (most urgent) to 9; -1 for a plain service
 
 	grant         *routing.Grant         // for a model
 	endpointGrant *routing.EndpointGrant // for a plain service, which has no engine
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -71,20 +71,23 @@
 
 	Dispatcher *Dispatcher
 
-	router         *routing.Router
-	routes         atomic.Pointer[routeTable]
-	snapshot       atomic.Pointer[model.Snapshot]
-	stopping       atomic.Bool
-	backendsListed atomic.Bool  // the list of backend servers was read from the store, perhaps some seconds old
-	caughtUp       atomic.Bool  // the changes since that list have been applied
-	hosts          atomic.Int64 // live entry hosts, this one included
-	events         chan func(now time.Time)
-	ctx            context.Context // done when the host stops
-	cancel         context.CancelFunc
-	tasks          sync.WaitGroup
-	admission      context.Context // done when waiting requests are refused
-	endAdmission   context.CancelFunc
-	history        *history
+	router   *routing.Router
+	routes   atomic.Pointer[routeTable]
+	snapshot atomic.Pointer[model.Snapshot]
+	// serviceSoftware holds the software versions by service.
+	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
+	streams         *streamRecorder
+	stopping        atomic.Bool
+	backendsListed  atomic.Bool  // the list of backend servers was read from the store, perhaps some seconds old
+	caughtUp        atomic.Bool  // the changes since that list have been applied
+	hosts           atomic.Int64 // live entry hosts, this one included
+	events          chan func(now time.Time)
+	ctx             context.Context // done when the host stops
+	cancel          context.CancelFunc
+	tasks           sync.WaitGroup
+	admission       context.Context // done when waiting requests are refused
+	endAdmission    context.CancelFunc
+	history         *history
 
 	relayMu   sync.Mutex // guards the fields below, which the watch and the hosts that follow this one use
 	relays    relayChoice
@@ -112,6 +115,7 @@
 	published       map[string]publishedLimit       // by such a backend server: what other hosts were told last
 	limitsCheckedAt time.Time
 	permits         permits
+	software        *softwareTracker
 	renewing        bool          // a registration or renewal is in progress
 	registerPause   time.Duration // after the next registration that fails
 	nextClaimAt     time.Time     // no claim before this time
@@ -139,6 +143,8 @@
 	h.leader = newLeader()
 	h.allocators = make(map[string]*ratelimit.Allocator)
 	h.published = make(map[string]publishedLimit)
+	h.software = newSoftwareTracker()
+	h.streams = &streamRecorder{host: h}
 	h.permits.taken = make(map[string]bool)
 	h.registerPause = registerPause
 	h.lastSpread = make(map[model.ModelKey]time.Time)
@@ -285,6 +291,7 @@
 		h.updateRelays()
 	}
 	h.stepOwnership(now)
+	h.stepSoftware(now)
 	h.stepOwned(now)
 	h.stepUsage(now)
 	h.stepSpread(now)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -18,6 +18,7 @@
 // Store is the platform's key-value store. Its errors are those of package store. Revisions only rise, also if the store is
 // restored from an older copy, see store.RevisionInEra; each call may then return a *store.RestoredError.
 type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
 	List(ctx context.Context, prefix string, consistency store.Consistency) (store.Listing, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Change, error)
 	Commit(ctx context.Context, t store.Transaction) (int64, error)
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -18,6 +18,9 @@
 	Deadline    time.Time
 	Fingerprint model.Fingerprint
 	PromptParts []string // IDs of the shared parts of the prompt, in order
+	TakenUp     bool     // the caller has received the first events of the stream from an earlier request
+	Resumes     string   // ID of the request that brought the first of them, empty if not stated
+	Software    string   // software version of the backend servers that may serve the request, empty for any
 }
 
 // IsNonIdempotent reports whether the request must not run twice.
--- /dev/null
+++ b/gateway/software.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"citronspread/membership"
+	"citronspread/routing"
+	"citronspread/store"
+)
+
+// Prefixes of keys that tell which software version of a service began a stream.
+const (
+	baseSoftwarePrefix = "citronspread/software/" // by service: the version of streams without a record
+	streamPrefix       = "citronspread/stream/"   // by stream: the version that began it, bound to a lease
+)
+
+const (
+	// softwareInterval is the time between two checks of the base versions.
+	softwareInterval = 500 * time.Millisecond
+	// streamRetention is how long the version of a stream is known after it began. Callers wait half as long at most.
+	streamRetention = time.Minute
+	// softwareLookUpTimeout limits the read of a stream's record.
+	softwareLookUpTimeout = time.Second
+)
+
+// BaseSoftware is the record of the base version of a service: streams that began at another one have records of their own.
+// The record with the highest term is valid, also after the store was restored with an earlier one.
+type BaseSoftware struct {
+	Version string
+	Term    int64
+}
+
+// serviceSoftware holds the software versions of a service's backend servers.
+type serviceSoftware struct {
+	Base    BaseSoftware   // Term 0 if none is recorded yet
+	Serving map[string]int // number of backend servers that take new requests, by version
+	Mixed   bool           // another version than the base, or several, have served within streamRetention
+}
+
+// needsRecord reports whether a stream that begins at the version must be recorded.
+func (s serviceSoftware) needsRecord(version string) bool {
+	if version == "" {
+		return false
+	}
+	return s.Base.Term == 0 && s.Mixed || s.Base.Term > 0 && version != s.Base.Version
+}
+
+// unrecorded returns the version of streams without a record, empty if it is not known.
+func (s serviceSoftware) unrecorded() string {
+	if s.Base.Term == 0 && len(s.Serving) == 1 {
+		for version := range s.Serving {
+			return version
+		}
+	}
+	return s.Base.Version
+}
+
+// softwareTracker follows the software versions of the services. It is used by the control thread only.
+type softwareTracker struct {
+	startedAt time.Time
+	checkedAt time.Time
+	bases     map[string]BaseSoftware
+	stored    map[string]storedBase
+	servedAt  map[string]map[string]time.Time // by service and version: when it was last listed
+	writing   bool
+	changed   bool
+}
+
+// storedBase is what the store contains of a base version.
+type storedBase struct {
+	term     int64
+	revision int64
+}
+
+func newSoftwareTracker() *softwareTracker {
+	return &softwareTracker{bases: make(map[string]BaseSoftware), stored: make(map[string]storedBase), servedAt: make(map[string]map[string]time.Time)}
+}
+
+// apply applies a record of the store.
+func (t *softwareTracker) apply(service string, record BaseSoftware, revision int64) {
+	t.stored[service] = storedBase{term: record.Term, revision: revision}
+	if record.Term > t.bases[service].Term {
+		t.bases[service] = record
+		t.changed = true
+	}
+}
+
+// relisted removes what a complete list of the store lacks.
+func (t *softwareTracker) relisted(listed map[string]bool) {
+	maps.DeleteFunc(t.stored, func(service string, _ storedBase) bool { return !listed[service] })
+}
+
+// observe records the versions that are listed now.
+func (t *softwareTracker) observe(now time.Time, listed map[string]map[string]int) {
+	if t.startedAt.IsZero() {
+		t.startedAt = now
+	}
+	for service, versions := range listed {
+		if t.servedAt[service] == nil {
+			t.servedAt[service] = make(map[string]time.Time)
+		}
+		for version := range versions {
+			t.servedAt[service][version] = now
+		}
+	}
+}
+
+// due returns the base version to write for a service, if any: the most common version when there is no base, or none of
+// its backend servers has been listed for streamRetention; the known one when the store has an earlier one.
+func (t *softwareTracker) due(now time.Time, service string, versions map[string]int) (BaseSoftware, bool) {
+	base, stored := t.bases[service], t.stored[service]
+	switch {
+	case base.Term > stored.term:
+		return base, true
+	case len(versions) == 0:
+		return BaseSoftware{}, false
+	case base.Term > 0:
+		servedAt, served := t.servedAt[service][base.Version]
+		if !served {
+			servedAt = t.startedAt
+		}
+		if now.Sub(servedAt) <= streamRetention {
+			return BaseSoftware{}, false
+		}
+	}
+	common := slices.MaxFunc(slices.Sorted(maps.Keys(versions)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(versions[a], versions[b]), cmp.Compare(b, a))
+	})
+	return BaseSoftware{Version: common, Term: base.Term + 1}, true
+}
+
+// isMixed reports whether a stream of the service that began within streamRetention may have begun at another version than
+// the base, or than the only one.
+func (t *softwareTracker) isMixed(now time.Time, service string) bool {
+	if now.Sub(t.startedAt) < streamRetention {
+		return true
+	}
+	recent, base := 0, t.bases[service]
+	for version, at := range t.servedAt[service] {
+		if now.Sub(at) < streamRetention {
+			recent++
+			if base.Term > 0 && version != base.Version {
+				return true
+			}
+		}
+	}
+	return recent > 1
+}
+
+// listedSoftware returns the number of backend servers by service and version, of all that are listed and of those that
+// take new requests. Plain services and backend servers that state no version are left out.
+func (h *Host) listedSoftware() (listed, serving map[string]map[string]int) {
+	listed, serving = make(map[string]map[string]int), make(map[string]map[string]int)
+	table := h.routes.Load()
+	for _, b := range h.view.backends {
+		l := b.listing
+		if l.Software == "" || table == nil || table.state.Services[l.Service].Engine == nil {
+			continue
+		}
+		if listed[l.Service] == nil {
+			listed[l.Service], serving[l.Service] = make(map[string]int), make(map[string]int)
+		}
+		listed[l.Service][l.Software]++
+		if b.isUsable() {
+			serving[l.Service][l.Software]++
+		}
+	}
+	return listed, serving
+}
+
+// stepSoftware publishes the software versions and writes the base versions that are due. One host writes each.
+func (h *Host) stepSoftware(now time.Time) {
+	t := h.software
+	if !h.viewChanged && len(h.view.changed) == 0 && !t.changed && now.Sub(t.checkedAt) < softwareInterval {
+		return
+	}
+	listed, serving := h.listedSoftware()
+	t.observe(now, listed)
+	published := make(map[string]serviceSoftware, len(listed))
+	for service := range listed {
+		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service)}
+	}
+	h.serviceSoftware.Store(&published)
+	t.changed = false
+	if t.writing || !h.registered || now.Sub(t.checkedAt) < softwareInterval {
+		return
+	}
+	t.checkedAt = now
+	for service, versions := range listed {
+		leader, found := membership.Leader(h.table.Live(), "software/"+service)
+		if !found || leader.Name != h.Name {
+			continue
+		}
+		if base, due := t.due(now, service, versions); due {
+			h.writeBaseSoftware(service, base)
+			return
+		}
+	}
+}
+
+// writeBaseSoftware writes the base version of a service. Its outcome arrives through the watch.
+func (h *Host) writeBaseSoftware(service string, base BaseSoftware) {
+	h.software.writing = true
+	key, expected := baseSoftwarePrefix+service, h.software.stored[service].revision
+	h.spawn(func(ctx context.Context) {
+		h.Metrics.CountStoreCall("transaction", "software")
+		revision, err := h.Store.Commit(ctx, store.Transaction{
+			Expected: []store.Entry{{Key: key, Revision: expected}},
+			Writes:   []store.Write{{Key: key, Value: encode(base)}},
+		})
+		h.post(func(now time.Time) {
+			h.software.writing = false
+			h.Log.Info("base software version written", zap.String("Service", service), zap.String("Version", base.Version), zap.Int64("Term", base.Term), zap.Error(err))
+			if err == nil && store.Era(revision) == h.table.Era {
+				h.software.apply(service, base, revision)
+				return
+			}
+			h.enterEraOf(now, err)
+		})
+	})
+}
+
+// softwareOfService returns the software versions of a service as last published.
+func (d *Dispatcher) softwareOfService(service string) serviceSoftware {
+	published := d.host.serviceSoftware.Load()
+	if published == nil {
+		return serviceSoftware{}
+	}
+	return (*published)[service]
+}
+
+// FindSoftware returns the software version at which a stream that its caller takes up may go on, empty for any. It returns
+// a *routing.RefusedError if the version can't be known now.
+func (d *Dispatcher) FindSoftware(ctx context.Context, r RoutedRequest) (version string, err error) {
+	h, s := d.host, d.softwareOfService(r.Service)
+	if len(s.Serving) == 0 || !s.Mixed {
+		return "", nil
+	}
+	source, entry := "record", store.Entry{}
+	switch {
+	case r.Resumes == "":
+		err = &routing.RefusedError{Reason: routing.ReasonSoftware}
+	default:
+		ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
+		defer cancel()
+		h.Metrics.CountStoreCall("key", "stream")
+		entry, err = h.Store.Get(ctx, streamKey(r.Resumes))
+	}
+	version = string(entry.Value)
+	if err == nil && entry.Revision == 0 {
+		source, version = "base", s.unrecorded()
+	}
+	h.Log.Info("software version of a stream", zap.String("Request", r.ID), zap.String("Resumes", r.Resumes), zap.String("Service", r.Service),
+		zap.String("Software", version), zap.String("Source", source), zap.Int64("Term", s.Base.Term), zap.Int("Serving", s.Serving[version]), zap.Error(err))
+	if err != nil || version == "" {
+		return "", &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareInterval}
+	}
+	return version, nil
+}
+
+// RecordStream records the software version that begins a stream, unless it is the base version of the service. It returns
+// when the record is written, or after recordTimeout.
+func (d *Dispatcher) RecordStream(ctx context.Context, r RoutedRequest, version string) {
+	if !d.softwareOfService(r.Service).needsRecord(version) {
+		return
+	}
+	startedAt := d.host.Now()
+	if err := d.host.streams.record(ctx, streamKey(r.ID), version); err != nil {
+		d.host.Log.Warn("software version of a stream not recorded yet", zap.String("Request", r.ID), zap.String("Software", version),
+			zap.Duration("Waited", d.host.Now().Sub(startedAt)), zap.Error(err))
+	}
+}
+
+// streamKey returns the key of a stream's record by the ID of the request that brought its first event.
+func streamKey(id string) string {
+	return streamPrefix + strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
--- /dev/null
+++ b/gateway/software_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"citronspread/store"
+)
+
+func TestNeedsRecord(t *testing.T) {
+	based := BaseSoftware{Version: "v1", Term: 1}
+	tests := []struct {
+		name    string
+		service serviceSoftware
+		version string
+		want    bool
+	}{
+		{"the base version", serviceSoftware{Base: based, Mixed: true}, "v1", false},
+		{"another version", serviceSoftware{Base: based, Mixed: true}, "v1.1", true},
+		{"another version that alone serves", serviceSoftware{Base: based}, "v1.1", true},
+		{"one version, no base yet", serviceSoftware{}, "v1", false},
+		{"several versions, no base yet", serviceSoftware{Mixed: true}, "v1", true},
+		{"no version stated", serviceSoftware{Base: based, Mixed: true}, "", false},
+	}
+	for _, tt := range tests {
+		if got := tt.service.needsRecord(tt.version); got != tt.want {
+			t.Errorf("%s: got a record needed %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestBaseSoftwareFollowsTheVersions guards against a base version that changes while streams without a record may be taken
+// up, and against one that goes back with a restored store.
+func TestBaseSoftwareFollowsTheVersions(t *testing.T) {
+	tracker, now := newSoftwareTracker(), start
+	observe := func(versions map[string]int) {
+		tracker.observe(now, map[string]map[string]int{"llm": versions})
+	}
+	due := func(versions map[string]int) string {
+		base, due := tracker.due(now, "llm", versions)
+		if !due {
+			return ""
+		}
+		return fmt.Sprint(base.Version, " ", base.Term)
+	}
+	mixed, only := map[string]int{"v1": 3, "v1.1": 2}, map[string]int{"v1.1": 4}
+	steps := []struct {
+		name  string
+		apply func() map[string]int
+		due   string
+		mixed bool
+	}{
+		{"no base yet", func() map[string]int { return mixed }, "v1 1", true},
+		{"a base", func() map[string]int { tracker.apply("llm", BaseSoftware{"v1", 1}, 5); return mixed }, "", true},
+		{"the base has left", func() map[string]int { now = now.Add(streamRetention); return only }, "", true},
+		{"the base has left long ago", func() map[string]int { now = now.Add(time.Second); return only }, "v1.1 2", true},
+		{"the next base", func() map[string]int { tracker.apply("llm", BaseSoftware{"v1.1", 2}, 9); return only }, "", false},
+		{"a restored store with the base before", func() map[string]int {
+			tracker.apply("llm", BaseSoftware{"v1", 1}, store.RevisionInEra(1, 5))
+			return only
+		}, "v1.1 2", false},
+		{"a restored store without a base", func() map[string]int { tracker.relisted(nil); return only }, "v1.1 2", false},
+	}
+	for _, step := range steps {
+		versions := step.apply()
+		observe(versions)
+		if got := due(versions); got != step.due {
+			t.Errorf("%s: got base %q due, want %q", step.name, got, step.due)
+		}
+		if got := tracker.isMixed(now, "llm"); got != step.mixed {
+			t.Errorf("%s: got mixed %v, want %v", step.name, got, step.mixed)
+		}
+	}
+}
+
+// records returns how many records of streams the store holds.
+func (s *fleetStore) records() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.entries {
+		if strings.HasPrefix(key, streamPrefix) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestStreamRecords guards against a call to the store for each stream of a burst, first events that wait for a store that is
+// down, and records that are lost with an outage or a restored store.
+func TestStreamRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 100
+		f := newTestFleet(t, 1, 5*time.Second)
+		h := f.host("host-0")
+		begin := func(name string) (slowest time.Duration) {
+			var wait sync.WaitGroup
+			var mu sync.Mutex
+			for i := range streams {
+				wait.Go(func() {
+					startedAt := time.Now()
+					_ = h.streams.record(t.Context(), streamKey(fmt.Sprint(name, i)), "v1.1")
+					mu.Lock()
+					defer mu.Unlock()
+					slowest = max(slowest, time.Since(startedAt))
+				})
+			}
+			wait.Wait()
+			return slowest
+		}
+		f.store.takeCalls()
+		if slowest := begin("first"); slowest > 50*time.Millisecond || f.store.records() != streams {
+			t.Errorf("got %d records after %v, want %d within 50 ms", f.store.records(), slowest, streams)
+		}
+		calls, _ := f.store.takeCalls()
+		if calls["transaction"] > streams/maxRecordBatch+2 || calls["lease"] > 1 {
+			t.Errorf("got calls %v, want one lease and few transactions", calls)
+		}
+		h.storeCut.Store(true)
+		if slowest := begin("second"); slowest > recordTimeout {
+			t.Errorf("got first events %v late while the store is down, want at most %v", slowest, recordTimeout)
+		}
+		h.storeCut.Store(false)
+		time.Sleep(2 * time.Second)
+		if got := f.store.records(); got != 2*streams {
+			t.Errorf("got %d records after the outage, want %d", got, 2*streams)
+		}
+		f.store.restore(fakeKeyCount + 1)
+		time.Sleep(3 * time.Second)
+		if got := f.store.records(); got != 2*streams {
+			t.Errorf("got %d records in a restored store, want %d", got, 2*streams)
+		}
+		time.Sleep(3 * streamRetention)
+		if got := f.store.records(); got != 0 {
+			t.Errorf("got %d records long after the streams ended, want none", got)
+		}
+	})
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -29,6 +29,7 @@
 	Owned      map[string]*residency.Account
 	Backends   map[string]model.BackendListing
 	Router     routing.State
+	Software   map[string]serviceSoftware // by service
 }
 
 // ServeState serves the state of the host as JSON.
@@ -60,6 +61,9 @@
 	if table := h.routes.Load(); table != nil {
 		s.Version = table.state.Version
 	}
+	if published := h.serviceSoftware.Load(); published != nil {
+		s.Software = *published
+	}
 	for id, owner := range h.table.Owners {
 		s.Owners[id] = owner.Record.Host
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -211,11 +211,22 @@
 	return found
 }
 
+// otherSoftware returns the IDs of a service's backend servers of other software versions.
+func (v *view) otherSoftware(service, version string) []string {
+	var ids []string
+	for id, b := range v.backends {
+		if b.listing.Service == service && b.listing.Software != version {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // modelKey returns the key of a model. It includes the service because two services may have models of the same name.
 func modelKey(service, name string) model.ModelKey {
 	return model.ModelKey{Model: name, Version: service}
 }
 
 func targetOf(r RoutedRequest) routing.Target {
-	return routing.Target{Key: modelKey(r.Service, r.Model), Adapter: r.Adapter}
+	return routing.Target{Key: modelKey(r.Service, r.Model), Adapter: r.Adapter, Software: r.Software}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -152,8 +153,12 @@
 	return change.Revision, watchDelay, nil
 }
 
-// applyChange retains a change for the hosts that follow this one and applies it.
+// applyChange retains a change for the hosts that follow this one and applies it. The records of streams are left out: a
+// host reads the one that it needs.
 func (h *Host) applyChange(change store.Change, direct bool) {
+	isStream := func(key string) bool { return strings.HasPrefix(key, streamPrefix) }
+	change.Entries = slices.DeleteFunc(change.Entries, func(e store.Entry) bool { return isStream(e.Key) })
+	change.Deleted = slices.DeleteFunc(change.Deleted, isStream)
 	h.history.add(h.Now(), change, direct)
 	h.post(func(now time.Time) { h.applyStoreChange(now, change) })
 }
@@ -163,7 +168,7 @@
 	h.enterEra(now, store.Era(l.Revision))
 	isFirstOfEra := store.Era(l.Revision) > store.Era(h.table.ObservedRevision)
 	recorded, liveness, owners := make(map[string]bool), make(map[string]bool), make(map[string]bool)
-	listedBackends, takenPermits := make(map[string]bool), make(map[string]bool)
+	listedBackends, takenPermits, bases := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, e := range l.Entries {
 		kind, name := h.parseKey(e.Key)
 		if isFirstOfEra && kind == keyListing && h.isGone(e) {
@@ -181,8 +186,11 @@
 			listedBackends[name] = true
 		case keyPermit:
 			takenPermits[e.Key] = true
+		case keyBaseSoftware:
+			bases[name] = true
 		}
 	}
+	h.software.relisted(bases)
 	if isFirstOfEra {
 		h.permits.carry(now.Add(h.permitTTL()))
 	}
@@ -221,6 +229,7 @@
 		return
 	}
 	h.registered = false
+	h.streams.repeat()
 	continued := 0
 	for id := range h.owned {
 		if h.table.Continues(id) {
@@ -274,6 +283,8 @@
 	keyLiveness
 	keyOwner
 	keyPermit
+	keyBaseSoftware
+	keyStream
 )
 
 // parseKey returns the kind of a key and the name of its host or ID of its backend server, if any.
@@ -293,6 +304,12 @@
 	if strings.HasPrefix(key, permitPrefix) {
 		return keyPermit, ""
 	}
+	if service, found := strings.CutPrefix(key, baseSoftwarePrefix); found {
+		return keyBaseSoftware, service
+	}
+	if strings.HasPrefix(key, streamPrefix) {
+		return keyStream, ""
+	}
 	if strings.HasPrefix(key, h.Decoder.ListingPrefix) {
 		return keyListing, h.Decoder.ListingID(key)
 	}
@@ -316,6 +333,10 @@
 		h.applyListing(now, e)
 	case keyPermit:
 		h.permits.taken[e.Key] = true
+	case keyBaseSoftware:
+		if record, ok := decodeRecord[BaseSoftware](h, e); ok {
+			h.software.apply(name, record, e.Revision)
+		}
 	}
 }
 
--- a/model/replica.go
+++ b/model/replica.go
@@ -79,6 +79,7 @@
 type LoadDemand struct {
 	Key      ModelKey
 	Adapter  string
+	Software string    `cbor:",omitempty"` // version of the backend servers that may serve the requests, empty for any
 	Waiting  int       // number of waiting requests
 	Priority int       // highest priority among the waiting requests
 	Deadline time.Time // the earliest deadline among the waiting requests
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -17,7 +17,8 @@
 	ReasonUnknown    Reason = "model_not_found"
 	ReasonAbandoned  Reason = "abandoned"
 	ReasonNoEndpoint Reason = "no_endpoint"
-	ReasonLimited    Reason = "backend_limit" // the backend servers that could serve it have stated limits that are used up
+	ReasonSoftware   Reason = "software_version" // the stream may go on at one software version only, which is not known or not in service
+	ReasonLimited    Reason = "backend_limit"    // the backend servers that could serve it have stated limits that are used up
 )
 
 // RefusedError is returned for a request that was not run.
--- a/routing/estimates.go
+++ b/routing/estimates.go
@@ -130,5 +130,5 @@
 }
 
 func historyKeyOf(r *Request) historyKey {
-	return historyKey{target: r.Target, service: r.Service, bucket: bits.Len(uint(max(r.MaxTokens, 0)))}
+	return historyKey{target: Target{Key: r.Target.Key, Adapter: r.Target.Adapter}, service: r.Service, bucket: bits.Len(uint(max(r.MaxTokens, 0)))}
 }
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -131,8 +131,11 @@
 	return recorded && (now.Sub(at) < notLoadedPause || !replica.UpdatedAt.After(at))
 }
 
-// supports reports whether the replica has the target's adapter loaded, if the target has one.
+// supports reports whether the replica has the target's adapter loaded and runs its software version, if the target has one.
 func supports(replica *model.Replica, target Target) bool {
+	if target.Software != "" && replica.Software != target.Software {
+		return false
+	}
 	return target.Adapter == "" || slices.Contains(replica.Adapters, target.Adapter)
 }
 
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -44,7 +44,7 @@
 	}
 	expected := r.Policy.ColdStart
 	switch {
-	case r.Policy.AdapterStart > 0 && target.Adapter != "" && r.slots(now, Target{Key: target.Key}, Short) > 0:
+	case r.Policy.AdapterStart > 0 && target.Adapter != "" && r.slots(now, Target{Key: target.Key, Software: target.Software}, Short) > 0:
 		expected = r.Policy.AdapterStart
 	case history.coldStart.known:
 		expected = time.Duration(history.coldStart.value * float64(time.Second))
--- a/routing/request.go
+++ b/routing/request.go
@@ -9,8 +9,9 @@
 
 // Target is the model version, with or without an adapter, that must be loaded to serve a request.
 type Target struct {
-	Key     model.ModelKey
-	Adapter string
+	Key      model.ModelKey
+	Adapter  string
+	Software string // version of the backend server's software, empty for any
 }
 
 // Request describes a caller's request to the router.
--- a/routing/review.go
+++ b/routing/review.go
@@ -117,7 +117,7 @@
 
 // demand returns the load demand for the waiting requests: their number, highest priority and earliest deadline.
 func (q *TargetQueue) demand() model.LoadDemand {
-	d := model.LoadDemand{Key: q.Target.Key, Adapter: q.Target.Adapter, Waiting: q.Len()}
+	d := model.LoadDemand{Key: q.Target.Key, Adapter: q.Target.Adapter, Software: q.Target.Software, Waiting: q.Len()}
 	for _, classQueue := range q.ByClass {
 		for _, t := range classQueue {
 			d.Priority = max(d.Priority, t.Priority)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -73,6 +73,7 @@
 		name     string
 		replicas []model.Replica
 		adapter  string
+		software string
 		avoid    []string
 		want     string
 	}{
@@ -86,12 +87,14 @@
 		{name: "request failed there", replicas: []model.Replica{replica("a", 9), replica("b", 1)}, avoid: []string{"a"}, want: "b"},
 		{name: "request failed there but there is no other", replicas: []model.Replica{replica("a", 9)}, avoid: []string{"a"}, want: "a"},
 		{name: "no replica", want: "waiting"},
+		{name: "software version", replicas: []model.Replica{replica("a", 9), {Backend: "b", Zone: "muenchen", Capacity: 1, Software: "v2", UpdatedAt: testTime}}, software: "v2", want: "b"},
+		{name: "software version not in service", replicas: []model.Replica{replica("a", 9), {Backend: "b", Zone: "muenchen", Capacity: 9, Software: "v2", UpdatedAt: testTime}}, software: "v1", want: "waiting"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRouter(DefaultPolicy(), tt.replicas...)
 			tk := ticket(testTime, 10, time.Minute)
-			tk.Target.Adapter, tk.Avoid = tt.adapter, tt.avoid
+			tk.Target.Adapter, tk.Target.Software, tk.Avoid = tt.adapter, tt.software, tt.avoid
 			r.admit(testTime, tk)
 			if got, _ := tk.outcome(); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
--- a/routing/state.go
+++ b/routing/state.go
@@ -58,7 +58,7 @@
 		})
 	}
 	slices.SortFunc(state.Lines, func(a, b TargetQueueState) int {
-		return cmp.Or(cmp.Compare(a.Target.Key.String(), b.Target.Key.String()), cmp.Compare(a.Target.Adapter, b.Target.Adapter))
+		return cmp.Or(cmp.Compare(a.Target.Key.String(), b.Target.Key.String()), cmp.Compare(a.Target.Adapter, b.Target.Adapter), cmp.Compare(a.Target.Software, b.Target.Software))
 	})
 	for _, name := range slices.Sorted(maps.Keys(r.fleet.backends)) {
 		state.Backends = append(state.Backends, r.fleet.backends[name].state(now, name))
