caller, entryhost, routing: a completion goes on only at the software version that began it

An engine states the version of its software in its load report, as an optional field; owners publish it, and a completion is continued or moved only to engines of the version that brought its first token. Callers of this edge do not take completions up themselves. Engines that state no version count as one. TestCompletionGoesOnAtItsSoftwareVersion fails before: 2 of 3 orders of the engines ran at the other version.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -138,7 +138,7 @@
 	grant.OnRevoke(func() { cancel(errRevoked) })
 	stream, err := s.Streamer.Open(sendCtx, s.engineCall(c, grant, e.response))
 	if err == nil {
-		err = s.forwardChunks(stream, grant, e.response)
+		err = s.forwardChunks(c, stream, grant, e.response)
 		stream.Close()
 	}
 	return attempt.Outcome{Result: attemptResult(err), Routing: routingOutcome(ctx, err), Err: err}
@@ -176,15 +176,18 @@
 		return
 	}
 	e.response.reset()
-	c.progress = engine.Progress{}
+	c.progress, c.target.Software = engine.Progress{}, ""
 }
 
-func (s *Server) forwardChunks(stream *engine.Stream, grant *routing.Grant, response response) error {
+// forwardChunks forwards the chunks of a stream. Only engines of the software version that brings the first token may
+// continue the completion.
+func (s *Server) forwardChunks(c *completion, stream *engine.Stream, grant *routing.Grant, response response) error {
 	for chunk, err := range stream.Chunks() {
 		if err != nil {
 			return err
 		}
 		if chunk.Token {
+			c.target.Software = grant.Replica.Software
 			grant.Token(time.Now())
 		}
 		if err := response.add(chunk); err != nil {
--- a/caller/completion_test.go
+++ b/caller/completion_test.go
@@ -354,3 +354,40 @@
 		t.Errorf("got %q, want comments and a complete response", got.body)
 	}
 }
+
+// TestCompletionGoesOnAtItsSoftwareVersion guards against a completion that is joined from engines of two software versions.
+func TestCompletionGoesOnAtItsSoftwareVersion(t *testing.T) {
+	const tokens = 6
+	abort := func(f *fakeEngine, id string, index int) string {
+		if index == 3 && f.totalRuns() == 1 {
+			return faultAbort
+		}
+		return ""
+	}
+	for _, versions := range [][]string{{"v1", "v2", "v2", "v1"}, {"v1", "v1", "v2", "v2"}, {"v1", "v2", "v1", "v2"}} {
+		engines := []*fakeEngine{{}, {}, {}, {}}
+		e := newTestEnv(t, engines[0], engines[1], engines[2], engines[3])
+		var replicas []model.Replica
+		for i, software := range versions {
+			r := e.snapshot.Load().Models[0].Replicas[i]
+			r.Software, r.UpdatedAt = software, time.Now()
+			replicas = append(replicas, r)
+		}
+		e.publish(replicas[:1], nil)
+		body := fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":%d,"temperature":0,"stream":true}`, testKey.String(), tokens)
+		engines[0].fault = func(f *fakeEngine, id string, index int) string {
+			if index == 1 {
+				e.publish(replicas, nil)
+			}
+			return abort(f, id, index)
+		}
+		if got := e.post(t, "/v1/completions", body); got.status != http.StatusOK || !strings.Contains(got.body, "[DONE]") {
+			t.Fatalf("got %+v, want the complete stream", got)
+		}
+		for i, software := range versions {
+			if got := engines[i].totalRuns(); software != "v1" && got != 0 {
+				t.Errorf("got %d runs at engine %d of %v, want none at another version", got, i, versions)
+			}
+		}
+	}
+}
--- a/entryhost/snapshot.go
+++ b/entryhost/snapshot.go
@@ -52,6 +52,7 @@
 				Service:   s.Service,
 				Adapters:  r.Adapters,
 				Capacity:  s.Capacity,
+				Software:  s.Software,
 				Running:   load.Running,
 				Waiting:   load.Waiting,
 				Draining:  r.Draining || isLeaving,
--- a/entryhost/status.go
+++ b/entryhost/status.go
@@ -63,6 +63,7 @@
 		MemoryBytes:  record.MemoryBytes,
 		FreeBytes:    freeBytes(record),
 		Capacity:     b.report.Capacity,
+		Software:     b.report.Software,
 		Refused:      slices.Clone(b.refused),
 	}
 	for _, r := range record.Reservations {
--- a/model/order.go
+++ b/model/order.go
@@ -60,8 +60,9 @@
 
 // LoadReport is an engine's report of its load, as it was at TakenAt.
 type LoadReport struct {
-	Running  int // requests in the batch
-	Waiting  int // requests queued in the engine
-	Capacity int // requests the batch can hold
+	Running  int    // requests in the batch
+	Waiting  int    // requests queued in the engine
+	Capacity int    // requests the batch can hold
+	Software string `json:",omitempty"` // version of the engine's software, empty if it states none
 	TakenAt  time.Time
 }
--- a/model/status.go
+++ b/model/status.go
@@ -14,7 +14,8 @@
 	Version      int64  // increases with each change under one Term
 	MemoryBytes  int64
 	FreeBytes    int64
-	Capacity     int // requests the engine's batch can hold
+	Capacity     int    // requests the engine's batch can hold
+	Software     string `cbor:",omitempty"` // version of the engine's software, empty if it states none
 	Replicas     []ReplicaStatus
 	Checkpoints  []Checkpoint `cbor:"-"` // published separately, because they change less often
 	Standing     []ModelKey   // model versions with a standing reservation
--- a/routing/move.go
+++ b/routing/move.go
@@ -46,6 +46,9 @@
 	for _, replicas := range r.usableReplicas(now, g.ticket.Target) {
 		for _, replica := range replicas {
 			b := r.fleet.get(replica.Backend)
+			if g.tokens > 0 && replica.Software != g.Replica.Software {
+				continue // what two software versions generate does not fit together
+			}
 			if replica.Backend == g.Replica.Backend || b.observed.timeToFirstToken.at.IsZero() || !r.hasCapacity(now, g.ticket, replica) {
 				continue
 			}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -54,6 +54,7 @@
 	RunSink            RunSink       // optional
 	OrderSink          OrderSink     // optional
 	BatchCapacity      int
+	Software           string // version of the engine's software that it states, empty for none
 	MaxWaiting         int
 	TokensPerSecond    float64       // rate of a single running stream
 	SlowdownPerStream  float64       // fraction by which each further stream extends the time per token
--- a/standin/engine_state.go
+++ b/standin/engine_state.go
@@ -58,6 +58,7 @@
 		Running:  len(e.batch.running),
 		Waiting:  len(e.batch.waiting),
 		Capacity: e.BatchCapacity,
+		Software: e.Software,
 		TakenAt:  now,
 	})
 	due := 0
@@ -72,7 +73,7 @@
 func (e *Engine) delayedReport(now time.Time) model.LoadReport {
 	e.sampleLoad(now)
 	if now.Sub(e.loadSamples[0].TakenAt) < e.ReportLag {
-		return model.LoadReport{Capacity: e.BatchCapacity, TakenAt: now.Add(-e.ReportLag)}
+		return model.LoadReport{Capacity: e.BatchCapacity, Software: e.Software, TakenAt: now.Add(-e.ReportLag)}
 	}
 	return e.loadSamples[0]
 }
