routing, gateway: interrupted streams need not be tried one by one

What callers saw: with two software versions in service and backend servers that crash, most streams that they took up were refused after 1.7 s (LOST).

Cause: each request that ran on a crashed backend server is a suspect, and one that had started within 10 s is tried alone on a backend server, until it has delivered as much as before the crash and 16 events more. A stream that had been running when the server crashed is resumed after that point, so that its trial lasted for the rest of the stream.

Change: a response that has lasted for a second or longer is no longer the probable cause, so that such suspects share backend servers. A trial that resumes a stream ends 16 events after its begin. A request that crashes servers when it begins is tried alone as before.

TestStreamsOfCrashedBackendGoOn fails before.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -119,8 +119,9 @@
 	if r.Software != "" && d.softwareOfService(r.Service).Serving[r.Software] == 0 {
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
+	isResumed := r.TakenUp || p.Resuming
 	priority, enginePriority := max(0, maxPriority-priorityStep*r.Route.Priority), min(r.Route.Priority, maxEnginePriority)
-	if r.TakenUp || p.Resuming {
+	if isResumed {
 		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
 	}
 	request := routing.Request{
@@ -133,6 +134,7 @@
 		Deadline:    r.Deadline,
 		StartBy:     startDeadline(d.host.Now(), r, p),
 		MaxTokens:   r.MaxTokens,
+		Resumed:     isResumed,
 		Avoid:       p.Failed,
 	}
 	grant, err := d.host.router.Acquire(ctx, request)
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -134,7 +134,7 @@
 	r.mu.Unlock()
 	r.Suspects.recordOutcome(now, suspectRun{
 		fingerprint: g.ticket.Fingerprint, backend: g.Replica.Backend, trial: g.ticket.trial,
-		recent: g.ticket.recent || now.Sub(g.startedAt) <= recentAge, tokens: g.ticket.Delivered + g.tokens,
+		recent: g.ticket.recent || g.isRecent(now), tokens: g.ticket.Delivered + g.tokens,
 	}, outcome, possibleCause)
 	if outcome == OutcomeComplete && !g.beganAt.IsZero() {
 		r.PromptParts.RecordSound(now, g.ticket.PromptParts)
@@ -144,6 +144,13 @@
 	}
 }
 
+// isRecent reports whether the attempt began so shortly before that it is the probable cause of a crash. A response that
+// has lasted for longer than crashWindow is less probable than one that is about to begin.
+func (g *Grant) isRecent(now time.Time) bool {
+	hasLasted := !g.beganAt.IsZero() && now.Sub(g.beganAt) >= crashWindow
+	return now.Sub(g.startedAt) <= recentAge && !hasLasted
+}
+
 // crashParts returns the parts of the prompt of an attempt that may have crashed its backend server, because the response
 // had just begun when the connection was lost.
 func (g *Grant) crashParts(now time.Time, outcome Outcome) []string {
--- a/routing/request.go
+++ b/routing/request.go
@@ -27,6 +27,7 @@
 	MaxTokens   int       // 0 if the caller set no limit
 	Delivered   int       // tokens of earlier attempts that were delivered to the caller
 	Remaining   int       // tokens that a resumption is expected to deliver, 0 for a new request
+	Resumed     bool      // it continues after what earlier attempts have delivered
 	Moves       int       // how often the response was moved to a faster replica
 	Avoid       []string  // backend servers that failed this request
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -255,7 +255,10 @@
 			return clearance{}, contextRefusal(ctx)
 		}
 		if verdict.State == StateClaimed && r.Suspects.Confirm(r.Now(), request.Fingerprint) {
-			passTokens := max(0, verdict.Tokens-request.Delivered) + trialPassMargin
+			passTokens := trialPassMargin
+			if !request.Resumed {
+				passTokens += max(0, verdict.Tokens-request.Delivered)
+			}
 			return clearance{trial: true, recent: verdict.Recent, passTokens: passTokens}, nil
 		}
 	}
