routing: a call to a plain service is not sent at its deadline

What callers saw: 504 for a call that had waited for its turn at a limit until its deadline, so that nobody knows whether it ran.

Cause: a call waits for its turn as long as it has time left, and was sent with 0.5 ms left (log of a failing run).

Change: a call whose turn leaves it less than 100 ms is refused with the limit as the reason, which is true. TestCallIsNotSentAtItsDeadline fails before.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -60,7 +60,11 @@
 func (r *Router) awaitEndpointGrant(ctx context.Context, request *Request, trial bool) (*EndpointGrant, error) {
 	defer r.endWaiting(request)
 	for {
-		grant, err := r.grantEndpoint(r.Now(), request, trial)
+		now := r.Now()
+		if r.isWaiting(request) && request.Deadline.Sub(now) < minCallTime {
+			return nil, &RefusedError{Reason: ReasonLimited, RetryAfter: minRetryAfter}
+		}
+		grant, err := r.grantEndpoint(now, request, trial)
 		r.requestAllowances(r.takeAllowanceRequests(r.Now()))
 		var wait *allowanceWaitError
 		if !errors.As(err, &wait) {
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -13,6 +13,9 @@
 // maxReplyWait is the longest time that a request waits for the reply of a limit's leader while it could be sent elsewhere.
 const maxReplyWait = 25 * time.Millisecond
 
+// minCallTime is the least time that a call to a plain service must have left at its turn. With less it would be sent in vain.
+const minCallTime = 100 * time.Millisecond
+
 // newRequestAge is the age of a request up to which it may be refused because its predicted wait is uncertain.
 const newRequestAge = 300 * time.Millisecond
 
@@ -438,6 +441,13 @@
 	return &allowanceWaitError{next: next, total: next + time.Duration(ahead)*spacing, changed: l.changed, backends: backends}
 }
 
+// isWaiting reports whether a call to a plain service waits for an allowance.
+func (r *Router) isWaiting(request *Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.limits.waiting[request.Service], request)
+}
+
 // endWaiting records that a call to a plain service no longer waits for an allowance.
 func (r *Router) endWaiting(request *Request) {
 	r.mu.Lock()
@@ -451,7 +461,7 @@
 // awaitAllowance waits until an allowance has arrived or is expected. It returns a *RefusedError if the call is expected to be
 // sent too late.
 func (r *Router) awaitAllowance(ctx context.Context, request *Request, wait *allowanceWaitError) error {
-	if wait.total >= request.Deadline.Sub(r.Now()) {
+	if wait.total > request.Deadline.Sub(r.Now())-minCallTime {
 		return &RefusedError{Reason: ReasonLimited, RetryAfter: max(minRetryAfter, wait.total), Backends: wait.backends}
 	}
 	timer := time.NewTimer(max(wait.next, tickInterval))
--- a/routing/limits_test.go
+++ b/routing/limits_test.go
@@ -178,6 +178,32 @@
 	}
 }
 
+// TestCallIsNotSentAtItsDeadline guards against a call that waits for its turn until its deadline and is sent in vain.
+func TestCallIsNotSentAtItsDeadline(t *testing.T) {
+	tests := []struct {
+		left time.Duration // at its turn
+		want bool          // it is sent
+	}{{left: time.Millisecond}, {left: minCallTime - time.Millisecond}, {left: minCallTime, want: true}}
+	for _, tt := range tests {
+		r := newEndpointRouter("a")
+		r.AllowanceRequester = &heldAllowances{}
+		r.RecordLimit(limitOf("a", 10))
+		now := testTime
+		r.Now = func() time.Time { return now }
+		request := &Request{Service: "desk", Deadline: testTime.Add(time.Second), Fingerprint: 1}
+		if _, err := r.grantEndpoint(now, request, false); err == nil {
+			t.Fatal("got a grant, want a wait")
+		}
+		now = request.Deadline.Add(-tt.left)
+		r.ApplyAllowance(now, limitOf("a", 10), ratelimit.Reply{Count: 1, ValidFor: time.Second})
+		_, err := r.awaitEndpointGrant(context.Background(), request, false)
+		var refused *RefusedError
+		if sent := err == nil; sent != tt.want || !sent && (!errors.As(err, &refused) || refused.Reason != ReasonLimited) {
+			t.Errorf("got %v with %v left, want a grant %v, else a refusal for the limit", err, tt.left, tt.want)
+		}
+	}
+}
+
 // TestChangingLimitIsReportedOnceASecond guards against a call to the leader of a limit for each response of a backend server
 // whose limit changes all the time, or that states one in every other response.
 func TestChangingLimitIsReportedOnceASecond(t *testing.T) {
