gateway: streams do not wait for a store that fails, nor read it where one version has served

Two costs of the records of streams, found by reading: while the store is down and two software versions serve, the first event of each stream at another than the base version came 300 ms late; and a stream that was taken up within a minute of the start of a host was refused while the store is down, also where no second version has ever served. Now only the first streams of an outage wait, and a host that saw a service before it had a base version knows that one version has served. TestStreamRecords failed with 300 ms for the streams after the first ones.

--- a/gateway/software.go
+++ b/gateway/software.go
@@ -70,6 +70,7 @@
 	bases     map[string]BaseSoftware
 	stored    map[string]storedBase
 	servedAt  map[string]map[string]time.Time // by service and version: when it was last listed
+	isNew     map[string]bool                 // services that had no base when this host first saw them, and so no streams before
 	writing   bool
 	changed   bool
 }
@@ -81,7 +82,7 @@
 }
 
 func newSoftwareTracker() *softwareTracker {
-	return &softwareTracker{bases: make(map[string]BaseSoftware), stored: make(map[string]storedBase), servedAt: make(map[string]map[string]time.Time)}
+	return &softwareTracker{bases: make(map[string]BaseSoftware), stored: make(map[string]storedBase), servedAt: make(map[string]map[string]time.Time), isNew: make(map[string]bool)}
 }
 
 // apply applies a record of the store.
@@ -106,6 +107,7 @@
 	for service, versions := range listed {
 		if t.servedAt[service] == nil {
 			t.servedAt[service] = make(map[string]time.Time)
+			t.isNew[service] = t.bases[service].Term == 0
 		}
 		for version := range versions {
 			t.servedAt[service][version] = now
@@ -140,7 +142,7 @@
 // isMixed reports whether a stream of the service that began within streamRetention may have begun at another version than
 // the base, or than the only one.
 func (t *softwareTracker) isMixed(now time.Time, service string) bool {
-	if now.Sub(t.startedAt) < streamRetention {
+	if !t.isNew[service] && now.Sub(t.startedAt) < streamRetention {
 		return true
 	}
 	recent, base := 0, t.bases[service]
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -37,6 +37,7 @@
 // up, and against one that goes back with a restored store.
 func TestBaseSoftwareFollowsTheVersions(t *testing.T) {
 	tracker, now := newSoftwareTracker(), start
+	tracker.observe(now, nil)
 	observe := func(versions map[string]int) {
 		tracker.observe(now, map[string]map[string]int{"llm": versions})
 	}
@@ -77,6 +78,32 @@
 	}
 }
 
+// TestMixedSoftwareAfterStart guards against a host that starts and believes that only one software version has served, and
+// against reads of the store for each taken-up stream where that is known.
+func TestMixedSoftwareAfterStart(t *testing.T) {
+	tests := []struct {
+		name string
+		base int64 // term of the base when the host started
+		late time.Duration
+		want bool
+	}{
+		{"a new service", 0, 0, false},
+		{"a host that starts later", 1, streamRetention - time.Second, true},
+		{"a host that started long ago", 1, streamRetention, false},
+	}
+	for _, tt := range tests {
+		tracker := newSoftwareTracker()
+		if tt.base > 0 {
+			tracker.apply("llm", BaseSoftware{"v1", tt.base}, 5)
+		}
+		tracker.observe(start, map[string]map[string]int{"llm": {"v1": 2}})
+		tracker.apply("llm", BaseSoftware{"v1", 1}, 5)
+		if got := tracker.isMixed(start.Add(tt.late), "llm"); got != tt.want {
+			t.Errorf("%s: got mixed %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // records returns how many records of streams the store holds.
 func (s *fleetStore) records() (count int) {
 	s.mu.Lock()
@@ -123,15 +150,18 @@
 		if slowest := begin("second"); slowest > recordTimeout {
 			t.Errorf("got first events %v late while the store is down, want at most %v", slowest, recordTimeout)
 		}
+		if slowest := begin("third"); slowest > 0 {
+			t.Errorf("got first events %v late although the store is known to be down, want none", slowest)
+		}
 		h.storeCut.Store(false)
 		time.Sleep(2 * time.Second)
-		if got := f.store.records(); got != 2*streams {
-			t.Errorf("got %d records after the outage, want %d", got, 2*streams)
+		if got := f.store.records(); got != 3*streams {
+			t.Errorf("got %d records after the outage, want %d", got, 3*streams)
 		}
 		f.store.restore(fakeKeyCount + 1)
 		time.Sleep(3 * time.Second)
-		if got := f.store.records(); got != 2*streams {
-			t.Errorf("got %d records in a restored store, want %d", got, 2*streams)
+		if got := f.store.records(); got != 3*streams {
+			t.Errorf("got %d records in a restored store, want %d", got, 3*streams)
 		}
 		time.Sleep(3 * streamRetention)
 		if got := f.store.records(); got != 0 {
--- a/gateway/stream_recorder.go
+++ b/gateway/stream_recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	mu       sync.Mutex
 	pending  []streamRecord
 	writing  bool
+	failing  bool           // the last transaction failed
 	written  []streamRecord // within streamRetention, in the order of their time
 	lease    int64          // of the records, 0 if none is usable
 	leasedAt time.Time
@@ -39,13 +41,22 @@
 	done    chan struct{} // closed when it is written
 }
 
-// record writes a record and waits until it is written, at most for recordTimeout. A record that is not written by then is
-// still written later.
+// errStoreFailing reports that a record is not written before the store responds again.
+var errStoreFailing = errors.New("gateway: the last records of streams were not written")
+
+// record writes a record and waits until it is written, at most for recordTimeout, and not at all while the store fails. A
+// record that is not written by then is still written later.
 func (s *streamRecorder) record(ctx context.Context, key, version string) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	r := streamRecord{key: key, version: version, at: s.host.Now(), done: make(chan struct{})}
 	s.add(r)
+	s.mu.Lock()
+	failing := s.failing
+	s.mu.Unlock()
+	if failing {
+		return errStoreFailing
+	}
 	select {
 	case <-r.done:
 		return nil
@@ -80,7 +91,7 @@
 		s.host.Log.Info("streams not recorded", zap.Int("Streams", len(batch)), zap.Error(err))
 		s.host.post(func(now time.Time) { s.host.enterEraOf(now, err) })
 		s.mu.Lock()
-		s.lease = 0
+		s.lease, s.failing = 0, true
 		s.mu.Unlock()
 		sleep(ctx, recordRetryPause)
 	}
@@ -95,6 +106,7 @@
 		s.pending = s.pending[1:]
 	}
 	s.writing = len(s.pending) > 0
+	s.failing = s.failing && s.writing
 	return s.pending[:min(len(s.pending), maxRecordBatch)]
 }
 
@@ -144,7 +156,7 @@
 		}
 		s.written = append(s.written, streamRecord{key: r.key, version: r.version, at: r.at})
 	}
-	s.pending = s.pending[len(batch):]
+	s.pending, s.failing = s.pending[len(batch):], false
 	for len(s.written) > 0 && now.Sub(s.written[0].at) > streamRetention {
 		s.written = s.written[1:]
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -224,7 +224,10 @@
 
 // enterEra voids what this host knows of its registration and ownership if the store is in a new era.
 func (h *Host) enterEra(now time.Time, era int64) {
-	renewedAt := h.table.RenewedAt
+	renewedFor := time.Duration(0)
+	if !h.table.RenewedAt.IsZero() {
+		renewedFor = now.Sub(h.table.RenewedAt)
+	}
 	if !h.table.EnterEra(now, era) {
 		return
 	}
@@ -236,7 +239,7 @@
 			continued++
 		}
 	}
-	h.Log.Warn("store restored", zap.Int64("Era", era), zap.Duration("RenewedFor", now.Sub(renewedAt)), zap.Int("Owned", len(h.owned)), zap.Int("Continued", continued))
+	h.Log.Warn("store restored", zap.Int64("Era", era), zap.Duration("RenewedFor", renewedFor), zap.Int("Owned", len(h.owned)), zap.Int("Continued", continued))
 }
 
 // enterEraOf enters the era that an error states. It reports whether the error is a *store.RestoredError.
