--- a/review/driver/backend.go
+++ b/review/driver/backend.go
@@ -18,6 +18,8 @@
 	reportInterval = 1200 * time.Millisecond
 	// adapterTime and loadTime are the durations of loads.
 	loadTime = 600 * time.Millisecond
+	// maxRecordedBody limits the bodies that are recorded.
+	maxRecordedBody = 1024
 )
 
 // arrival is a request that reached a backend server.
@@ -244,7 +246,7 @@
 	b.mu.Unlock()
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	b.log.arrived(arrival{
-		at: time.Now(), id: r.Header.Get("Request-Id"), uri: r.RequestURI, body: string(body), backend: b.currentID(), service: b.service,
+		at: time.Now(), id: r.Header.Get("Request-Id"), uri: r.RequestURI, body: string(body[:min(len(body), maxRecordedBody)]), backend: b.currentID(), service: b.service,
 		header: r.Header.Clone(), ran: isLoaded,
 	})
 	if !isLoaded {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -40,6 +40,8 @@
 	"double-slash":   runDoubleSlash,
 	"leaving":        runLeaving,
 	"limit":          runLimit,
+	"late-part":      runLatePart,
+	"large-bodies":   runLargeBodies,
 }
 
 func main() {
