--- a/review/driver/backend.go
+++ b/review/driver/backend.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,8 +18,8 @@
 	entryExpiry = 3600 * time.Millisecond
 	// reportInterval is the time between two entries that a backend server writes about itself.
 	reportInterval = 1200 * time.Millisecond
-	// adapterTime and loadTime are the durations of loads.
-	loadTime = 600 * time.Millisecond
+	// diskLoadTime is the duration of a load from the backend server's own disk.
+	diskLoadTime = 840 * time.Millisecond
 	// maxRecordedBody limits the bodies that are recorded.
 	maxRecordedBody = 1024
 )
@@ -41,6 +43,7 @@
 	software string
 	slots    int
 	models   []string      // loaded at the start; none for a plain service
+	loadTime time.Duration // of a model that the disk does not hold
 	events   int           // of each stream
 	pause    time.Duration // before each event of a stream
 	work     time.Duration // of a request to a plain service
@@ -57,6 +60,7 @@
 	born      int64
 	state     string
 	loaded    map[string]bool
+	onDisk    map[string]bool // models whose weights the disk holds, also after a restart
 	loading   string
 	sequence  int64
 	listener  net.Listener
@@ -74,8 +78,11 @@
 	b.mu.Lock()
 	b.id, b.address, b.born, b.state = b.generator(), listener.Addr().String(), time.Now().UnixMilli(), "ready"
 	b.loaded, b.loading, b.sequence = make(map[string]bool), "", 0
+	if b.onDisk == nil {
+		b.onDisk = make(map[string]bool)
+	}
 	for _, m := range b.models {
-		b.loaded[m] = true
+		b.loaded[m], b.onDisk[m] = true, true
 	}
 	b.listener, b.stop = listener, make(chan struct{})
 	b.server = &http.Server{Handler: b}
@@ -113,6 +120,7 @@
 		"service": b.service, "address": b.address, "zone": b.zone, "version": b.software, "slots": b.slots, "state": b.state,
 		"coldLeftMs": 0, "stage": "both", "models": models, "sequence": b.sequence, "born": b.born,
 	}
+	entry["available"] = b.available()
 	b.mu.Unlock()
 	b.store.put("servers/"+id, entry)
 }
@@ -204,8 +212,11 @@
 	b.sequence++
 	if o.OpType == "load" {
 		b.loading = o.Model
-		stop := b.stop
-		time.AfterFunc(loadTime, func() { b.finishLoad(stop) })
+		stop, duration := b.stop, b.loadTime
+		if b.onDisk[o.Model] {
+			duration = diskLoadTime
+		}
+		time.AfterFunc(duration, func() { b.finishLoad(stop) })
 	} else {
 		delete(b.loaded, o.Model)
 	}
@@ -216,7 +227,7 @@
 	b.mu.Lock()
 	isSame := b.stop == incarnation
 	if isSame {
-		b.loaded[b.loading], b.loading = true, ""
+		b.loaded[b.loading], b.onDisk[b.loading], b.loading = true, true, ""
 	}
 	b.mu.Unlock()
 	if isSame {
@@ -233,10 +244,15 @@
 	}
 	writeJSON(w, http.StatusOK, map[string]any{
 		"stage": "both", "models": models, "busy": b.loading != "", "sequence": b.sequence, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 100000,
-		"handles": 0, "born": b.born,
+		"handles": 0, "born": b.born, "available": b.available(),
 	})
 }
 
+// available returns where weights are kept besides the loaded ones. b.mu must be held.
+func (b *backendServer) available() map[string]any {
+	return map[string]any{"inMemory": []string{}, "onDisk": slices.Sorted(maps.Keys(b.onDisk))}
+}
+
 // serve runs a request of a caller.
 func (b *backendServer) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
--- a/review/driver/installation.go
+++ b/review/driver/installation.go
@@ -10,6 +10,9 @@
 // routeHost is the host that all routes have.
 const routeHost = "ficu95.example"
 
+// coldLoadTime is loadTimeS, the duration of a load from the weight store.
+const coldLoadTime = 6 * time.Second
+
 // installation is a small deployment: the store, entry hosts and backend servers.
 type installation struct {
 	log      *record
@@ -62,7 +65,7 @@
 
 // addBackend starts a backend server.
 func (i *installation) addBackend(b *backendServer) error {
-	b.store, b.log, b.generator = i.store, i.log, i.nextBackendID
+	b.store, b.log, b.generator, b.loadTime = i.store, i.log, i.nextBackendID, coldLoadTime
 	i.backends = append(i.backends, b)
 	return b.start()
 }
@@ -97,7 +100,7 @@
 	declared := []map[string]any{}
 	for _, m := range models {
 		declared = append(declared, map[string]any{
-			"name": m, "weightSize": 72700.0, "loadTimeS": 0.6, "adapters": 0, "adapterMb": 66.0, "warmS": 0.6, "diskLoadS": 0.6,
+			"name": m, "weightSize": 72700.0, "loadTimeS": coldLoadTime.Seconds(), "adapters": 0, "adapterMb": 66.0, "warmS": 0.63, "diskLoadS": diskLoadTime.Seconds(),
 		})
 	}
 	services := []map[string]any{}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -40,6 +40,7 @@
 	"double-slash":   runDoubleSlash,
 	"leaving":        runLeaving,
 	"limit":          runLimit,
+	"taken-up":       runTakenUp,
 	"late-part":      runLatePart,
 	"large-bodies":   runLargeBodies,
 }
