gateway: a stream begins at another version than the base only once that is recorded

Cause: a stream whose version is not the base must have a record in the store, but the host delivered its first event after 300 ms without one, and at once while the store failed. Ruled out: a lost record (the keys were never written), a wrong base (Term 1, v1, at all hosts).

Now the records are also written by other hosts, asked 100 ms after the store, at once if it did not respond the last time; one that does not reach the store itself refuses at once. If none writes the record within 300 ms the stream does not begin there: it begins at the base version if the record was never sent, and ends if it was sent and may take effect. While records are not written, streams begin at the base version. If no backend server of the base serves they begin unrecorded, since nothing could continue them at the base.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -116,6 +116,13 @@
 	if r.Model == "" {
 		return d.acquireEndpoint(ctx, r, p)
 	}
+	if r.beginsResumableStream(p) && r.Software == "" {
+		version, err := d.softwareToBegin(r)
+		if err != nil {
+			return nil, err
+		}
+		r.Software = version
+	}
 	if r.Software != "" && d.softwareOfService(r.Service).Serving[r.Software] == 0 {
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -38,6 +38,7 @@
 	Allowance(ctx context.Context, address string, request *peer.AllowanceRequest) (*peer.AllowanceReply, error)
 	Limits(ctx context.Context, address string, request *peer.LimitsRequest) error
 	Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error)
+	RecordStreams(ctx context.Context, address string, request *peer.RecordStreamsRequest) error
 }
 
 // BackendClient sends orders to backend servers and fetches their reports. Each call names the incarnation that it is
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -44,6 +44,11 @@
 	return p.host.serveFollow(ctx, request), nil
 }
 
+// RecordStreams writes records of streams for a host to which the store does not respond.
+func (p *platformHandler) RecordStreams(ctx context.Context, request *peer.RecordStreamsRequest) (*peer.Empty, error) {
+	return &peer.Empty{}, p.host.streams.commitForOther(ctx, request)
+}
+
 // recordUsage adds the requests sent by an entry host to the accounts of owned backend servers.
 func (h *Host) recordUsage(now time.Time, from string, usages []model.Usage) {
 	for _, u := range usages {
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronspread/attempt"
 	"citronspread/model"
 )
 
@@ -27,3 +28,8 @@
 func (r RoutedRequest) IsNonIdempotent() bool {
 	return r.Route.Kind == model.RouteOnce || r.Route.Kind == model.RouteStream && !r.Route.Resumable
 }
+
+// beginsResumableStream reports whether the next send of the request begins a stream that any host may have to continue.
+func (r RoutedRequest) beginsResumableStream(p *attempt.Progress) bool {
+	return r.Route.Kind == model.RouteStream && r.Route.Resumable && !r.TakenUp && !p.Resuming
+}
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -53,6 +54,16 @@
 	return s.Base.Term == 0 && s.Mixed || s.Base.Term > 0 && version != s.Base.Version
 }
 
+// anyNeedsRecord reports whether streams that begin at some version that serves must be recorded.
+func (s serviceSoftware) anyNeedsRecord() bool {
+	for version, backends := range s.Serving {
+		if backends > 0 && s.needsRecord(version) {
+			return true
+		}
+	}
+	return false
+}
+
 // unrecorded returns the version of streams without a record, empty if it is not known.
 func (s serviceSoftware) unrecorded() string {
 	if s.Base.Term == 0 && len(s.Serving) == 1 {
@@ -268,17 +279,60 @@
 	return version, nil
 }
 
+// softwareToBegin returns the software version at which a stream has to begin, empty for any. While streams can't be
+// recorded, that is the version of streams without a record, unless no backend server of it serves: then a stream without
+// a record goes on nowhere else.
+func (d *Dispatcher) softwareToBegin(r RoutedRequest) (version string, err error) {
+	h, s := d.host, d.softwareOfService(r.Service)
+	if !h.streams.isFailing(h.Now()) || !s.anyNeedsRecord() {
+		return "", nil
+	}
+	version = s.unrecorded()
+	h.Log.Info("stream begins at the base software version", zap.String("Request", r.ID), zap.String("Service", r.Service),
+		zap.String("Software", version), zap.Int64("Term", s.Base.Term), zap.Int("Serving", s.Serving[version]))
+	switch {
+	case version == "":
+		return "", &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareInterval}
+	case s.Serving[version] == 0:
+		return "", nil
+	}
+	return version, nil
+}
+
+// UnrecordedError reports that a stream must not begin at a software version because its record was not written.
+type UnrecordedError struct {
+	Version   string
+	Withdrawn bool // the record will not be written either, so that the stream may begin at another version
+	Cause     error
+}
+
+func (e *UnrecordedError) Error() string {
+	return fmt.Sprintf("gateway: stream at software version %s not recorded: %v", e.Version, e.Cause)
+}
+
+func (e *UnrecordedError) Unwrap() error { return e.Cause }
+
 // RecordStream records the software version that begins a stream, unless it is the base version of the service. It returns
-// when the record is written, or after recordTimeout.
-func (d *Dispatcher) RecordStream(ctx context.Context, r RoutedRequest, version string) {
-	if !d.softwareOfService(r.Service).needsRecord(version) {
-		return
+// when the record is written, and an *UnrecordedError if that takes longer than recordTimeout and the stream could then be
+// continued at the base version.
+func (d *Dispatcher) RecordStream(ctx context.Context, r RoutedRequest, version string) error {
+	s := d.softwareOfService(r.Service)
+	if !s.needsRecord(version) {
+		return nil
 	}
 	startedAt := d.host.Now()
-	if err := d.host.streams.record(ctx, streamKey(r.ID), version); err != nil {
-		d.host.Log.Warn("software version of a stream not recorded yet", zap.String("Request", r.ID), zap.String("Software", version),
-			zap.Duration("Waited", d.host.Now().Sub(startedAt)), zap.Error(err))
+	err := d.host.streams.record(ctx, streamKey(r.ID), version)
+	if err == nil {
+		return nil
+	}
+	goesOnNowhere := s.Base.Term > 0 && s.Serving[s.Base.Version] == 0
+	withdrawn := !goesOnNowhere && d.host.streams.withdraw(streamKey(r.ID))
+	d.host.Log.Warn("software version of a stream not recorded yet", zap.String("Request", r.ID), zap.String("Software", version),
+		zap.Bool("Delivered", goesOnNowhere), zap.Bool("Withdrawn", withdrawn), zap.Duration("Waited", d.host.Now().Sub(startedAt)), zap.Error(err))
+	if goesOnNowhere {
+		return nil
 	}
+	return &UnrecordedError{Version: version, Withdrawn: withdrawn, Cause: err}
 }
 
 // streamKey returns the key of a stream's record by the ID of the request that brought its first event.
--- a/gateway/stream_recorder.go
+++ b/gateway/stream_recorder.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"citronspread/peer"
 	"citronspread/store"
 )
 
@@ -18,16 +20,21 @@
 	recordRetryPause = 200 * time.Millisecond
 	// maxRecordBatch bounds the records of one transaction.
 	maxRecordBatch = 32
+	// maxHelpedWrites bounds the transactions that a host makes for others at the same time.
+	maxHelpedWrites = 4
 )
 
-// streamRecorder writes the software versions of streams to the store, those that begin at the same time together.
+// streamRecorder writes the software versions of streams to the store, those that begin at the same time together. If the
+// store does not respond to this host, other hosts write them.
 type streamRecorder struct {
 	host *Host
 
 	mu       sync.Mutex
 	pending  []streamRecord
 	writing  bool
-	failing  bool           // the last transaction failed
+	failing  bool           // the last records were not written, neither by this host nor by others
+	turned   bool           // the store did not respond to this host when it last wrote
+	helped   int            // transactions for other hosts that are in progress
 	written  []streamRecord // within streamRetention, in the order of their time
 	lease    int64          // of the records, 0 if none is usable
 	leasedAt time.Time
@@ -38,22 +45,24 @@
 	key     string
 	version string
 	at      time.Time
+	sent    bool          // a transaction with it was begun, which may take effect without a response
 	done    chan struct{} // closed when it is written
 }
 
-// errStoreFailing reports that a record is not written before the store responds again.
-var errStoreFailing = errors.New("gateway: the last records of streams were not written")
+var (
+	// errStoreFailing reports that a record is not written before the store responds again.
+	errStoreFailing = errors.New("gateway: the last records of streams were not written")
+	errNoHelp       = errors.New("gateway: this host does not reach the store either, or writes enough records for others")
+)
 
-// record writes a record and waits until it is written, at most for recordTimeout, and not at all while the store fails. A
-// record that is not written by then is still written later.
+// record writes a record and waits until it is written, at most for recordTimeout, and not at all while records are not
+// written. A record that is not written by then is still written later.
 func (s *streamRecorder) record(ctx context.Context, key, version string) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	r := streamRecord{key: key, version: version, at: s.host.Now(), done: make(chan struct{})}
+	failing := s.isFailing(r.at)
 	s.add(r)
-	s.mu.Lock()
-	failing := s.failing
-	s.mu.Unlock()
 	if failing {
 		return errStoreFailing
 	}
@@ -65,6 +74,13 @@
 	}
 }
 
+// isFailing reports whether records are not written now, or not within recordTimeout.
+func (s *streamRecorder) isFailing(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing || len(s.pending) > 0 && now.Sub(s.pending[0].at) >= recordTimeout
+}
+
 // add adds records to those to be written.
 func (s *streamRecorder) add(records ...streamRecord) {
 	s.mu.Lock()
@@ -83,7 +99,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		err := s.commit(ctx, batch)
+		err := s.commitAnywhere(ctx, batch)
 		if err == nil {
 			s.finish(batch)
 			continue
@@ -107,7 +123,79 @@
 	}
 	s.writing = len(s.pending) > 0
 	s.failing = s.failing && s.writing
-	return s.pending[:min(len(s.pending), maxRecordBatch)]
+	batch := s.pending[:min(len(s.pending), maxRecordBatch)]
+	for i := range batch {
+		batch[i].sent = true
+	}
+	return batch
+}
+
+// withdraw removes a record that was not sent yet. It reports whether the record will never be written.
+func (s *streamRecorder) withdraw(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.pending, func(r streamRecord) bool { return r.key == key && !r.sent })
+	if i < 0 {
+		return false
+	}
+	s.pending = slices.Delete(s.pending, i, i+1)
+	return true
+}
+
+// commitAnywhere writes records to the store, or has other hosts write them if it does not respond to this one.
+func (s *streamRecorder) commitAnywhere(ctx context.Context, batch []streamRecord) error {
+	delay := hedgeDelay
+	s.mu.Lock()
+	if s.turned {
+		delay = 0
+	}
+	s.mu.Unlock()
+	direct, err := hedge(ctx, delay, func(ctx context.Context) (bool, error) {
+		return true, s.commit(ctx, batch)
+	}, func(ctx context.Context) (bool, error) {
+		return false, s.commitThroughHelpers(ctx, batch)
+	})
+	s.mu.Lock()
+	changed := s.turned == direct
+	s.turned = !direct
+	s.mu.Unlock()
+	if err == nil && changed {
+		s.host.Log.Info("writer of streams' records changed", zap.Bool("OtherHosts", !direct), zap.Int("Streams", len(batch)))
+	}
+	return err
+}
+
+// commitThroughHelpers has other hosts write records.
+func (s *streamRecorder) commitThroughHelpers(ctx context.Context, batch []streamRecord) error {
+	request := &peer.RecordStreamsRequest{From: s.host.Name}
+	for _, r := range batch {
+		request.Streams = append(request.Streams, peer.StreamRecord{Key: r.key, Version: r.version})
+	}
+	_, err := callHelpers(ctx, s.host, func(ctx context.Context, address string) (struct{}, error) {
+		return struct{}{}, s.host.Peers.RecordStreams(ctx, address, request)
+	})
+	return err
+}
+
+// commitForOther writes the records of another host. It fails at once unless the store responds to this host.
+func (s *streamRecorder) commitForOther(ctx context.Context, request *peer.RecordStreamsRequest) error {
+	s.mu.Lock()
+	if s.helped >= maxHelpedWrites || s.host.history.isStale(s.host.Now()) {
+		s.mu.Unlock()
+		return errNoHelp
+	}
+	s.helped++
+	s.mu.Unlock()
+	var batch []streamRecord
+	for _, r := range request.Streams {
+		batch = append(batch, streamRecord{key: r.Key, version: r.Version})
+	}
+	err := s.commit(ctx, batch)
+	s.mu.Lock()
+	s.helped--
+	s.mu.Unlock()
+	s.host.Log.Info("streams of another host recorded", zap.String("From", request.From), zap.Int("Streams", len(batch)), zap.Error(err))
+	return err
 }
 
 // commit writes records under the lease.
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -22,6 +22,7 @@
 	Allowance(ctx context.Context, request *AllowanceRequest) (*AllowanceReply, error)
 	Limits(ctx context.Context, request *LimitsRequest) (*Empty, error)
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
+	RecordStreams(ctx context.Context, request *RecordStreamsRequest) (*Empty, error)
 }
 
 var platformMethods = []methodEntry{
@@ -35,6 +36,7 @@
 	unary("/Fleet/Allowance", PlatformHandler.Allowance),
 	unary("/Fleet/Limits", PlatformHandler.Limits),
 	unary("/Fleet/Follow", PlatformHandler.Follow),
+	unary("/Fleet/RecordStreams", PlatformHandler.RecordStreams),
 }
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
@@ -165,6 +167,19 @@
 	Value    []byte
 }
 
+// RecordStreamsRequest requests that an entry host write records of streams to the store, which does not respond to the
+// sender.
+type RecordStreamsRequest struct {
+	From    string
+	Streams []StreamRecord
+}
+
+// StreamRecord is the software version that began a stream.
+type StreamRecord struct {
+	Key     string // in the store
+	Version string
+}
+
 // Place requests that the leader of a model have it loaded.
 func (c *Client) Place(ctx context.Context, address string, request *PlaceRequest) (*PlaceReply, error) {
 	return invoke[PlaceReply](ctx, c, address, "/Fleet/Place", request)
@@ -218,3 +233,9 @@
 func (c *Client) Follow(ctx context.Context, address string, request *FollowRequest) (*FollowReply, error) {
 	return invoke[FollowReply](ctx, c, address, "/Fleet/Follow", request)
 }
+
+// RecordStreams requests that another entry host write records of streams to the store.
+func (c *Client) RecordStreams(ctx context.Context, address string, request *RecordStreamsRequest) error {
+	_, err := invoke[Empty](ctx, c, address, "/Fleet/RecordStreams", request)
+	return err
+}
