gateway: the version of a taken-up stream is asked of other hosts if the store does not respond

Cause: a host whose view knows one version lets a stream go on anywhere, however old that view is; and a host without the store refused all others. Ruled out: lost records, since the hosts that began the streams reach the store.

A view counts as outdated when neither the store nor a fresh relay has responded for 1.75 s. Then, and whenever the store does not respond within 100 ms, other hosts that reach it are asked. If these reach it neither, no host has learned of another version since and the stream goes on as before; if none answers, it is refused. A service all of whose backend servers have left the list keeps its versions, so that streams wait for theirs.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -49,6 +49,11 @@
 	return &peer.Empty{}, p.host.streams.commitForOther(ctx, request)
 }
 
+// FindSoftware returns the software version of a stream to a host to which the store does not respond.
+func (p *platformHandler) FindSoftware(ctx context.Context, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error) {
+	return p.host.Dispatcher.findSoftwareForOther(ctx, request), nil
+}
+
 // recordUsage adds the requests sent by an entry host to the accounts of owned backend servers.
 func (h *Host) recordUsage(now time.Time, from string, usages []model.Usage) {
 	for _, u := range usages {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,6 +41,7 @@
 	revision     int64
 	changes      []store.Change // by ascending revision
 	respondedAt  time.Time      // last response of the store itself, not of a relay
+	updatedAt    time.Time      // last response of the store or of a fresh relay
 	changed      chan struct{}  // closed and replaced at each change
 
 	suspects sequenced[model.Suspect]      // that this host received
@@ -57,7 +58,7 @@
 func (h *history) reset(readAt time.Time, revision int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.baseRevision, h.revision, h.changes, h.respondedAt = revision, revision, nil, readAt
+	h.baseRevision, h.revision, h.changes, h.respondedAt, h.updatedAt = revision, revision, nil, readAt, readAt
 	h.notify()
 }
 
@@ -76,10 +77,18 @@
 	return now.Sub(h.respondedAt) > maxRelayAge
 }
 
+// isOutdated reports whether neither the store nor a fresh relay has responded for longer than maxRelayAge.
+func (h *history) isOutdated(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.updatedAt) > maxRelayAge
+}
+
 // add retains a change. direct reports whether it came from the store itself.
 func (h *history) add(now time.Time, change store.Change, direct bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.updatedAt = now
 	if direct {
 		if now.Sub(h.respondedAt) > maxRelayAge {
 			h.notify() // wakes the followers that wait for a fresh history
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"citronspread/membership"
+	"citronspread/peer"
 	"citronspread/routing"
 	"citronspread/store"
 )
@@ -44,6 +46,7 @@
 	Base    BaseSoftware   // Term 0 if none is recorded yet
 	Serving map[string]int // number of backend servers that take new requests, by version
 	Mixed   bool           // another version than the base, or several, have served within streamRetention
+	Stated  bool           // some backend server has stated a version
 }
 
 // needsRecord reports whether a stream that begins at the version must be recorded.
@@ -198,8 +201,8 @@
 	listed, serving := h.listedSoftware()
 	t.observe(now, listed)
 	published := make(map[string]serviceSoftware, len(listed))
-	for service := range listed {
-		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service)}
+	for service := range t.servedAt {
+		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service), Stated: true}
 	}
 	h.serviceSoftware.Store(&published)
 	t.changed = false
@@ -254,31 +257,101 @@
 // a *routing.RefusedError if the version can't be known now.
 func (d *Dispatcher) FindSoftware(ctx context.Context, r RoutedRequest) (version string, err error) {
 	h, s := d.host, d.softwareOfService(r.Service)
-	if len(s.Serving) == 0 || !s.Mixed {
+	isOutdated := h.history.isOutdated(h.Now())
+	if !s.Stated || !s.Mixed && !isOutdated {
 		return "", nil
 	}
-	source, entry := "record", store.Entry{}
-	switch {
-	case r.Resumes == "":
+	source := ""
+	if r.Resumes == "" {
 		err = &routing.RefusedError{Reason: routing.ReasonSoftware}
-	default:
-		ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
-		defer cancel()
-		h.Metrics.CountStoreCall("key", "stream")
-		entry, err = h.Store.Get(ctx, streamKey(r.Resumes))
+	} else {
+		version, source, err = d.lookUpSoftware(ctx, r, isOutdated)
 	}
-	version = string(entry.Value)
-	if err == nil && entry.Revision == 0 {
-		source, version = "base", s.unrecorded()
+	var unknown *softwareUnknownError
+	if !s.Mixed && errors.As(err, &unknown) {
+		version, source, err = "", "outage", nil // no host has learned of another version since the store failed
 	}
 	h.Log.Info("software version of a stream", zap.String("Request", r.ID), zap.String("Resumes", r.Resumes), zap.String("Service", r.Service),
-		zap.String("Software", version), zap.String("Source", source), zap.Int64("Term", s.Base.Term), zap.Int("Serving", s.Serving[version]), zap.Error(err))
-	if err != nil || version == "" {
+		zap.String("Software", version), zap.String("Source", source), zap.Int64("Term", s.Base.Term), zap.Int("Serving", s.Serving[version]),
+		zap.Bool("Outdated", isOutdated), zap.Error(err))
+	if err != nil {
 		return "", &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareInterval}
 	}
 	return version, nil
 }
 
+// softwareUnknownError reports that an entry host does not know the software version of a stream.
+type softwareUnknownError struct {
+	Service string
+	Address string // peer address of the host
+}
+
+func (e *softwareUnknownError) Error() string {
+	return fmt.Sprintf("gateway: the host at %s does not know the software version of a stream of %s", e.Address, e.Service)
+}
+
+// lookUpSoftware reads the software version of a stream from the store, or asks other hosts for it if the store does not
+// respond to this host. isOutdated reports that this host may not know what the service serves now.
+func (d *Dispatcher) lookUpSoftware(ctx context.Context, r RoutedRequest, isOutdated bool) (version, source string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
+	defer cancel()
+	request, delay := &peer.FindSoftwareRequest{Service: r.Service, Key: streamKey(r.Resumes)}, hedgeDelay
+	if isOutdated {
+		delay = 0
+	}
+	reply, err := hedge(ctx, delay, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
+		return d.readSoftware(ctx, request)
+	}, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
+		return callHelpers(ctx, d.host, func(ctx context.Context, address string) (*peer.FindSoftwareReply, error) {
+			reply, err := d.host.Peers.FindSoftware(ctx, address, request)
+			if err == nil && !reply.Known {
+				return nil, &softwareUnknownError{Service: r.Service, Address: address}
+			}
+			return reply, err
+		})
+	})
+	if err != nil {
+		return "", "", err
+	}
+	return reply.Version, reply.Source, nil
+}
+
+// readSoftware reads the software version of a stream from the store.
+func (d *Dispatcher) readSoftware(ctx context.Context, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error) {
+	d.host.Metrics.CountStoreCall("key", "stream")
+	entry, err := d.host.Store.Get(ctx, request.Key)
+	if err != nil {
+		return nil, err
+	}
+	reply := &peer.FindSoftwareReply{Known: true, Version: string(entry.Value), Source: "record"}
+	if entry.Revision == 0 {
+		reply.Version, reply.Source = d.softwareOfService(request.Service).unrecorded(), "base"
+	}
+	if reply.Version == "" {
+		return nil, &softwareUnknownError{Service: request.Service, Address: d.host.PeerAddress}
+	}
+	return reply, nil
+}
+
+// findSoftwareForOther returns the software version of a stream to another host. It does not know the version unless the
+// store responds to this host.
+func (d *Dispatcher) findSoftwareForOther(ctx context.Context, request *peer.FindSoftwareRequest) *peer.FindSoftwareReply {
+	if d.host.history.isStale(d.host.Now()) {
+		return &peer.FindSoftwareReply{}
+	}
+	if !d.softwareOfService(request.Service).Mixed {
+		return &peer.FindSoftwareReply{Known: true, Source: "only version"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
+	defer cancel()
+	reply, err := d.readSoftware(ctx, request)
+	if err != nil {
+		d.host.Log.Info("software version of a stream not found for another host", zap.String("Service", request.Service), zap.Error(err))
+		return &peer.FindSoftwareReply{}
+	}
+	return reply
+}
+
 // softwareToBegin returns the software version at which a stream has to begin, empty for any. While streams can't be
 // recorded, that is the version of streams without a record, unless no backend server of it serves: then a stream without
 // a record goes on nowhere else.
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -23,6 +23,7 @@
 	Limits(ctx context.Context, request *LimitsRequest) (*Empty, error)
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 	RecordStreams(ctx context.Context, request *RecordStreamsRequest) (*Empty, error)
+	FindSoftware(ctx context.Context, request *FindSoftwareRequest) (*FindSoftwareReply, error)
 }
 
 var platformMethods = []methodEntry{
@@ -37,6 +38,7 @@
 	unary("/Fleet/Limits", PlatformHandler.Limits),
 	unary("/Fleet/Follow", PlatformHandler.Follow),
 	unary("/Fleet/RecordStreams", PlatformHandler.RecordStreams),
+	unary("/Fleet/FindSoftware", PlatformHandler.FindSoftware),
 }
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
@@ -180,6 +182,19 @@
 	Version string
 }
 
+// FindSoftwareRequest requests the software version at which a stream may go on.
+type FindSoftwareRequest struct {
+	Service string
+	Key     string // of the stream's record
+}
+
+// FindSoftwareReply contains the software version at which a stream may go on.
+type FindSoftwareReply struct {
+	Known   bool   // the store responded to this host, and it knows what the service serves
+	Version string // empty for any
+	Source  string // of the version, for the log
+}
+
 // Place requests that the leader of a model have it loaded.
 func (c *Client) Place(ctx context.Context, address string, request *PlaceRequest) (*PlaceReply, error) {
 	return invoke[PlaceReply](ctx, c, address, "/Fleet/Place", request)
@@ -239,3 +254,8 @@
 	_, err := invoke[Empty](ctx, c, address, "/Fleet/RecordStreams", request)
 	return err
 }
+
+// FindSoftware requests the software version at which a stream may go on.
+func (c *Client) FindSoftware(ctx context.Context, address string, request *FindSoftwareRequest) (*FindSoftwareReply, error) {
+	return invoke[FindSoftwareReply](ctx, c, address, "/Fleet/FindSoftware", request)
+}
