gateway: no stream begins before its service has a base version

Cause: the base version is written up to half a second after a service appears. If all hosts restart before that, they find no base and take the service for one without streams; the next base is the version that is left. Evidence: in a failing run the store held records of streams of both versions and no base. Ruled out: lost records.

A host that delivers the first event of a service without a base now writes the base itself, or reads the one that there is; so a service without one has no streams. Hosts that do not know a base look up the streams that are taken up.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -39,8 +39,9 @@
 type Dispatcher struct {
 	host *Host
 
-	mu      sync.Mutex
-	budgets map[string]*routing.Budget // by service
+	mu        sync.Mutex
+	budgets   map[string]*routing.Budget // by service
+	proposals map[string]*baseProposal   // of first base versions, by service
 
 	invalidLimits sync.Map // backend servers with a limit that could not be read, to log it once
 }
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -129,7 +129,7 @@
 
 // Prepare initializes the host. It must be called before Run and before the ingress uses Dispatcher.
 func (h *Host) Prepare() {
-	h.Dispatcher = &Dispatcher{host: h, budgets: make(map[string]*routing.Budget)}
+	h.Dispatcher = &Dispatcher{host: h, budgets: make(map[string]*routing.Budget), proposals: make(map[string]*baseProposal)}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.admission, h.endAdmission = context.WithCancel(context.Background())
 	if h.Metrics == nil {
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -57,6 +57,10 @@
 	return s.Base.Term == 0 && s.Mixed || s.Base.Term > 0 && version != s.Base.Version
 }
 
+// isOnlyVersion reports whether all streams that can still be taken up have begun at one version. While no base is
+// recorded, streams may have begun at others before this host started.
+func (s serviceSoftware) isOnlyVersion() bool { return s.Base.Term > 0 && !s.Mixed }
+
 // anyNeedsRecord reports whether streams that begin at some version that serves must be recorded.
 func (s serviceSoftware) anyNeedsRecord() bool {
 	for version, backends := range s.Serving {
@@ -258,7 +262,7 @@
 func (d *Dispatcher) FindSoftware(ctx context.Context, r RoutedRequest) (version string, err error) {
 	h, s := d.host, d.softwareOfService(r.Service)
 	isOutdated := h.history.isOutdated(h.Now())
-	if !s.Stated || !s.Mixed && !isOutdated {
+	if !s.Stated || s.isOnlyVersion() && !isOutdated {
 		return "", nil
 	}
 	source := ""
@@ -339,7 +343,7 @@
 	if d.host.history.isStale(d.host.Now()) {
 		return &peer.FindSoftwareReply{}
 	}
-	if !d.softwareOfService(request.Service).Mixed {
+	if d.softwareOfService(request.Service).isOnlyVersion() {
 		return &peer.FindSoftwareReply{Known: true, Source: "only version"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
@@ -390,6 +394,11 @@
 // continued at the base version.
 func (d *Dispatcher) RecordStream(ctx context.Context, r RoutedRequest, version string) error {
 	s := d.softwareOfService(r.Service)
+	if version != "" && s.Base.Term == 0 {
+		if base, err := d.ensureBase(ctx, r.Service, version); err == nil {
+			s.Base = base
+		}
+	}
 	if !s.needsRecord(version) {
 		return nil
 	}
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -169,3 +169,45 @@
 		}
 	})
 }
+
+// TestNoStreamBeginsBeforeTheBaseVersion guards against a host that starts, finds no base version and takes a service for one
+// without streams, and against streams without a record of another version than the base that is written later.
+func TestNoStreamBeginsBeforeTheBaseVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2, 5*time.Second)
+		begin := func(host, id, version string) {
+			d := f.host(host).Dispatcher
+			d.host.serviceSoftware.Store(&map[string]serviceSoftware{"llm": {Serving: map[string]int{version: 2}, Stated: true}})
+			if err := d.RecordStream(t.Context(), RoutedRequest{ID: id, Service: "llm"}, version); err != nil {
+				t.Errorf("%s: got %v, want a stream that may begin", id, err)
+			}
+		}
+		begin("host-0", "first", "v1")
+		begin("host-1", "second", "v1.1")
+		if got, want := string(f.store.entries[baseSoftwarePrefix+"llm"].Value), string(encode(BaseSoftware{"v1", 1})); got != want {
+			t.Errorf("got base version %q, want %s", got, want)
+		}
+		for id, want := range map[string]string{"first": "", "second": "v1.1"} {
+			if got := string(f.store.entries[streamKey(id)].Value); got != want {
+				t.Errorf("%s: got record %q, want %q", id, got, want)
+			}
+		}
+	})
+}
+
+// TestTakenUpStreamOfServiceWithoutBase guards against a stream that goes on at any software version because the host that
+// gets it started before the base version of the service was written.
+func TestTakenUpStreamOfServiceWithoutBase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, 5*time.Second)
+		h := f.host("host-0")
+		f.store.put(streamKey("first"), "v1")
+		for resumes, want := range map[string]string{"first": "v1", "second": "v1.1"} {
+			h.serviceSoftware.Store(&map[string]serviceSoftware{"llm": {Serving: map[string]int{"v1.1": 2}, Stated: true}})
+			got, err := h.Dispatcher.FindSoftware(t.Context(), RoutedRequest{Service: "llm", TakenUp: true, Resumes: resumes})
+			if got != want || err != nil {
+				t.Errorf("%s: got version %q and error %v, want %q", resumes, got, err, want)
+			}
+		}
+	})
+}
