platform: a response has begun with its first byte, not with its whole head

Cause: a lost connection counts against the parts of a prompt if the response had begun, and that was recorded for streams with a complete, sealed head only. The requests with the part never counted; sound ones that had just begun beside them did.

TestBeginOfResponse is new.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,11 +35,16 @@
 	c.once.Do(c.init)
 	var lastConn *conn
 	reused := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		lastConn, _ = info.Conn.(*conn)
-		reused = info.Reused
-		lastConn.reset()
-	}}
+	var beganAfter atomic.Int64
+	start := time.Now()
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			lastConn, _ = info.Conn.(*conn)
+			reused = info.Reused
+			lastConn.reset()
+		},
+		GotFirstResponseByte: func() { beganAfter.Store(int64(max(1, time.Since(start)))) },
+	}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	// The transport never replays a request that has a body but no GetBody, whatever its method and headers.
 	// On a fresh connection it replays nothing, so a request without a body stays as it is.
@@ -46,7 +52,6 @@
 	if !c.FreshConnection || request.ContentLength != 0 {
 		request.Body = opaqueBody{request.Body}
 	}
-	start := time.Now()
 	response, err := c.transport.RoundTrip(request)
 	if err == nil {
 		return response, nil
@@ -54,7 +59,7 @@
 	if lastConn == nil || !lastConn.abort() {
 		return nil, &UnsentError{Address: request.URL.Host, Err: err}
 	}
-	return nil, &NoResponseError{Address: request.URL.Host, Reused: reused, Elapsed: time.Since(start), Err: err}
+	return nil, &NoResponseError{Address: request.URL.Host, Reused: reused, BeganAfter: time.Duration(beganAfter.Load()), Elapsed: time.Since(start), Err: err}
 }
 
 // Close closes the idle connections.
--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// TestBeginOfResponse guards against a response whose begin is not reported because its head is incomplete.
+func TestBeginOfResponse(t *testing.T) {
+	for _, written := range []string{"", "HTTP/1.1 200 OK\r\nServer"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, written); err != nil {
+				t.Error(err)
+			}
+		}))
+		err := send(t, &Client{}, http.MethodPost, server.URL)
+		server.Close()
+		var noResponse *NoResponseError
+		if !errors.As(err, &noResponse) || (noResponse.BeganAfter > 0) != (written != "") {
+			t.Errorf("got %#v after %q, want a response that has begun only if a byte came", err, written)
+		}
+	}
+}
+
 // warm leaves an idle connection in the client.
 func warm(t *testing.T, client *Client, address string) {
 	t.Helper()
--- a/httponce/errors.go
+++ b/httponce/errors.go
@@ -18,12 +18,14 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Err }
 
-// NoResponseError means that a write of the request was started and no response came. The request may have run.
+// NoResponseError means that a write of the request was started and no complete head of a response came. The request may
+// have run.
 type NoResponseError struct {
-	Address string
-	Reused  bool          // the connection had carried earlier requests
-	Elapsed time.Duration // from the start of the request to the error
-	Err     error
+	Address    string
+	Reused     bool          // the connection had carried earlier requests
+	BeganAfter time.Duration // from the start of the request to the first byte of a response, 0 if none came
+	Elapsed    time.Duration // from the start of the request to the error
+	Err        error
 }
 
 func (e *NoResponseError) Error() string {
