gateway: a host learns within a second that its relay stands still

Ruled out: the store, which the host does not call meanwhile, and the control thread.

Calls to the relay now wait 0.6 s, as long as a relay pauses between two watches, so that a zone with constant changes makes as many as before. A relay that has not replied to the last call, or was not called before, is first asked with a wait of 0.2 s. In zones of up to six hosts a host turns to the store after the first relay has failed; larger zones, whose sites allow 3 s and more, ask a second one before, so that they do not all call the store when one relay stops.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -278,6 +278,7 @@
 	fleet    *testFleet
 	storeCut syncBool
 	silent   syncBool // replies to no call of another host
+	frozen   syncBool // stands still: makes no call and replies to none
 	cancel   context.CancelFunc
 	version  func() int64
 
@@ -306,6 +307,14 @@
 type fleetPeers struct {
 	Peers
 	fleet *testFleet
+	host  *fleetHost
+}
+
+// awaitThaw waits until ctx ends if a host stands still.
+func awaitThaw(ctx context.Context, hosts ...*fleetHost) {
+	if slices.ContainsFunc(hosts, func(h *fleetHost) bool { return h.frozen.Load() }) {
+		<-ctx.Done()
+	}
 }
 
 func (p fleetPeers) Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error) {
@@ -315,7 +324,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	awaitThaw(ctx, p.host, to)
 	reply := to.serveFollow(ctx, request)
+	awaitThaw(ctx, p.host, to)
 	to.send(ctx, reply)
 	return reply, ctx.Err()
 }
@@ -363,7 +374,7 @@
 	name := fmt.Sprintf("host-%d", i)
 	h := &fleetHost{fleet: f}
 	h.Host = &Host{
-		Name: name, Zone: fmt.Sprintf("z%d", i%fleetZones), PeerAddress: name, Store: hostStore{f.store, h}, Peers: fleetPeers{fleet: f},
+		Name: name, Zone: fmt.Sprintf("z%d", i%fleetZones), PeerAddress: name, Store: hostStore{f.store, h}, Peers: fleetPeers{fleet: f, host: h},
 		Log: zap.NewNop(), Now: func() time.Time { return time.Now().Add(time.Duration(i) * time.Hour) },
 		Decoder: Decoder{
 			ConfigurationKey: "config", ListingPrefix: "servers/",
@@ -540,6 +551,46 @@
 	}
 }
 
+// TestFrozenRelays guards against a host that gets a change late because the other hosts of its zone stand still, whichever
+// these are and at whatever moment of its call to the relay they freeze.
+func TestFrozenRelays(t *testing.T) {
+	tests := []struct {
+		hosts  int           // of each zone
+		frozen int           // of these
+		within time.Duration // drainMs and configApplyMs of a site with zones of this size
+	}{{hosts: 3, frozen: 2, within: 2 * time.Second}, {hosts: 5, frozen: 3, within: 2 * time.Second}, {hosts: 23, frozen: 2, within: 3 * time.Second}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d of %d", tt.frozen, tt.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, tt.hosts*fleetZones, 10*time.Second)
+				relays := f.relaysOf(tt.frozen)
+				freeze := func(frozen bool) {
+					for _, h := range relays {
+						h.frozen.Store(frozen)
+						h.storeCut.Store(frozen)
+					}
+				}
+				isFrozen := func(h *fleetHost) bool { return slices.Contains(relays, h) }
+				for round := range 60 {
+					time.Sleep(9*time.Second + time.Duration(round)*137*time.Millisecond)
+					after := time.Duration(round%3) * watchDelay / 2
+					if after == 0 {
+						freeze(true)
+					} else {
+						time.AfterFunc(after, func() { freeze(true) })
+					}
+					slowest, missing := f.applied(int64(round)+2, tt.within, isFrozen)
+					if len(missing) > 0 {
+						t.Errorf("round %d, frozen %v after the change: got it missing on %v after %v", round, after, missing, slowest)
+					}
+					time.Sleep(time.Second)
+					freeze(false)
+				}
+			})
+		})
+	}
+}
+
 // TestThirdOfFleetLosesTheStore guards against calls of the other hosts when the store turns a third of them away.
 func TestThirdOfFleetLosesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,6 +22,11 @@
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
 	maxRelayAge = watchWait + watchDelay + 150*time.Millisecond
+	// followWait is the wait of a call to the relay. It ends when the relay's next watch begins. It is short because a
+	// host whose relay stands still learns it only when a call takes too long.
+	followWait = watchDelay
+	// probeWait is the wait of a call to a relay that is not known to reply.
+	probeWait = maxFreshWait
 	// followMargin is how much longer than its wait a call to the relay may take.
 	followMargin = 300 * time.Millisecond
 	// maxFreshWait is how long a host that is followed, but not fresh, may take to reach the store.
@@ -261,14 +266,14 @@
 
 // chooseSource returns where the next changes come from, and the context of a call to the relay if it is one.
 func (h *Host) chooseSource(ctx context.Context) (source, context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+followMargin)
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
 	now := h.Now()
 	s := h.relays.choose(now, h.order, h.history.isStale(now))
 	if s != h.source {
-		h.Log.Info("source of changes chosen", zap.String("Relay", s.relay), zap.Bool("CatchUp", s.catchUp), zap.Duration("Wait", s.wait))
+		h.Log.Info("source of changes chosen", zap.String("Relay", s.relay), zap.Bool("Probe", s.probe), zap.Bool("CatchUp", s.catchUp), zap.Duration("Wait", s.wait))
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.followWait()+followMargin)
 	h.source, h.endFollow = s, nil
 	if s.relay != "" {
 		h.endFollow = cancel
@@ -277,11 +282,12 @@
 }
 
 // follow requests the changes after a revision from a relay. It returns false if the relay has none to use.
-func (h *Host) follow(ctx context.Context, address string, revision int64) (store.Change, bool) {
+func (h *Host) follow(ctx context.Context, s source, revision int64) (store.Change, bool) {
+	address := s.relay
 	if h.suspectsFrom != address {
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
-	request := &peer.FollowRequest{After: revision, Wait: watchWait, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
+	request := &peer.FollowRequest{After: revision, Wait: s.followWait(), SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter, h.partsAfter, h.limitsAfter = address, reply.SuspectSequence, reply.PartSequence, reply.LimitSequence
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -15,7 +15,8 @@
 	// maxRelayCandidates bounds the hosts of a zone that may become its relay, and with them the hosts that call a store
 	// that is down.
 	maxRelayCandidates = 4
-	// maxRelayFailures is how many relays a host tries in a row before it watches the store itself.
+	// maxRelayFailures is how many relays a host of a large zone tries in a row before it watches the store itself. In a
+	// small zone it does so after the first one.
 	maxRelayFailures = 2
 	// relayDuty is how long a host watches the store after another host last followed it.
 	relayDuty = 3 * time.Second
@@ -53,6 +54,7 @@
 // source is where a host gets the changes of the store from.
 type source struct {
 	relay   string        // peer address of the relay; empty for the store
+	probe   bool          // the relay has not replied to the last call to it, or was not called before
 	catchUp bool          // a single watch for lack of a relay, which does not wait for changes
 	wait    time.Duration // there is no source before this time has passed
 }
@@ -69,6 +71,22 @@
 	return min(max(time.Duration(o.hosts)*directPausePerHost, minDirectPause), maxDirectPause)
 }
 
+// followWait returns the wait of a call to the relay.
+func (s source) followWait() time.Duration {
+	if s.probe {
+		return probeWait
+	}
+	return followWait
+}
+
+// maxFailures returns how many relays a host of the zone tries in a row before it watches the store itself.
+func (o zoneOrder) maxFailures() int {
+	if o.maxPause() <= minDirectPause {
+		return 1
+	}
+	return maxRelayFailures
+}
+
 // isRelay reports whether this host watches the store for others.
 func (c *relayChoice) isRelay(now time.Time, order zoneOrder) bool {
 	return order.first || !c.followedAt.IsZero() && now.Sub(c.followedAt) < relayDuty
@@ -85,9 +103,9 @@
 		return source{wait: c.directAt.Sub(now)}
 	}
 	if c.inRow > 0 && !c.behind && slices.Contains(order.others, c.good) && !now.Before(c.failures[c.good].until) {
-		return source{relay: c.good}
+		return c.following(c.good)
 	}
-	if !c.isRelay(now, order) && mayWatch && (c.behind || c.inRow >= maxRelayFailures) {
+	if !c.isRelay(now, order) && mayWatch && (c.behind || c.inRow >= order.maxFailures()) {
 		return source{catchUp: true}
 	}
 	earliest := c.directAt
@@ -95,7 +113,7 @@
 		for _, address := range order.others {
 			f := c.failures[address]
 			if !now.Before(f.until) {
-				return source{relay: address}
+				return c.following(address)
 			}
 			if f.until.Before(earliest) {
 				earliest = f.until
@@ -108,6 +126,11 @@
 	return source{wait: earliest.Sub(now)}
 }
 
+// following returns a relay as the source.
+func (c *relayChoice) following(address string) source {
+	return source{relay: address, probe: address != c.good || c.failures[address].count > 0}
+}
+
 // failed records that a relay did not reply, or replied that it is not fresh.
 func (c *relayChoice) failed(now time.Time, address string, replied bool) {
 	if c.failures == nil {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -84,7 +84,7 @@
 	case s.relay == "":
 		return h.watchAs(ctx, revision, s)
 	}
-	change, followed := h.follow(relayCtx, s.relay, revision)
+	change, followed := h.follow(relayCtx, s, revision)
 	if !followed {
 		return revision, 0, nil
 	}
