--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -24,7 +24,9 @@
 const (
 	callDuration       = 4 * time.Millisecond
 	linkBytesPerSecond = 10 << 17 // 10 Mbit/s
-	fakeKeyCount       = 600      // other keys in the store, which a complete read returns
+	fakeStoreTimeout   = 1500 * time.Millisecond
+	fakeWatchSlack     = time.Second // beyond the wait of a watch until the call fails
+	fakeKeyCount       = 600         // other keys in the store, which a complete read returns
 )
 
 var errCut = errors.New("no reply")
@@ -161,6 +163,10 @@
 func (s hostStore) call(ctx context.Context, kind string) error {
 	s.count(kind)
 	sleep(ctx, callDuration)
+	if s.host.storeOff.Load() {
+		sleep(ctx, fakeStoreTimeout)
+		return &store.UnavailableError{Key: kind, Cause: errCut}
+	}
 	if s.host.storeCut.Load() {
 		return &store.UnavailableError{Key: kind, Cause: errCut}
 	}
@@ -191,6 +197,10 @@
 	}
 	end := time.After(wait)
 	for {
+		if s.host.storeOff.Load() {
+			sleep(ctx, wait+fakeWatchSlack)
+			return store.Change{}, &store.UnavailableError{Key: "watch", Cause: errCut}
+		}
 		c, changed, err := s.after(after)
 		if err != nil {
 			return store.Change{}, err
@@ -277,6 +287,7 @@
 	*Host
 	fleet    *testFleet
 	storeCut syncBool
+	storeOff syncBool // the store does not respond to this host, which it learns by a timeout only
 	silent   syncBool // replies to no call of another host
 	frozen   syncBool // stands still: makes no call and replies to none
 	cancel   context.CancelFunc
@@ -591,6 +602,38 @@
 	}
 }
 
+// TestRelayWithoutResponseOfTheStore guards against followers that get a change late because the store has ceased to respond
+// to their relay, at whatever moment of its watch.
+func TestRelayWithoutResponseOfTheStore(t *testing.T) {
+	tests := []struct {
+		hosts  int           // of each zone
+		within time.Duration // drainMs and configApplyMs of a site with zones of this size
+	}{{hosts: 2, within: 2 * time.Second}, {hosts: 3, within: 2 * time.Second}, {hosts: 23, within: 3 * time.Second}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, tt.hosts*fleetZones, 10*time.Second)
+				relays := f.relaysOf(1)
+				setOff := func(off bool) {
+					for _, h := range relays {
+						h.storeOff.Store(off)
+					}
+				}
+				isOff := func(h *fleetHost) bool { return slices.Contains(relays, h) }
+				for round := range 60 {
+					time.Sleep(9*time.Second + time.Duration(round)*137*time.Millisecond)
+					setOff(true)
+					if slowest, missing := f.applied(int64(round)+2, tt.within, isOff); len(missing) > 0 {
+						t.Errorf("round %d: got it missing on %v after %v", round, missing, slowest)
+					}
+					time.Sleep(time.Second)
+					setOff(false)
+				}
+			})
+		})
+	}
+}
+
 // TestThirdOfFleetLosesTheStore guards against calls of the other hosts when the store turns a third of them away.
 func TestThirdOfFleetLosesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
