routing: a retry counts for the whole window of the budget

Cause of this one: ten buckets of a second, the current one included, cover nine to ten seconds. A budget that was used up at 0.99 s was whole again at 10.0 s: 88 repeats in 9.01 s where 44 are allowed. Eleven buckets cover the window completely; requests count for the ten latest only, so that neither side errs towards more repeats. The window can be set, in place of a fixed ten seconds.

--- a/routing/budget.go
+++ b/routing/budget.go
@@ -6,7 +6,10 @@
 )
 
 const (
-	budgetBuckets = 10 // one second each
+	// budgetBuckets is the number of buckets that cover a window completely: the oldest one is partly outside of it.
+	budgetBuckets = 11
+	// defaultBudgetWindow is the window of a budget that sets none.
+	defaultBudgetWindow = 10 * time.Second
 )
 
 // Extra is a kind of attempt beyond the first one of a request.
@@ -18,13 +21,14 @@
 	ExtraResume
 )
 
-// Budget limits retries, hedges and resumptions to a share of the requests of the last ten seconds.
+// Budget limits retries, hedges and resumptions to a share of the requests of the last window.
 type Budget struct {
-	Share float64
-	Floor int // extras allowed in the window in addition to the share; does not apply to hedges
+	Share  float64
+	Floor  int           // extras allowed in the window in addition to the share; does not apply to hedges
+	Window time.Duration // 0 for ten seconds
 
 	mu       sync.Mutex
-	second   int64
+	bucket   int64 // number of the current bucket since the epoch
 	requests [budgetBuckets]int
 	spent    [budgetBuckets]int
 	totals   BudgetTotals
@@ -45,7 +49,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.requests[b.second%budgetBuckets]++
+	b.requests[b.bucket%budgetBuckets]++
 	b.totals.Requests++
 }
 
@@ -59,7 +63,7 @@
 		b.totals.Denied++
 		return false
 	}
-	b.spent[b.second%budgetBuckets]++
+	b.spent[b.bucket%budgetBuckets]++
 	b.count(extra)
 	if sum(b.spent) > allowed {
 		b.totals.Breaches++
@@ -80,9 +84,11 @@
 	return b.totals
 }
 
-// allowed returns how many extras the window allows. Hedges get no floor because no response depends on them.
+// allowed returns how many extras the window allows. Hedges get no floor because no response depends on them. The oldest
+// bucket may be older than the window, so its requests do not count.
 func (b *Budget) allowed(extra Extra) int {
-	share := int(b.Share * float64(sum(b.requests)))
+	oldest := b.requests[(b.bucket+1)%budgetBuckets]
+	share := int(b.Share * float64(sum(b.requests)-oldest))
 	if extra == ExtraHedge {
 		return share
 	}
@@ -100,18 +106,26 @@
 	}
 }
 
-// advance clears the buckets of the seconds that have passed since the last call.
+// advance clears the buckets that have passed since the last call.
 func (b *Budget) advance(now time.Time) {
-	second := now.Unix()
-	if second <= b.second {
+	bucket := b.bucketOf(now)
+	if bucket <= b.bucket {
 		return
 	}
-	from := max(b.second+1, second-budgetBuckets+1)
-	for s := from; s <= second; s++ {
-		b.requests[s%budgetBuckets] = 0
-		b.spent[s%budgetBuckets] = 0
+	for n := max(b.bucket+1, bucket-budgetBuckets+1); n <= bucket; n++ {
+		b.requests[n%budgetBuckets] = 0
+		b.spent[n%budgetBuckets] = 0
 	}
-	b.second = second
+	b.bucket = bucket
+}
+
+// bucketOf returns the number of the bucket of a time.
+func (b *Budget) bucketOf(at time.Time) int64 {
+	window := b.Window
+	if window <= 0 {
+		window = defaultBudgetWindow
+	}
+	return max(0, at.UnixNano()/int64(window/(budgetBuckets-1)))
 }
 
 func sum(buckets [budgetBuckets]int) int {
