attempt: a repeat is charged to the budget until it is sent, and from then on

A repeat was charged when it was decided. While its service has no backend server, as after a crash, it waits for one up to the time-out of its route, twelve seconds on some; a budget that is used up by then is whole again ten seconds later, and both lots arrive together when the service is back. On the other hand a repeat that got no backend server was charged for nothing.

A repeat is now reserved when it is decided, counts as long as it waits, and for a window from the moment it is sent; one that is given up or reaches no backend server gives its place back. So any window holds at most what the budget allowed at the latest decision for it.

Found by reading, while looking for causes on related paths; the users' record does not show it.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -65,7 +65,11 @@
 // Budget limits repeats to a share of the requests.
 type Budget interface {
 	Request(now time.Time)
-	Spend(now time.Time, extra routing.Extra) bool
+	// Reserve takes a repeat from the budget if it allows one. The repeat counts until it is released, or long since sent.
+	Reserve(now time.Time, extra routing.Extra) bool
+	Send(now time.Time)      // a reserved repeat is sent now
+	Unsend(sentAt time.Time) // it did not reach a backend server and is reserved again
+	Release()                // a reserved repeat is not sent
 }
 
 // Progress counts the sends of a request so far and holds what the next send depends on.
@@ -91,18 +95,22 @@
 func (l *Loop) Run(ctx context.Context, transport Transport) (Progress, error) {
 	var p Progress
 	l.Budget.Request(l.Now())
+	r := repeat{budget: l.Budget}
+	defer r.release()
 	for {
 		grant, err := transport.Acquire(ctx, &p)
 		if err != nil {
 			return p, err
 		}
+		r.send(l.Now())
 		o := transport.Send(ctx, grant, &p)
+		r.resolve(o)
 		p.record(o)
 		grant.Done(l.Now(), o.Routing)
 		if o.Result == Complete {
 			return p, nil
 		}
-		c, again := l.mayRepeat(ctx, transport, grant.Backend(), o, &p)
+		c, again := l.mayRepeat(ctx, transport, grant.Backend(), o, &p, &r)
 		if !again {
 			return p, o.Err
 		}
@@ -124,7 +132,7 @@
 }
 
 // mayRepeat reports whether another send may follow, and how it continues the request. It charges the budget if needed.
-func (l *Loop) mayRepeat(ctx context.Context, transport Transport, backend string, o Outcome, p *Progress) (Continuation, bool) {
+func (l *Loop) mayRepeat(ctx context.Context, transport Transport, backend string, o Outcome, p *Progress, r *repeat) (Continuation, bool) {
 	if ctx.Err() != nil || p.Runs >= l.MaxRuns || l.MaxRefusals > 0 && p.Refusals > l.MaxRefusals {
 		return Never, false
 	}
@@ -133,14 +141,14 @@
 		p.addFailed(backend)
 		return Restart, true
 	case NotRun, WrongServer:
-		return Restart, !l.ChargeRefusals || l.Budget.Spend(l.Now(), routing.ExtraRetry)
+		return Restart, !l.ChargeRefusals || r.reserve(l.Now(), routing.ExtraRetry)
 	case Moved:
 		p.addFailed(backend)
 		return transport.Continuation(o, p), true
 	case MayHaveRun, Interrupted:
 		p.addFailed(backend)
 		c := transport.Continuation(o, p)
-		return c, c != Never && l.Budget.Spend(l.Now(), extraFor(c))
+		return c, c != Never && r.reserve(l.Now(), extraFor(c))
 	}
 	return Never, false
 }
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -21,7 +21,8 @@
 	ExtraResume
 )
 
-// Budget limits retries, hedges and resumptions to a share of the requests of the last window.
+// Budget limits retries, hedges and resumptions to a share of the requests of the last window. An extra attempt counts from
+// its reservation on, until a window after it was sent.
 type Budget struct {
 	Share  float64
 	Floor  int           // extras allowed in the window in addition to the share; does not apply to hedges
@@ -31,6 +32,7 @@
 	bucket   int64 // number of the current bucket since the epoch
 	requests [budgetBuckets]int
 	spent    [budgetBuckets]int
+	reserved int // extras that are not sent yet
 	totals   BudgetTotals
 }
 
@@ -53,24 +55,60 @@
 	b.totals.Requests++
 }
 
-// Spend takes one extra attempt from the budget and reports whether the budget allowed it.
+// Spend takes one extra attempt that is sent at once from the budget and reports whether the budget allowed it.
 func (b *Budget) Spend(now time.Time, extra Extra) bool {
+	if !b.Reserve(now, extra) {
+		return false
+	}
+	b.Send(now)
+	return true
+}
+
+// Reserve takes one extra attempt that is sent later from the budget and reports whether the budget allowed it. Send or
+// Release must follow.
+func (b *Budget) Reserve(now time.Time, extra Extra) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	allowed := b.allowed(extra)
-	if sum(b.spent) >= allowed {
+	if b.used() >= allowed {
 		b.totals.Denied++
 		return false
 	}
-	b.spent[b.bucket%budgetBuckets]++
+	b.reserved++
 	b.count(extra)
-	if sum(b.spent) > allowed {
+	if b.used() > allowed {
 		b.totals.Breaches++
 	}
 	return true
 }
 
+// Send records that a reserved attempt is sent now.
+func (b *Budget) Send(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.reserved--
+	b.spent[b.bucket%budgetBuckets]++
+}
+
+// Unsend makes an attempt that reached no backend server a reserved one again.
+func (b *Budget) Unsend(sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved++
+	if n := b.bucketOf(sentAt); b.bucket-n < budgetBuckets && b.spent[n%budgetBuckets] > 0 {
+		b.spent[n%budgetBuckets]--
+	}
+}
+
+// Release returns a reserved attempt that is not sent.
+func (b *Budget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
 // SetFloor replaces Floor. It is safe for concurrent use.
 func (b *Budget) SetFloor(floor int) {
 	b.mu.Lock()
@@ -84,6 +122,9 @@
 	return b.totals
 }
 
+// used returns how many extras count now.
+func (b *Budget) used() int { return sum(b.spent) + b.reserved }
+
 // allowed returns how many extras the window allows. Hedges get no floor because no response depends on them. The oldest
 // bucket may be older than the window, so its requests do not count.
 func (b *Budget) allowed(extra Extra) int {
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// grant reserves extra attempts until the budget refuses and returns how many it allowed.
+func (b *Budget) grant(now time.Time) (allowed int) {
+	for b.Reserve(now, ExtraRetry) {
+		allowed++
+	}
+	return allowed
+}
+
 // TestBudgetCoversAnyWindow guards against a budget that counts an extra attempt for less than the window: those at the end of
 // a bucket were forgotten nine seconds later.
 func TestBudgetCoversAnyWindow(t *testing.T) {
@@ -31,3 +39,34 @@
 		}
 	}
 }
+
+// TestReservedAttemptsCountUntilTheyAreSent guards against repeats that wait for a backend server, are no longer counted
+// meanwhile, and arrive together with those that were allowed later.
+func TestReservedAttemptsCountUntilTheyAreSent(t *testing.T) {
+	const floor = 5
+	b := Budget{Floor: floor}
+	at := func(seconds int) time.Time { return testTime.Add(time.Duration(seconds) * time.Second) }
+	steps := []struct {
+		name    string
+		second  int
+		apply   func(now time.Time)
+		granted int
+	}{
+		{"all are reserved", 0, func(time.Time) {}, floor},
+		{"none is sent", 15, func(time.Time) {}, 0},
+		{"one is given up", 16, func(time.Time) { b.Release() }, 1},
+		{"all are sent", 17, func(now time.Time) {
+			for range floor {
+				b.Send(now)
+			}
+		}, 0},
+		{"one did not reach a backend server", 18, func(time.Time) { b.Unsend(at(17)) }, 0},
+		{"the others were sent a window ago", 28, func(time.Time) {}, floor - 1},
+	}
+	for _, step := range steps {
+		step.apply(at(step.second))
+		if got := b.grant(at(step.second)); got != step.granted {
+			t.Errorf("%s: got %d allowed, want %d", step.name, got, step.granted)
+		}
+	}
+}
