gateway: hosts that have just died keep their part of the retry slack

When hosts die the others divide the whole slack among them at once, while what the dead ones have sent still counts: with four of six dead, four parts of 6 and two of 20 make 64 where 52 are allowed beside the share of the requests. (The loss of two hosts or of a zone stays within the margin that the hosts leave.)

The slack is divided by the highest number of live hosts of the last ten seconds.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -104,7 +104,7 @@
 		b = &routing.Budget{Share: d.host.RetryRatio * budgetShare, Window: d.host.RetryWindow, FloorFrom: d.host.startedAt.Add(d.host.RetrySlackDelay)}
 		d.budgets[service] = b
 	}
-	hosts := max(1, int(d.host.hosts.Load()))
+	hosts := max(1, int(d.host.hosts.peak.Load()))
 	b.SetFloor(int(float64(d.host.RetrySlack) * budgetShare / float64(hosts)))
 	return b
 }
--- a/gateway/dispatcher_test.go
+++ b/gateway/dispatcher_test.go
@@ -42,7 +42,7 @@
 	d := &Dispatcher{host: &Host{RetryRatio: 0.2, RetrySlack: slack}, budgets: make(map[string]*routing.Budget)}
 	for i, hosts := range []int{8, 6, 1, 3, 8} {
 		now, spent := time.Unix(int64(1000*(i+1)), 0), 0
-		d.host.hosts.Store(int64(hosts))
+		d.host.hosts.observe(now, int64(hosts))
 		budget := d.budget("llm")
 		for budget.Spend(now, routing.ExtraRetry) {
 			if spent++; spent > slack {
@@ -60,7 +60,7 @@
 func TestStartedHostWaitsForTheSlack(t *testing.T) {
 	const window = 10 * time.Second
 	d := &Dispatcher{host: &Host{RetryRatio: 0.2, RetrySlack: 52, RetryWindow: window, RetrySlackDelay: window, startedAt: start}, budgets: make(map[string]*routing.Budget)}
-	d.host.hosts.Store(6)
+	d.host.hosts.observe(start, 6)
 	tests := []struct {
 		after    time.Duration
 		requests int
@@ -79,3 +79,20 @@
 		}
 	}
 }
+
+// TestDeadHostsKeepTheirPartOfTheSlack guards against hosts that share the whole slack among them when others have just died
+// that had used their part of it.
+func TestDeadHostsKeepTheirPartOfTheSlack(t *testing.T) {
+	d := &Dispatcher{host: &Host{RetrySlack: 52}, budgets: make(map[string]*routing.Budget)}
+	steps := []struct {
+		after time.Duration
+		live  int64
+		want  int // part of this host
+	}{{0, 6, 6}, {5 * time.Second, 2, 6}, {8 * time.Second, 6, 6}, {17 * time.Second, 2, 6}, {19 * time.Second, 2, 20}, {20 * time.Second, 5, 8}}
+	for _, step := range steps {
+		d.host.hosts.observe(start.Add(step.after), step.live)
+		if got, want := d.budget("llm").Floor, step.want; got != want {
+			t.Errorf("after %v with %d live hosts: got %d repeats, want %d", step.after, step.live, got, want)
+		}
+	}
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -80,9 +80,9 @@
 	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
 	streams         *streamRecorder
 	stopping        atomic.Bool
-	backendsListed  atomic.Bool  // the list of backend servers was read from the store, perhaps some seconds old
-	caughtUp        atomic.Bool  // the changes since that list have been applied
-	hosts           atomic.Int64 // live entry hosts, this one included
+	backendsListed  atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
+	caughtUp        atomic.Bool // the changes since that list have been applied
+	hosts           hostCount
 	startedAt       time.Time
 	events          chan func(now time.Time)
 	ctx             context.Context // done when the host stops
@@ -293,7 +293,7 @@
 	}
 	h.view.expireObservations(now)
 	if h.table.EndCarrying(now) {
-		h.updateHostCount()
+		h.updateHostCount(now)
 		h.updateRelays()
 	}
 	h.stepOwnership(now)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -86,7 +86,7 @@
 		h.Log.Info("no allowance", zap.String("Backend", backend), zap.String("Leader", address), zap.Int("Count", r.Count),
 			zap.Float64("PerSecond", r.Limit.PerSecond), zap.Duration("StatedFor", now.Sub(r.Limit.At)), zap.Error(err))
 		if r.Count > 0 {
-			h.router.AllowanceFailed(now, backend, int(max(1, h.hosts.Load())))
+			h.router.AllowanceFailed(now, backend, int(max(1, h.hosts.live.Load())))
 		}
 		return
 	}
--- a/gateway/ownership.go
+++ b/gateway/ownership.go
@@ -110,7 +110,7 @@
 				h.nextClaimAt = now.Add(initialClaimDelay)
 			}
 			h.table.Registered(r.startedAt, r.revision)
-			h.updateHostCount()
+			h.updateHostCount(now)
 			h.Log.Info("registered", zap.String("Name", self.Name), zap.String("Incarnation", self.Incarnation), zap.Int64("Revision", r.revision), zap.Int64("Lease", r.lease))
 			if h.stopping.Load() {
 				h.releaseOwnership(now)
@@ -187,11 +187,10 @@
 
 // updateHostCount publishes the number of live hosts, which share the retry budgets, to the goroutines that serve
 // requests.
-func (h *Host) updateHostCount() {
-	live := int64(len(h.table.Live()))
-	if h.hosts.Swap(live) != live {
+func (h *Host) updateHostCount(now time.Time) {
+	if live := int64(len(h.table.Live())); h.hosts.observe(now, live) {
 		h.viewChanged = true
-		h.Log.Info("entry hosts changed", zap.Int64("Live", live))
+		h.Log.Info("entry hosts changed", zap.Int64("Live", live), zap.Int64("Peak", h.hosts.peak.Load()))
 	}
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -270,7 +270,7 @@
 // afterStoreUpdate updates what depends on the applied content of the store.
 func (h *Host) afterStoreUpdate(now time.Time, revision int64) {
 	h.table.Observed(now, revision)
-	h.updateHostCount()
+	h.updateHostCount(now)
 	h.updateRelays()
 	h.learnSuspects()
 }
