gateway: the leader of a limit asks its deputy once its lease may have ended

Cause: a host always counts itself as live. When the store turns the leader of a limit away, its lease ends, the other hosts choose another leader, and both divide the whole limit.

A leader that has not renewed its lease for 3 s first asks the host that leads after it. That one gives the allowance if it has learned that the lease has ended, as the others have; if not, it says so and the leader goes on. So nothing changes in an outage of the store, in which no host learns of leases.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -8,6 +8,7 @@
 
 	"citronspread/membership"
 	"citronspread/model"
+	"citronspread/ownership"
 	"citronspread/peer"
 	"citronspread/ratelimit"
 	"citronspread/routing"
@@ -22,6 +23,9 @@
 	minPublishInterval = time.Second
 	// limitCheckInterval is the time between two checks for limits of backend servers that are gone.
 	limitCheckInterval = time.Second
+	// maxLeaderRenewalAge is the age of a leader's lease from which it asks the host that leads after it whether its lease
+	// has ended. Leases end later.
+	maxLeaderRenewalAge = 2 * ownership.RenewInterval
 )
 
 // publishedLimit is what the leader of a limit has told other hosts last.
@@ -70,13 +74,13 @@
 	ctx, cancel := context.WithTimeout(ctx, allowanceTimeout)
 	defer cancel()
 	backend := r.Limit.Backend
-	address, err := query(ctx, h, func(time.Time) string { return h.limitLeader(backend) })
 	request := &peer.AllowanceRequest{From: h.Name, Count: r.Count, Queued: r.Queued, Limit: r.Limit, SentAt: h.Now()}
+	address, err := h.findLimitLeader(ctx, backend)
 	reply := &peer.AllowanceReply{}
 	switch {
 	case err != nil:
 	case address == h.PeerAddress:
-		reply, err = query(ctx, h, func(now time.Time) *peer.AllowanceReply { return h.allot(now, request) })
+		reply, err = h.allotOwn(ctx, request)
 	default:
 		h.Metrics.CountAllowanceCall()
 		reply, err = h.Peers.Allowance(ctx, address, request)
@@ -99,10 +103,55 @@
 	h.router.ApplyAllowance(now, known, reply.Allowance)
 }
 
+// findLimitLeader returns the peer address of the host that divides the limit of a backend server, as limitLeader.
+func (h *Host) findLimitLeader(ctx context.Context, backend string) (string, error) {
+	return query(ctx, h, func(time.Time) string { return h.limitLeader(backend, h.table.Live()) })
+}
+
+// allotOwn gives this host an allowance as the leader of a limit. If its lease may have ended it first asks the host that
+// leads the limit then, since the others may ask that one already.
+func (h *Host) allotOwn(ctx context.Context, request *peer.AllowanceRequest) (*peer.AllowanceReply, error) {
+	deputy, err := query(ctx, h, func(now time.Time) string { return h.limitDeputy(now, request.Limit.Backend) })
+	if err != nil {
+		return nil, err
+	}
+	if deputy != "" {
+		asked := *request
+		asked.Deputy = true
+		h.Metrics.CountAllowanceCall()
+		reply, err := h.Peers.Allowance(ctx, deputy, &asked)
+		if err == nil && !reply.NotLeader {
+			h.Log.Info("allowance of the deputy", zap.String("Backend", request.Limit.Backend), zap.String("Deputy", deputy))
+			return reply, nil
+		}
+		if err != nil {
+			h.Log.Info("deputy of a limit not reached", zap.String("Backend", request.Limit.Backend), zap.String("Deputy", deputy), zap.Error(err))
+		}
+	}
+	return query(ctx, h, func(now time.Time) *peer.AllowanceReply { return h.allot(now, request) })
+}
+
+// limitDeputy returns the peer address of the host that leads the limit of a backend server once the lease of this host, the
+// leader, has ended. It is empty while the lease can't have ended, or if there is no other host.
+func (h *Host) limitDeputy(now time.Time, backend string) string {
+	if !h.table.RenewedAt.IsZero() && now.Sub(h.table.RenewedAt) < maxLeaderRenewalAge {
+		return ""
+	}
+	var others []model.Peer
+	for _, p := range h.table.Live() {
+		if p.Name != h.Name {
+			others = append(others, p)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return h.limitLeader(backend, others)
+}
+
 // limitLeader returns the peer address of the host that divides the limit of a backend server: one of the server's
 // zone, which reaches it even if the zone is cut off, or any other if the zone has none.
-func (h *Host) limitLeader(backend string) string {
-	live := h.table.Live()
+func (h *Host) limitLeader(backend string, live []model.Peer) string {
 	if b := h.view.backends[backend]; b != nil {
 		var local []model.Peer
 		for _, p := range live {
@@ -125,7 +174,12 @@
 func (p *platformHandler) Allowance(ctx context.Context, request *peer.AllowanceRequest) (*peer.AllowanceReply, error) {
 	received := *request
 	received.Limit.At = received.Limit.At.Add(p.host.Now().Sub(request.SentAt))
-	return query(ctx, p.host, func(now time.Time) *peer.AllowanceReply { return p.host.allot(now, &received) })
+	return query(ctx, p.host, func(now time.Time) *peer.AllowanceReply {
+		if request.Deputy && p.host.limitLeader(request.Limit.Backend, p.host.table.Live()) != p.host.PeerAddress {
+			return &peer.AllowanceReply{NotLeader: true}
+		}
+		return p.host.allot(now, &received)
+	})
 }
 
 // allot gives an allowance as the leader of a limit.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -147,3 +147,66 @@
 		t.Logf("%d requests sent, at most %d in 4 s, %d calls for allowances", len(sentAt), most, f.limitCalls.allowances.Load())
 	})
 }
+
+// TestLeaderWithoutTheStoreDividesNoLimit guards against two hosts that each divide a whole limit: one whose lease has ended
+// without its knowledge, and the one that the others ask since. In an outage of the store the leader goes on.
+func TestLeaderWithoutTheStoreDividesNoLimit(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(f *testFleet, leader *fleetHost) []*fleetHost
+	}{
+		{"the leader is turned away", func(_ *testFleet, leader *fleetHost) []*fleetHost { return []*fleetHost{leader} }},
+		{"the store is down", func(f *testFleet, _ *fleetHost) (all []*fleetHost) {
+			for _, h := range f.hosts {
+				all = append(all, h)
+			}
+			return all
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const perSecond, hosts, cutFor, perHost = 20.0, 6, 12 * time.Second, 25
+				f := newTestFleet(t, hosts, 10*time.Second)
+				limit := model.BackendLimit{Backend: "i-0", PerSecond: perSecond, Stated: true}
+				allowed := make(map[int]int) // by second
+				var leader *fleetHost
+				for _, h := range f.hosts {
+					if address, err := h.findLimitLeader(t.Context(), "i-0"); err == nil && address == h.PeerAddress {
+						leader = h
+					}
+				}
+				cut := tt.cut(f, leader)
+				startedAt := time.Now()
+				for range int(2 * cutFor.Seconds() * perHost) {
+					for _, h := range cut {
+						h.storeCut.Store(time.Since(startedAt) < cutFor)
+					}
+					for i := range hosts {
+						h := f.hosts[fmt.Sprintf("host-%d", i)]
+						limit.At = h.Now()
+						request := &peer.AllowanceRequest{From: h.Name, Count: 1, Limit: limit, SentAt: h.Now()}
+						address, err := h.findLimitLeader(t.Context(), "i-0")
+						var reply *peer.AllowanceReply
+						if err == nil && address == h.PeerAddress {
+							reply, err = h.allotOwn(t.Context(), request)
+						} else if err == nil {
+							reply, err = h.Peers.Allowance(t.Context(), address, request)
+						}
+						if err != nil {
+							t.Fatalf("got %v from %s, want an allowance or none", err, address)
+						}
+						allowed[int(time.Since(startedAt).Seconds())] += reply.Allowance.Count
+					}
+					time.Sleep(time.Second/perHost - hosts*time.Millisecond)
+				}
+				for second := range int(2*cutFor.Seconds()) - 4 {
+					got := allowed[second] + allowed[second+1] + allowed[second+2] + allowed[second+3]
+					if most := int(1.5*4*perSecond) + 5; got > most || got < 2*perSecond {
+						t.Errorf("from %d s: got %d requests allowed in 4 s, want %d to %d", second, got, int(2*perSecond), most)
+					}
+				}
+			})
+		})
+	}
+}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -118,12 +118,14 @@
 	From   string
 	Count  int  // 0 to report the limit only
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
+	Deputy bool // the sender leads the limit unless the receiver has learned that the sender's lease has ended
 	Limit  model.BackendLimit
 	SentAt time.Time // on the clock of the sender, to which the time of the limit refers
 }
 
 // AllowanceReply contains the allowance and what the leader knows of the limit.
 type AllowanceReply struct {
+	NotLeader bool // of a request to a deputy: the sender leads the limit, and the other fields are not set
 	Allowance ratelimit.Reply
 	Limit     model.BackendLimit
 	SentAt    time.Time // as in AllowanceRequest
