gateway: hosts that follow a relay help too; names and comments after a first reading

What counts now is whether its view is up to date; a read of the store that fails is an error and not an answer.

hedge is firstSuccess, since a hedge is a move of a response elsewhere in the code.

--- a/gateway/hedge.go
+++ b/gateway/helpers.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// hedgeDelay is how long a call to the store may take until other hosts are asked to make it as well.
-	hedgeDelay = 100 * time.Millisecond
+	// helpDelay is how long a call to the store may take until other hosts are asked to make it as well.
+	helpDelay = 100 * time.Millisecond
 	// maxHelpers bounds the hosts that are asked at the same time to make one call to the store.
 	maxHelpers = 3
 )
@@ -19,9 +19,9 @@
 // errNoHelper reports that no other host is known that could make a call to the store.
 var errNoHelper = errors.New("gateway: no other host is known")
 
-// hedge returns the first success of two calls. The second is made after a delay, or once the first has failed. If both
+// firstSuccess returns the first success of two calls. The second is made after a delay, or once the first has failed. If both
 // fail, it returns both errors.
-func hedge[T any](ctx context.Context, delay time.Duration, first, second func(ctx context.Context) (T, error)) (T, error) {
+func firstSuccess[T any](ctx context.Context, delay time.Duration, first, second func(ctx context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type outcome struct {
@@ -57,7 +57,7 @@
 	return none, errors.Join(failed...)
 }
 
-// callHelpers makes a call to some hosts at the same time that read the store themselves, and returns the first success.
+// callHelpers makes a call to some hosts at the same time and returns the first success.
 func callHelpers[T any](ctx context.Context, h *Host, call func(ctx context.Context, address string) (T, error)) (T, error) {
 	var none T
 	helpers, err := query(ctx, h, func(time.Time) []string { return h.helpers() })
@@ -95,8 +95,8 @@
 	}
 }
 
-// helpers returns the peer addresses of at most maxHelpers hosts that are the first to read the store for their zones. The
-// hosts of other zones come first, because what keeps this host from the store often affects its zone.
+// helpers returns the peer addresses of at most maxHelpers hosts, those first that read the store for their zones. The hosts
+// of other zones come first, because what keeps this host from the store often affects its zone.
 func (h *Host) helpers() []string {
 	byZone := make(map[string][]model.Peer)
 	for _, p := range h.table.Live() {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -83,7 +83,7 @@
 	backendsListed  atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
 	caughtUp        atomic.Bool // the changes since that list have been applied
 	hosts           hostCount
-	startedAt       time.Time
+	startedAt       time.Time // when Prepare was called
 	events          chan func(now time.Time)
 	ctx             context.Context // done when the host stops
 	cancel          context.CancelFunc
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -51,7 +51,7 @@
 
 // FindSoftware returns the software version of a stream to a host to which the store does not respond.
 func (p *platformHandler) FindSoftware(ctx context.Context, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error) {
-	return p.host.Dispatcher.findSoftwareForOther(ctx, request), nil
+	return p.host.Dispatcher.findSoftwareForOther(ctx, request)
 }
 
 // recordUsage adds the requests sent by an entry host to the accounts of owned backend servers.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,8 +22,8 @@
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
 	maxRelayAge = watchWait + watchDelay + 150*time.Millisecond
-	// followWait is the wait of a call to the relay. It ends when the relay's next watch begins. It is short because a
-	// host whose relay stands still learns it only when a call takes too long.
+	// followWait is the wait of a call to the relay. It is short because a host learns that its relay stands still only when
+	// a call takes too long, and as long as the relay pauses between two watches, whose changes end most calls.
 	followWait = watchDelay
 	// probeWait is the wait of a call to a relay that is not known to reply.
 	probeWait = maxFreshWait
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -299,11 +299,11 @@
 func (d *Dispatcher) lookUpSoftware(ctx context.Context, r RoutedRequest, isOutdated bool) (version, source string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
 	defer cancel()
-	request, delay := &peer.FindSoftwareRequest{Service: r.Service, Key: streamKey(r.Resumes)}, hedgeDelay
+	request, delay := &peer.FindSoftwareRequest{Service: r.Service, Key: streamKey(r.Resumes)}, helpDelay
 	if isOutdated {
 		delay = 0
 	}
-	reply, err := hedge(ctx, delay, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
+	reply, err := firstSuccess(ctx, delay, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
 		return d.readSoftware(ctx, request)
 	}, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
 		return callHelpers(ctx, d.host, func(ctx context.Context, address string) (*peer.FindSoftwareReply, error) {
@@ -337,23 +337,22 @@
 	return reply, nil
 }
 
-// findSoftwareForOther returns the software version of a stream to another host. It does not know the version unless the
-// store responds to this host.
-func (d *Dispatcher) findSoftwareForOther(ctx context.Context, request *peer.FindSoftwareRequest) *peer.FindSoftwareReply {
-	if d.host.history.isStale(d.host.Now()) {
-		return &peer.FindSoftwareReply{}
+// findSoftwareForOther returns the software version of a stream to another host. It does not know the version if its own view
+// is outdated.
+func (d *Dispatcher) findSoftwareForOther(ctx context.Context, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error) {
+	if d.host.history.isOutdated(d.host.Now()) {
+		return &peer.FindSoftwareReply{}, nil
 	}
 	if d.softwareOfService(request.Service).isOnlyVersion() {
-		return &peer.FindSoftwareReply{Known: true, Source: "only version"}
+		return &peer.FindSoftwareReply{Known: true, Source: "only version"}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
 	defer cancel()
 	reply, err := d.readSoftware(ctx, request)
 	if err != nil {
 		d.host.Log.Info("software version of a stream not found for another host", zap.String("Service", request.Service), zap.Error(err))
-		return &peer.FindSoftwareReply{}
 	}
-	return reply
+	return reply, err
 }
 
 // softwareToBegin returns the software version at which a stream has to begin, empty for any. While streams can't be
--- a/gateway/stream_recorder.go
+++ b/gateway/stream_recorder.go
@@ -29,15 +29,15 @@
 type streamRecorder struct {
 	host *Host
 
-	mu       sync.Mutex
-	pending  []streamRecord
-	writing  bool
-	failing  bool           // the last records were not written, neither by this host nor by others
-	turned   bool           // the store did not respond to this host when it last wrote
-	helped   int            // transactions for other hosts that are in progress
-	written  []streamRecord // within streamRetention, in the order of their time
-	lease    int64          // of the records, 0 if none is usable
-	leasedAt time.Time
+	mu         sync.Mutex
+	pending    []streamRecord
+	writing    bool
+	failing    bool           // the last records were not written, neither by this host nor by others
+	turnedAway bool           // the store did not respond to this host when it last wrote
+	helped     int            // transactions for other hosts that are in progress
+	written    []streamRecord // within streamRetention, in the order of their time
+	lease      int64          // of the records, 0 if none is usable
+	leasedAt   time.Time
 }
 
 // streamRecord is the software version that began a stream.
@@ -144,20 +144,20 @@
 
 // commitAnywhere writes records to the store, or has other hosts write them if it does not respond to this one.
 func (s *streamRecorder) commitAnywhere(ctx context.Context, batch []streamRecord) error {
-	delay := hedgeDelay
+	delay := helpDelay
 	s.mu.Lock()
-	if s.turned {
+	if s.turnedAway {
 		delay = 0
 	}
 	s.mu.Unlock()
-	direct, err := hedge(ctx, delay, func(ctx context.Context) (bool, error) {
+	direct, err := firstSuccess(ctx, delay, func(ctx context.Context) (bool, error) {
 		return true, s.commit(ctx, batch)
 	}, func(ctx context.Context) (bool, error) {
 		return false, s.commitThroughHelpers(ctx, batch)
 	})
 	s.mu.Lock()
-	changed := s.turned == direct
-	s.turned = !direct
+	changed := s.turnedAway == direct
+	s.turnedAway = !direct
 	s.mu.Unlock()
 	if err == nil && changed {
 		s.host.Log.Info("writer of streams' records changed", zap.Bool("OtherHosts", !direct), zap.Int("Streams", len(batch)))
@@ -177,10 +177,10 @@
 	return err
 }
 
-// commitForOther writes the records of another host. It fails at once unless the store responds to this host.
+// commitForOther writes the records of another host. It fails at once if this host does not hear of the store either.
 func (s *streamRecorder) commitForOther(ctx context.Context, request *peer.RecordStreamsRequest) error {
 	s.mu.Lock()
-	if s.helped >= maxHelpedWrites || s.host.history.isStale(s.host.Now()) {
+	if s.helped >= maxHelpedWrites || s.host.history.isOutdated(s.host.Now()) {
 		s.mu.Unlock()
 		return errNoHelp
 	}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -192,7 +192,7 @@
 
 // FindSoftwareReply contains the software version at which a stream may go on.
 type FindSoftwareReply struct {
-	Known   bool   // the store responded to this host, and it knows what the service serves
+	Known   bool   // the view of the replying host is not outdated
 	Version string // empty for any
 	Source  string // of the version, for the log
 }
