gateway: hosts of large zones call their relay as often as before

The shorter wait of calls to a relay cost messages where it is not needed.

Large zones wait 1 s again: their sites allow 3 s and more, and the slowest change takes 2.55 s by the constants. Zones of up to six hosts, with a bound of 2 s, keep 0.6 s. TestFrozenRelays holds for zones of 3, 5 and 23 hosts.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,9 +22,10 @@
 	// maxRelayAge is the highest age of the store's last response at which a relay counts as fresh: the wait of a
 	// watch, the delay after it and a margin.
 	maxRelayAge = watchWait + watchDelay + 150*time.Millisecond
-	// followWait is the wait of a call to the relay. It is short because a host learns that its relay stands still only when
-	// a call takes too long, and as long as the relay pauses between two watches, whose changes end most calls.
-	followWait = watchDelay
+	// smallZoneFollowWait is the wait of a call to the relay of a small zone; in a large one it is watchWait. It is short
+	// because a host learns that its relay stands still only when a call takes too long, and as long as the relay pauses
+	// between two watches, whose changes end most calls.
+	smallZoneFollowWait = watchDelay
 	// probeWait is the wait of a call to a relay that is not known to reply.
 	probeWait = maxFreshWait
 	// followMargin is how much longer than its wait a call to the relay may take.
@@ -273,7 +274,7 @@
 	if s != h.source {
 		h.Log.Info("source of changes chosen", zap.String("Relay", s.relay), zap.Bool("Probe", s.probe), zap.Bool("CatchUp", s.catchUp), zap.Duration("Wait", s.wait))
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.followWait()+followMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.follow+followMargin)
 	h.source, h.endFollow = s, nil
 	if s.relay != "" {
 		h.endFollow = cancel
@@ -287,7 +288,7 @@
 	if h.suspectsFrom != address {
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
-	request := &peer.FollowRequest{After: revision, Wait: s.followWait(), SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
+	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter, h.partsAfter, h.limitsAfter = address, reply.SuspectSequence, reply.PartSequence, reply.LimitSequence
--- a/gateway/relay_choice.go
+++ b/gateway/relay_choice.go
@@ -55,6 +55,7 @@
 type source struct {
 	relay   string        // peer address of the relay; empty for the store
 	probe   bool          // the relay has not replied to the last call to it, or was not called before
+	follow  time.Duration // wait of the call to the relay
 	catchUp bool          // a single watch for lack of a relay, which does not wait for changes
 	wait    time.Duration // there is no source before this time has passed
 }
@@ -71,17 +72,20 @@
 	return min(max(time.Duration(o.hosts)*directPausePerHost, minDirectPause), maxDirectPause)
 }
 
-// followWait returns the wait of a call to the relay.
-func (s source) followWait() time.Duration {
-	if s.probe {
-		return probeWait
+// isSmall reports whether all hosts of the zone may watch the store at the same time.
+func (o zoneOrder) isSmall() bool { return o.maxPause() <= minDirectPause }
+
+// followWait returns the wait of a call to a relay that is known to reply.
+func (o zoneOrder) followWait() time.Duration {
+	if o.isSmall() {
+		return smallZoneFollowWait
 	}
-	return followWait
+	return watchWait
 }
 
 // maxFailures returns how many relays a host of the zone tries in a row before it watches the store itself.
 func (o zoneOrder) maxFailures() int {
-	if o.maxPause() <= minDirectPause {
+	if o.isSmall() {
 		return 1
 	}
 	return maxRelayFailures
@@ -103,7 +107,7 @@
 		return source{wait: c.directAt.Sub(now)}
 	}
 	if c.inRow > 0 && !c.behind && slices.Contains(order.others, c.good) && !now.Before(c.failures[c.good].until) {
-		return c.following(c.good)
+		return c.following(order, c.good)
 	}
 	if !c.isRelay(now, order) && mayWatch && (c.behind || c.inRow >= order.maxFailures()) {
 		return source{catchUp: true}
@@ -113,7 +117,7 @@
 		for _, address := range order.others {
 			f := c.failures[address]
 			if !now.Before(f.until) {
-				return c.following(address)
+				return c.following(order, address)
 			}
 			if f.until.Before(earliest) {
 				earliest = f.until
@@ -127,8 +131,11 @@
 }
 
 // following returns a relay as the source.
-func (c *relayChoice) following(address string) source {
-	return source{relay: address, probe: address != c.good || c.failures[address].count > 0}
+func (c *relayChoice) following(order zoneOrder, address string) source {
+	if address != c.good || c.failures[address].count > 0 {
+		return source{relay: address, probe: true, follow: probeWait}
+	}
+	return source{relay: address, follow: order.followWait()}
 }
 
 // failed records that a relay did not reply, or replied that it is not fresh.
