--- a/model/deployment.go
+++ b/model/deployment.go
@@ -17,6 +17,8 @@
 	Routes   []Route
 	Services map[string]ServiceSpec
 	Limits   ConnectionLimits
+
+	Workspaces []Workspace // empty if callers need no keys
 }
 
 // Route assigns the requests for one host name and path prefix to services.
@@ -31,6 +33,7 @@
 	Priority      int            // 0 is the most urgent
 	Shares        []ServiceShare // at least one
 	MaxAttempts   int            // maximum number of backend servers that may run one request
+	Anonymous     bool           // callers need no key
 	Resumable     bool           // an interrupted stream may continue on another backend server
 }
 
@@ -52,6 +55,7 @@
 	WeightMB       float64 // memory for weights and adapters
 	AdapterSlots   int     // adapters that can be loaded at once
 	LoadsPerSecond float64 // from the weight store, over all backend servers
+	CacheTokens    int     // memory for the tokens of running requests and of cached prompts
 	Models         map[string]ModelSpec
 }
 
