platform, gateway: requests need the key of a workspace if the desired state has workspaces

What callers and operators saw: keys were passed on to backend servers, and anybody could use a deployment.

Now a request without a known key gets 401 unless its route is anonymous. Backend servers get the name of the workspace in Tenant instead of the key. The workspace's priority goes before that of the route, and requests carry their workspace and tokens. Invalid lists of workspaces reject the version; their errors name field and workspace and quote no value. Errors of the whole configuration quote none either, since a value may be a key.

A host that has not caught up with the store answers 503 instead of deciding by a state that may be seconds old: it could accept a key that was removed. Deployments without workspaces see this in the first 0.3 s of an unready host too.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -34,10 +34,10 @@
 // relatedEvents are the events of backend servers, models and hosts that can explain what happened to a request. The
 // texts must match the log messages, including those of earlier builds.
 var relatedEvents = []string{
-	"allowance", "backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "entries did not come back", "entry hosts changed",
+	"allowance", "backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "desired state not valid, the last one stays in force", "entries did not come back", "entry hosts changed",
 	"invariant violated", "lead does not answer, deciding here", "limit stated", "limit withdrawn", "no allowance", "no offer", "no report", "not placed", "not renewed", "order", "owner does not answer",
 	"ownership lost", "ownership regained", "placed", "prompt part blocked", "prompt part no longer blocked", "spread", "store lost", "store regained",
-	"stopping", "suspect",
+	"stopping", "suspect", "workspaces changed",
 }
 
 type explainCommand struct {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -46,20 +46,6 @@
 	invalidLimits sync.Map // backend servers with a limit that could not be read, to log it once
 }
 
-// FindRoute returns the route of a request and the service that it goes to. found reports whether a route matches and
-// known whether a desired state has been applied yet.
-func (d *Dispatcher) FindRoute(host, path, id string) (route model.Route, service string, found, known bool) {
-	table := d.host.routes.Load()
-	if table == nil {
-		return model.Route{}, "", false, false
-	}
-	route, found = table.find(host, path)
-	if !found {
-		return model.Route{}, "", false, true
-	}
-	return route, serviceOf(route, id), true, true
-}
-
 // ConnectionLimits returns the connection limits of the current desired state.
 func (d *Dispatcher) ConnectionLimits() model.ConnectionLimits {
 	table := d.host.routes.Load()
@@ -128,7 +114,7 @@
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
 	isResumed := r.TakenUp || p.Resuming
-	priority, enginePriority := max(0, maxPriority-priorityStep*r.Route.Priority), min(r.Route.Priority, maxEnginePriority)
+	priority, enginePriority := max(0, maxPriority-priorityStep*r.Priority), min(r.Priority, maxEnginePriority)
 	if isResumed {
 		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
 	}
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -14,9 +14,9 @@
 	Service     string
 	Model       string // empty for a plain service
 	Adapter     string
-	Workspace   string // whose key the caller has, empty if the deployment has no workspaces or the route is anonymous
+	Workspace   string // whose key the caller has, empty if the deployment has no workspaces or an anonymous caller no key
 	Priority    int    // of the workspace, or else of the route; 0 is the most urgent
-	Tokens      int    // of the prompt and of the longest possible response, 0 if the caller states none
+	Tokens      int    // of the prompt and of the longest possible response; PlainTokens of the cap if the caller states none
 	MaxTokens   int    // of the longest possible response, 0 if the caller set none
 	ArrivedAt   time.Time
 	Deadline    time.Time
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -8,16 +8,20 @@
 	"github.com/cespare/xxhash/v2"
 
 	"citronspread/model"
+	"citronspread/workspace"
 )
 
-// routeTable finds routes in one desired state. It is immutable.
+// routeTable finds routes and workspaces in one desired state. It is immutable and contains no key of a workspace.
 type routeTable struct {
-	state  model.DesiredState
-	byHost map[string][]model.Route // longest prefix first
+	state      model.DesiredState
+	byHost     map[string][]model.Route // longest prefix first
+	workspaces *workspace.Directory
 }
 
 func newRouteTable(state model.DesiredState) *routeTable {
-	t := &routeTable{state: state, byHost: make(map[string][]model.Route)}
+	directory := workspace.NewDirectory(state.Workspaces)
+	state.Workspaces = directory.Workspaces()
+	t := &routeTable{state: state, byHost: make(map[string][]model.Route), workspaces: directory}
 	for _, route := range state.Routes {
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -363,15 +363,18 @@
 		h.Log.Error("desired state not valid, the last one stays in force", zap.Int64("Revision", e.Revision), zap.Error(err))
 		return
 	}
-	if current := h.routes.Load(); current != nil && state.Version <= current.state.Version {
+	current := h.routes.Load()
+	if current != nil && state.Version <= current.state.Version {
 		if state.Version < current.state.Version {
 			h.Log.Info("older desired state ignored", zap.Int64("Version", state.Version), zap.Int64("Current", current.state.Version), zap.Int64("Revision", e.Revision))
 		}
 		return
 	}
-	h.routes.Store(newRouteTable(state))
+	table := newRouteTable(state)
+	h.routes.Store(table)
 	h.viewChanged = true
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
+	h.logWorkspaces(current, table)
 }
 
 // applyListing applies the entry of a backend server. An entry that can't be decoded removes the backend server.
--- a/workspace/directory_test.go
+++ b/workspace/directory_test.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -115,9 +116,12 @@
 	if len(digestSecret()) < 32 || reflect.DeepEqual(digestSecret(), make([]byte, len(digestSecret()))) {
 		t.Error("got a secret that is short or zero, want 32 random bytes")
 	}
-	if digestOf("a") == digestOf("b") || digestOf("a") != digestOf("a") {
+	if first, again := digestOf("a"), digestOf("a"); first != again || first == digestOf("b") {
 		t.Error("got equal digests of two keys, or two digests of one")
 	}
+	if unkeyed := digest(sha256.Sum256([]byte("a"))); digestOf("a") == unkeyed {
+		t.Error("got a digest without a secret")
+	}
 }
 
 func TestCompare(t *testing.T) {
