gateway: a host that starts asks others for a later desired state than the restored store's

What operators could see: a host that started after the store was restored from an older copy decided by that copy, and so accepted keys that had been removed, while all other hosts kept the highest version. A host that started while the store's latest desired state was invalid had none at all.

In a later era than the first one, a host asks up to two hosts of its zone and one of each other zone before it answers requests, for at most 0.5 s. It does the same every 2 s while it has no desired state. Hosts of earlier builds do not know the new method, which counts as no reply.

--- /dev/null
+++ b/gateway/desired_state.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"citronspread/model"
+	"citronspread/peer"
+	"citronspread/store"
+)
+
+// Timing of the calls by which a host learns the desired state from other hosts.
+const (
+	// learnTimeout limits how long a host that starts waits for other hosts. It answers 503 until then.
+	learnTimeout = 500 * time.Millisecond
+	// learnInterval is the pause between two attempts of a host that has no desired state.
+	learnInterval = 2 * time.Second
+	// learnFrom is the number of hosts of the own zone that are asked. One of each other zone is asked as well.
+	learnFrom = 2
+)
+
+// desiredState is the desired state in force as the store gave it out.
+type desiredState struct {
+	version int64
+	packed  func() []peer.PackedEntry // compresses the entry once
+}
+
+func newDesiredState(version int64, e store.Entry) *desiredState {
+	return &desiredState{version: version, packed: sync.OnceValue(func() []peer.PackedEntry {
+		return []peer.PackedEntry{{Key: e.Key, Revision: e.Revision, Value: deflate(e.Value)}}
+	})}
+}
+
+// DesiredState returns the desired state in force to a host that has an earlier one or none.
+func (p *platformHandler) DesiredState(_ context.Context, request *peer.DesiredStateRequest) (*peer.DesiredStateReply, error) {
+	state := p.host.desired.Load()
+	if state == nil || state.version <= request.After {
+		return &peer.DesiredStateReply{}, nil
+	}
+	return &peer.DesiredStateReply{Packed: state.packed()}, nil
+}
+
+// desiredVersion returns the version of the desired state in force, 0 if there is none.
+func (h *Host) desiredVersion() int64 {
+	if state := h.desired.Load(); state != nil {
+		return state.version
+	}
+	return 0
+}
+
+// completeCatchUp ends the start of a host that has applied the content of the store at a revision. If the store was
+// restored from an older copy, a later version of the desired state than the store's may be in force at the other hosts,
+// and a key that was removed by it must not be accepted here.
+func (h *Host) completeCatchUp(ctx context.Context, revision int64) {
+	if store.Era(revision) > 0 && !h.caughtUp.Load() {
+		h.learnDesiredState(ctx)
+	}
+	h.post(func(time.Time) { h.caughtUp.Store(true) })
+}
+
+// learnDesiredState asks other hosts for a later desired state than the own one and applies the latest.
+func (h *Host) learnDesiredState(ctx context.Context) {
+	addresses, err := query(ctx, h, func(time.Time) []string { return h.informants() })
+	if err != nil || len(addresses) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	request := &peer.DesiredStateRequest{After: h.desiredVersion()}
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() {
+			reply, err := h.Peers.DesiredState(ctx, address, request)
+			var entries []store.Entry
+			if err == nil {
+				entries, err = unpack(reply.Packed)
+			}
+			h.Log.Info("desired state requested from a peer", zap.String("Peer", address), zap.Int64("After", request.After), zap.Bool("Later", len(entries) > 0), zap.Error(err))
+			for _, e := range entries {
+				if e.Key == h.Decoder.ConfigurationKey {
+					h.post(func(time.Time) { h.applyConfiguration(e) })
+				}
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// informants returns the peer addresses of the hosts that are asked for the desired state: those that become relays first.
+// A restored store may have lost what shows that hosts are live, so if none is, all recorded hosts count.
+func (h *Host) informants() []string {
+	peers := h.table.Live()
+	if !slices.ContainsFunc(peers, func(p model.Peer) bool { return p.Name != h.Name }) {
+		peers = nil
+		for _, other := range h.table.Hosts {
+			if r := other.Record; r.Name != "" && !r.Left {
+				peers = append(peers, model.Peer{Name: r.Name, Zone: r.Zone, Address: r.PeerAddress})
+			}
+		}
+	}
+	byZone := make(map[string][]model.Peer)
+	for _, p := range peers {
+		if p.Name != h.Name {
+			byZone[p.Zone] = append(byZone[p.Zone], p)
+		}
+	}
+	var addresses []string
+	for zone, peers := range byZone {
+		count := 1
+		if zone == h.Zone {
+			count = learnFrom
+		}
+		for _, p := range relayOrder(peers)[:min(count, len(peers))] {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+// stepDesiredState asks other hosts for the desired state while this host has none although it has caught up with the store,
+// which is so if the store's latest one is invalid.
+func (h *Host) stepDesiredState(now time.Time) {
+	if !h.caughtUp.Load() || h.routes.Load() != nil || !h.learnedAt.IsZero() && now.Sub(h.learnedAt) < learnInterval {
+		return
+	}
+	h.learnedAt = now
+	h.spawn(h.learnDesiredState)
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -75,6 +75,7 @@
 
 	router   *routing.Router
 	routes   atomic.Pointer[routeTable]
+	desired  atomic.Pointer[desiredState] // the same desired state as routes, as the store gave it out
 	snapshot atomic.Pointer[model.Snapshot]
 	// serviceSoftware holds the software versions by service.
 	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
@@ -125,7 +126,8 @@
 	claiming        bool          // a claim is in progress
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
-	suspectsLearned bool // the relays were asked for the suspects that they refuse
+	learnedAt       time.Time // when other hosts were last asked for the desired state, since this one has none
+	suspectsLearned bool      // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
 }
@@ -296,6 +298,7 @@
 		h.updateHostCount(now)
 		h.updateRelays()
 	}
+	h.stepDesiredState(now)
 	h.stepOwnership(now)
 	h.stepSoftware(now)
 	h.stepOwned(now)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -40,6 +40,7 @@
 	Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error)
 	RecordStreams(ctx context.Context, address string, request *peer.RecordStreamsRequest) error
 	FindSoftware(ctx context.Context, address string, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error)
+	DesiredState(ctx context.Context, address string, request *peer.DesiredStateRequest) (*peer.DesiredStateReply, error)
 }
 
 // BackendClient sends orders to backend servers and fetches their reports. Each call names the incarnation that it is
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -130,10 +130,10 @@
 		readAt = h.Now()
 	}
 	h.history.reset(readAt, listing.Revision)
-	h.post(func(now time.Time) {
-		h.applyStoreContent(now, listing)
-		h.caughtUp.Store(consistency == store.Linearizable)
-	})
+	h.post(func(now time.Time) { h.applyStoreContent(now, listing) })
+	if consistency == store.Linearizable {
+		h.completeCatchUp(ctx, listing.Revision)
+	}
 	return listing.Revision, delay, nil
 }
 
@@ -149,7 +149,7 @@
 		return revision, 0, err
 	}
 	h.applyChange(change, true)
-	h.post(func(time.Time) { h.caughtUp.Store(true) })
+	h.completeCatchUp(ctx, change.Revision)
 	return change.Revision, watchDelay, nil
 }
 
@@ -371,6 +371,7 @@
 		return
 	}
 	table := newRouteTable(state)
+	h.desired.Store(newDesiredState(state.Version, e))
 	h.routes.Store(table)
 	h.viewChanged = true
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -24,6 +24,7 @@
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 	RecordStreams(ctx context.Context, request *RecordStreamsRequest) (*Empty, error)
 	FindSoftware(ctx context.Context, request *FindSoftwareRequest) (*FindSoftwareReply, error)
+	DesiredState(ctx context.Context, request *DesiredStateRequest) (*DesiredStateReply, error)
 }
 
 var platformMethods = []methodEntry{
@@ -39,6 +40,7 @@
 	unary("/Fleet/Follow", PlatformHandler.Follow),
 	unary("/Fleet/RecordStreams", PlatformHandler.RecordStreams),
 	unary("/Fleet/FindSoftware", PlatformHandler.FindSoftware),
+	unary("/Fleet/DesiredState", PlatformHandler.DesiredState),
 }
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
@@ -197,6 +199,17 @@
 	Source  string // of the version, for the log
 }
 
+// DesiredStateRequest requests the desired state in force at another host, for a host that cannot have it from the store: the
+// store has been restored from an older copy, or its latest desired state is invalid.
+type DesiredStateRequest struct {
+	After int64 // version of the desired state that the sender has, 0 for none
+}
+
+// DesiredStateReply contains the entry of the desired state in force if its version is later than the requested one.
+type DesiredStateReply struct {
+	Packed []PackedEntry // one entry or none
+}
+
 // Place requests that the leader of a model have it loaded.
 func (c *Client) Place(ctx context.Context, address string, request *PlaceRequest) (*PlaceReply, error) {
 	return invoke[PlaceReply](ctx, c, address, "/Fleet/Place", request)
@@ -261,3 +274,8 @@
 func (c *Client) FindSoftware(ctx context.Context, address string, request *FindSoftwareRequest) (*FindSoftwareReply, error) {
 	return invoke[FindSoftwareReply](ctx, c, address, "/Fleet/FindSoftware", request)
 }
+
+// DesiredState requests a later desired state from another entry host.
+func (c *Client) DesiredState(ctx context.Context, address string, request *DesiredStateRequest) (*DesiredStateReply, error) {
+	return invoke[DesiredStateReply](ctx, c, address, "/Fleet/DesiredState", request)
+}
