gateway: a host asks others after an invalid desired state

What operators could see: two versions written shortly after another, the second one invalid. A host that got both in one change of the store never saw the first one, which was in force at the others. Such a host now asks them, at once and 2 s later. TestDesiredStateReplacedByInvalidOne fails without it; TestStartWithOldContentAnswersNothing guards the 503 of a host that has not caught up.

--- a/gateway/desired_state.go
+++ b/gateway/desired_state.go
@@ -17,8 +17,11 @@
 const (
 	// learnTimeout limits how long a host that starts waits for other hosts. It answers 503 until then.
 	learnTimeout = 500 * time.Millisecond
-	// learnInterval is the pause between two attempts of a host that has no desired state.
+	// learnInterval is the pause between two attempts of a host that has no desired state, or an invalid one.
 	learnInterval = 2 * time.Second
+	// invalidLearnAttempts is the number of attempts after an invalid desired state. The second one is made when all hosts
+	// have got what was written before it.
+	invalidLearnAttempts = 2
 	// learnFrom is the number of hosts of the own zone that are asked. One of each other zone is asked as well.
 	learnFrom = 2
 )
@@ -122,11 +125,12 @@
 }
 
 // stepDesiredState asks other hosts for the desired state while this host has none although it has caught up with the store,
-// which is so if the store's latest one is invalid.
+// and a few times after it has got an invalid one: a valid one may have been replaced by that before this host got it.
 func (h *Host) stepDesiredState(now time.Time) {
-	if !h.caughtUp.Load() || h.routes.Load() != nil || !h.learnedAt.IsZero() && now.Sub(h.learnedAt) < learnInterval {
+	isNeeded := h.learnAttempts > 0 || h.routes.Load() == nil
+	if !isNeeded || !h.caughtUp.Load() || !h.learnedAt.IsZero() && now.Sub(h.learnedAt) < learnInterval {
 		return
 	}
-	h.learnedAt = now
+	h.learnedAt, h.learnAttempts = now, max(0, h.learnAttempts-1)
 	h.spawn(h.learnDesiredState)
 }
--- a/gateway/desired_state_test.go
+++ b/gateway/desired_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -87,6 +88,42 @@
 	})
 }
 
+// TestDesiredStateReplacedByInvalidOne guards against a valid desired state that is in force at some hosts only, because the others
+// got it together with an invalid one that replaced it.
+func TestDesiredStateReplacedByInvalidOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 12, 10*time.Second)
+		late := f.hosts["host-1"]
+		late.storeCut.Store(true)
+		late.frozen.Store(true)
+		f.store.put("config", "2")
+		time.Sleep(3 * time.Second)
+		f.store.put("config", "invalid")
+		late.storeCut.Store(false)
+		late.frozen.Store(false)
+		time.Sleep(6 * time.Second)
+		for name, h := range f.hosts {
+			if got := h.version(); got != 2 {
+				t.Errorf("got version %d at %s, want 2", got, name)
+			}
+		}
+	})
+}
+
+// TestStartWithOldContentAnswersNothing guards against requests that are decided by a desired state that was replaced before the
+// host started, since its first read of the store is some seconds old: it would accept removed keys.
+func TestStartWithOldContentAnswersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 30, 10*time.Second)
+		f.store.put("config", "2")
+		f.store.setLag(5)
+		for i := range 4 {
+			f.store.put(fmt.Sprintf("other/%d", i), "y")
+		}
+		t.Logf("known after %v", f.start(100).awaitVersion(t, 2))
+	})
+}
+
 // TestDesiredStateIsSentIfLater guards against replies that repeat a large desired state to hosts that have it.
 func TestDesiredStateIsSentIfLater(t *testing.T) {
 	h := &Host{}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -126,7 +126,8 @@
 	claiming        bool          // a claim is in progress
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
-	learnedAt       time.Time // when other hosts were last asked for the desired state, since this one has none
+	learnedAt       time.Time // when other hosts were last asked for the desired state
+	learnAttempts   int       // how often they are to be asked since the store's desired state is invalid
 	suspectsLearned bool      // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -361,6 +361,7 @@
 	state, err := h.Decoder.DecodeConfiguration(e.Value)
 	if err != nil {
 		h.Log.Error("desired state not valid, the last one stays in force", zap.Int64("Revision", e.Revision), zap.Error(err))
+		h.learnAttempts = invalidLearnAttempts
 		return
 	}
 	current := h.routes.Load()
