--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -50,3 +50,22 @@
 		t.Errorf("got %q, want the statement and the allowance of i-2 before the refusal", got)
 	}
 }
+
+// TestExplainUnauthorized guards against a refusal with 401 without the lines that say which keys its host had.
+func TestExplainUnauthorized(t *testing.T) {
+	lines, _ := parseLog(strings.NewReader(`time=2026-10-10T05:44:09Z level=info event="workspaces changed" Host=front-1 Version=7 Added=0 Removed=0 KeysRemoved=1
+time=2026-10-10T05:44:09Z level=info event="workspaces changed" Host=front-2 Version=7 Added=0 Removed=0 KeysRemoved=1
+time=2026-10-10T05:44:10Z level=error event="desired state not valid, the last one stays in force" Host=front-1 Revision=9 error="platform: op/config: tenants[0].apiKeys: workspace 0 \"a\": a key is empty"
+time=2026-10-10T05:44:11Z level=info event=unauthorized Host=front-1 Request=q9 Hostname=h.example Path=/x/ Version=7 Credentials=key
+`))
+	got := explain(lines, "q9")
+	want := []string{"workspaces changed: Version=7", "desired state not valid", "unauthorized: Hostname=h.example"}
+	if len(got) != len(want) {
+		t.Fatalf("got %d lines %q, want the refusal and what its host logged before it", len(got), got)
+	}
+	for i := range want {
+		if !strings.Contains(got[i], want[i]) {
+			t.Errorf("got line %d %q, want %q", i, got[i], want[i])
+		}
+	}
+}
