caller, settings: callers of citronspread serve need the key of a workspace if the settings list workspaces

Need: the project's own edge passed the header Authorization on to plain services and knew no workspaces. Now package workspace decides there too. Idempotency keys belong to a workspace: with the same one in two workspaces, the second would have got the stored response to the first one's call.

--- a/caller/body.go
+++ b/caller/body.go
@@ -52,7 +52,10 @@
 // readOptions reads the priority and the deadline from the headers.
 // On failure it writes the error response and returns false.
 func (s *Server) readOptions(w http.ResponseWriter, r *http.Request, now time.Time) (requestOptions, bool) {
-	timeout, priority := s.Limits.DefaultTimeout, s.Limits.DefaultPriority
+	timeout, priority, mostUrgent := s.Limits.DefaultTimeout, s.Limits.DefaultPriority, s.Limits.MaxPriority
+	if p, isSet := workspacePriority(workspaceOf(r.Context())); isSet {
+		priority, mostUrgent = p, min(p, mostUrgent)
+	}
 	if text := r.Header.Get(headerTimeout); text != "" {
 		d, err := time.ParseDuration(text)
 		if err != nil || d <= 0 {
@@ -71,7 +74,7 @@
 	}
 	return requestOptions{
 		deadline: now.Add(min(timeout, s.Limits.MaxTimeout)),
-		priority: min(priority, s.Limits.MaxPriority),
+		priority: min(priority, mostUrgent),
 	}, true
 }
 
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -56,7 +56,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.options.deadline)
 	defer cancel()
-	w.Header().Set("X-Request-Id", c.id)
+	w.Header().Set(headerRequestID, c.id)
 	response := s.newResponse(w, c)
 	defer response.close()
 	err := s.run(ctx, c, response)
--- a/caller/failure.go
+++ b/caller/failure.go
@@ -22,6 +22,7 @@
 	codeNoRoute           = "no_route"
 	codeNoMethod          = "method_not_allowed"
 	codeInvalid           = "invalid_request"
+	codeUnauthorized      = "invalid_api_key"
 	codeTooLarge          = "request_too_large"
 	codeBodyTimeout       = "request_timeout"
 	codeNoModel           = "model_not_found"
--- a/caller/server.go
+++ b/caller/server.go
@@ -13,6 +13,7 @@
 	"citronspread/engine"
 	"citronspread/routing"
 	"citronspread/service"
+	"citronspread/workspace"
 )
 
 const drainPollInterval = 10 * time.Millisecond
@@ -55,7 +56,8 @@
 	Claims            *Claims // nil when no store is configured
 	Log               *zap.Logger
 	Limits            Limits
-	IdempotentMethods []string // of plain services; GET, HEAD and OPTIONS when empty
+	IdempotentMethods []string             // of plain services; GET, HEAD and OPTIONS when empty
+	Workspaces        *workspace.Directory // nil or empty if callers need no keys
 	Totals            Totals
 
 	draining atomic.Bool
@@ -69,11 +71,12 @@
 	}
 	r := chi.NewRouter()
 	r.Use(s.track)
-	r.Get("/v1/models", s.listModels)
-	r.Post("/v1/chat/completions", s.completeChat)
-	r.Post("/v1/completions", s.completeText)
-	r.HandleFunc("/services/{service}", s.callService)
-	r.HandleFunc("/services/{service}/*", s.callService)
+	keyed := r.With(s.authenticate)
+	keyed.Get("/v1/models", s.listModels)
+	keyed.Post("/v1/chat/completions", s.completeChat)
+	keyed.Post("/v1/completions", s.completeText)
+	keyed.HandleFunc("/services/{service}", s.callService)
+	keyed.HandleFunc("/services/{service}/*", s.callService)
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		s.writeError(w, failure{status: http.StatusNotFound, code: codeNoRoute, message: "no such path", run: runStatusNotRun})
 	})
--- a/caller/services.go
+++ b/caller/services.go
@@ -72,6 +72,9 @@
 		s.writeError(w, invalid(headerIdempotencyKey+" is too long"))
 		return
 	}
+	if name := workspaceOf(ctx).Name; name != "" {
+		key = name + "\x00" + key // two workspaces may use the same key for different calls
+	}
 	s.callClaimed(ctx, w, c, key)
 }
 
--- a/caller/totals.go
+++ b/caller/totals.go
@@ -13,6 +13,8 @@
 	Moved     atomic.Int64 // attempts cancelled in favor of a faster replica
 	CutShort  atomic.Int64 // streams that ended with an error event
 	Replayed  atomic.Int64 // responses replayed from a claim
+
+	Unauthorized atomic.Int64 // refused for want of a workspace's key, also counted as Refused
 }
 
 // State is a copy of the counters for the debug dump and the metrics.
@@ -28,6 +30,10 @@
 	Moved     int64
 	CutShort  int64
 	Replayed  int64
+
+	Unauthorized  int64
+	Workspaces    int
+	WorkspaceKeys int
 }
 
 // State returns the current counters.
@@ -45,5 +51,9 @@
 		Moved:     t.Moved.Load(),
 		CutShort:  t.CutShort.Load(),
 		Replayed:  t.Replayed.Load(),
+
+		Unauthorized:  t.Unauthorized.Load(),
+		Workspaces:    len(s.Workspaces.Workspaces()),
+		WorkspaceKeys: s.Workspaces.KeyCount(),
 	}
 }
--- a/entryhost/callerserver.go
+++ b/entryhost/callerserver.go
@@ -39,6 +39,8 @@
 		Claims:   &caller.Claims{Store: h.Store, Leases: h.Store, MaxWait: claimWait, StoreTimeout: claimStoreTimeout},
 		Log:      h.Log,
 		Limits:   h.Traffic.Limits,
+
+		Workspaces: h.Workspaces,
 	}
 }
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -24,6 +24,7 @@
 	"citronspread/peer"
 	"citronspread/placement"
 	"citronspread/routing"
+	"citronspread/workspace"
 )
 
 // Host is one entry host. The exported fields are set before Run.
@@ -37,8 +38,9 @@
 	OperatorAddress string
 	Policy          Policy
 	Traffic         Traffic
-	StoreTimeout    time.Duration // of one store call
-	MaxOrderDelay   time.Duration // time after which an order can no longer reach its engine
+	Workspaces      *workspace.Directory // nil or empty if callers need no keys
+	StoreTimeout    time.Duration        // of one store call
+	MaxOrderDelay   time.Duration        // time after which an order can no longer reach its engine
 	Store           Store
 	HostList        HostList
 	DialEngine      func(host model.Host) Engine
@@ -80,7 +82,8 @@
 	h.addPeerServer(&group, background, open.peer)
 	h.addOperatorServer(&group, open.operator)
 	h.addCallerServer(&group, ctx, open.caller)
-	h.Log.Info("started", zap.String("Name", h.Name), zap.String("Zone", h.Zone), zap.String("Incarnation", string(h.incarnation)))
+	h.Log.Info("started", zap.String("Name", h.Name), zap.String("Zone", h.Zone), zap.String("Incarnation", string(h.incarnation)),
+		zap.Int("Workspaces", len(h.Workspaces.Workspaces())), zap.Int("Keys", h.Workspaces.KeyCount()))
 	err = group.Run()
 	stop()
 	h.executor.tasks.Wait()
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -14,6 +14,7 @@
 	"citronspread/routing"
 	"citronspread/settings"
 	"citronspread/store"
+	"citronspread/workspace"
 )
 
 // staleAfter is the age at which a load report is stale. It allows for the delays of an engine's report
@@ -36,6 +37,7 @@
 		OperatorAddress: s.OperatorAddress,
 		Policy:          policyFrom(s),
 		Traffic:         trafficFrom(s),
+		Workspaces:      workspace.NewDirectory(s.Workspaces),
 		StoreTimeout:    s.Deadlines.StoreCall,
 		MaxOrderDelay:   s.Deadlines.Order,
 		Store:           &store.Client{Address: s.StoreAddress, Zone: s.Zone},
--- a/entryhost/vars.go
+++ b/entryhost/vars.go
@@ -14,6 +14,9 @@
 	vars.Set("PeerCalls", expvar.Func(func() any { return h.peerTraffic.Calls.Load() }))
 	vars.Set("RetryBudget", expvar.Func(func() any { return h.router.Budget.Totals() }))
 	vars.Set("SuspectTotals", expvar.Func(func() any { return h.router.Suspects.Totals() }))
+	vars.Set("Unauthorized", expvar.Func(func() any { return h.callers.State().Unauthorized }))
+	vars.Set("Workspaces", expvar.Func(func() any { return h.callers.State().Workspaces }))
+	vars.Set("WorkspaceKeys", expvar.Func(func() any { return h.callers.State().WorkspaceKeys }))
 	return vars
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"citronspread/model"
+	"citronspread/workspace"
 	"citronspread/yamlfile"
 )
 
@@ -47,6 +49,7 @@
 	s.Limits = readLimits(m.MappingOr("Limits"), s.Limits)
 	s.WeightStore = readWeightStore(m.Mapping("WeightStore"), s.WeightStore)
 	s.KeepAlive = readKeepAlive(m, s.Deployment, s.KeepAlive)
+	s.Workspaces = readWorkspaces(r, m)
 	m.ReportUnknownKeys()
 	checkAddresses(m, s)
 	return s, r.Err()
@@ -137,6 +140,32 @@
 	m.AddProblem(key, "no weight, because Deployment "+deployment+" sets it; weights are allowed only with Custom")
 }
 
+// readWorkspaces reads the optional list of workspaces. The problems that it adds contain no key.
+func readWorkspaces(r *yamlfile.Reader, top *yamlfile.Mapping) []model.Workspace {
+	mappings := top.MappingsOr("Workspaces")
+	if top.Has("Workspaces") && len(mappings) == 0 {
+		top.AddProblem("Workspaces", "at least one workspace; without the key Workspaces, callers need no keys")
+	}
+	workspaces := make([]model.Workspace, len(mappings))
+	for i, m := range mappings {
+		w := &workspaces[i]
+		w.Name = m.Text("Name")
+		if m.Has("Keys") {
+			w.Keys = m.Texts("Keys")
+		}
+		if m.Has("Priority") {
+			priority := int(m.Int("Priority", yamlfile.IntRange{High: workspace.MaxPriority}))
+			w.Priority = &priority
+		}
+		m.ReportUnknownKeys()
+	}
+	var invalid *workspace.InvalidError
+	if !r.HasProblems() && errors.As(workspace.Check(workspaces), &invalid) {
+		mappings[invalid.Position].AddProblem(string(invalid.Field), "another value: "+invalid.Reason)
+	}
+	return workspaces
+}
+
 // checkAddresses adds a problem for each address that two settings share. The entry host could not listen on one
 // address twice, or would listen where it expects the platform.
 func checkAddresses(m *yamlfile.Mapping, s Settings) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,7 +1,11 @@
 // Package settings reads and validates the YAML settings of an entry host.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"citronspread/model"
+)
 
 // Deployment names. A named deployment sets the keep-alive weights; Custom requires them in the file.
 const (
@@ -28,6 +32,7 @@
 	Limits          Limits
 	WeightStore     WeightStore
 	KeepAlive       KeepAlive
+	Workspaces      []model.Workspace // with names, keys and priorities; empty if callers need no keys
 
 	// StandingReservations is the number of loads that may be reserved in advance on each backend server.
 	StandingReservations int
--- a/yamlfile/scalar.go
+++ b/yamlfile/scalar.go
@@ -54,6 +54,9 @@
 	return m.Names(key)
 }
 
+// Texts returns the list of strings under a required key.
+func (m *Mapping) Texts(key string) []string { return m.texts(key, "a list of strings") }
+
 // OneOf returns the string under a required key, which must be one of the allowed values.
 func (m *Mapping) OneOf(key string, allowed ...string) string {
 	expected := "one of " + strings.Join(allowed, ", ")
