--- a/workspace/directory.go
+++ b/workspace/directory.go
@@ -56,7 +56,7 @@
 
 // Find returns the workspace of a key, without its keys.
 func (d *Directory) Find(key string) (model.Workspace, bool) {
-	if d == nil || key == "" {
+	if d == nil || len(d.positions) == 0 || key == "" {
 		return model.Workspace{}, false
 	}
 	i, found := d.positions[digestOf(key)]
