--- a/workspace/check.go
+++ b/workspace/check.go
@@ -119,9 +119,9 @@
 	case w.Priority != nil && (*w.Priority < 0 || *w.Priority > MaxPriority):
 		return FieldPriority, fmt.Sprintf("not from 0 to %d", MaxPriority)
 	case !isUsage(w.Cap.PerSecond):
-		return FieldPerSecond, "not a number of 0 or more"
+		return FieldPerSecond, "not a number from 0 to 2^53"
 	case !isUsage(w.Cap.Burst):
-		return FieldBurst, "not a number of 0 or more"
+		return FieldBurst, "not a number from 0 to 2^53"
 	case w.Cap.PlainTokens < 0 || w.Cap.PlainTokens > MaxTokens:
 		return FieldPlainTokens, fmt.Sprintf("not from 0 to %d", MaxTokens)
 	case w.Cap.Unit != model.CapRequests && w.Cap.Unit != model.CapTokens && w.Cap != model.UsageCap{}:
