--- a/gateway/desired_state.go
+++ b/gateway/desired_state.go
@@ -17,10 +17,10 @@
 const (
 	// learnTimeout limits how long a host that starts waits for other hosts. It answers 503 until then.
 	learnTimeout = 500 * time.Millisecond
-	// learnInterval is the pause between two attempts of a host that has no desired state, or an invalid one.
+	// learnInterval is the pause between two attempts of a host that has got an invalid desired state.
 	learnInterval = 2 * time.Second
-	// invalidLearnAttempts is the number of attempts after an invalid desired state. The second one is made when all hosts
-	// have got what was written before it.
+	// invalidLearnAttempts is the number of attempts of a host that has a desired state and gets an invalid one. The second
+	// one is made when all hosts have got what was written before it.
 	invalidLearnAttempts = 2
 	// learnFrom is the number of hosts of the own zone that are asked. One of each other zone is asked as well.
 	learnFrom = 2
@@ -124,13 +124,15 @@
 	return addresses
 }
 
-// stepDesiredState asks other hosts for the desired state while this host has none although it has caught up with the store,
-// and a few times after it has got an invalid one: a valid one may have been replaced by that before this host got it.
+// stepDesiredState asks other hosts for the desired state after this host has got an invalid one: as long as it has none, else a
+// few times, because a valid one may have been replaced by the invalid one before this host got it.
 func (h *Host) stepDesiredState(now time.Time) {
-	isNeeded := h.learnAttempts > 0 || h.routes.Load() == nil
-	if !isNeeded || !h.caughtUp.Load() || !h.learnedAt.IsZero() && now.Sub(h.learnedAt) < learnInterval {
+	if h.learnAttempts == 0 || !h.caughtUp.Load() || !h.learnedAt.IsZero() && now.Sub(h.learnedAt) < learnInterval {
 		return
 	}
-	h.learnedAt, h.learnAttempts = now, max(0, h.learnAttempts-1)
+	h.learnedAt = now
+	if h.routes.Load() != nil {
+		h.learnAttempts--
+	}
 	h.spawn(h.learnDesiredState)
 }
--- a/gateway/desired_state_test.go
+++ b/gateway/desired_state_test.go
@@ -80,8 +80,15 @@
 		time.Sleep(3 * time.Second)
 		f.store.put("config", "invalid")
 		time.Sleep(3 * time.Second)
+		for _, h := range f.hosts {
+			h.silent.Store(true)
+		}
 		h := f.start(100)
-		t.Logf("known after %v", h.awaitVersion(t, 2))
+		time.Sleep(5 * time.Second)
+		for _, other := range f.hosts {
+			other.silent.Store(false)
+		}
+		t.Logf("known %v after hosts reply again", h.awaitVersion(t, 2))
 		if _, missing := f.applied(3, 4*time.Second, everyHost); len(missing) > 0 {
 			t.Errorf("got no version 3 at %v, want it everywhere after the invalid one", missing)
 		}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -127,7 +127,7 @@
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
 	learnedAt       time.Time // when other hosts were last asked for the desired state
-	learnAttempts   int       // how often they are to be asked since the store's desired state is invalid
+	learnAttempts   int       // how often they are still to be asked since the store's desired state is invalid
 	suspectsLearned bool      // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
