--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -114,10 +114,7 @@
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
 	isResumed := r.TakenUp || p.Resuming
-	priority, enginePriority := max(0, maxPriority-priorityStep*r.Priority), min(r.Priority, maxEnginePriority)
-	if isResumed {
-		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
-	}
+	priority, enginePriority := priorities(r, isResumed)
 	request := routing.Request{
 		ID:          r.ID,
 		Target:      targetOf(r),
@@ -148,6 +145,15 @@
 	}, nil
 }
 
+// priorities returns the priority of a request in the queue and at the engine. What the caller of a resumed stream has received
+// is lost unless the rest follows soon.
+func priorities(r RoutedRequest, isResumed bool) (queue, engine int) {
+	if isResumed {
+		return maxPriority, 0
+	}
+	return max(0, maxPriority-priorityStep*r.Priority), min(r.Priority, maxEnginePriority)
+}
+
 // startDeadline returns when the caller of a stream gives up if no event arrives: counted from the arrival of its
 // request, or from now if it has already received a part of the response. It is zero for requests without a stream.
 func startDeadline(now time.Time, r RoutedRequest, p *attempt.Progress) time.Time {
--- a/gateway/dispatcher_test.go
+++ b/gateway/dispatcher_test.go
@@ -96,3 +96,26 @@
 		}
 	}
 }
+
+// TestPriorities guards against a request that is queued, or sent to its engine, by the priority of its route although its
+// workspace has another one.
+func TestPriorities(t *testing.T) {
+	tests := []struct {
+		name          string
+		priority      int
+		resumed       bool
+		queue, engine int
+	}{
+		{"most urgent", 0, false, 100, 0},
+		{"next", 1, false, 90, 1},
+		{"least urgent of engines", 9, false, 10, 9},
+		{"least urgent", 100, false, 0, 9},
+		{"resumed", 100, true, 100, 0},
+	}
+	for _, tt := range tests {
+		request := RoutedRequest{Route: model.Route{Priority: 5}, Priority: tt.priority}
+		if queue, engine := priorities(request, tt.resumed); queue != tt.queue || engine != tt.engine {
+			t.Errorf("%s: got %d in the queue and %d at the engine, want %d and %d", tt.name, queue, engine, tt.queue, tt.engine)
+		}
+	}
+}
