--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -46,20 +46,6 @@
 	invalidLimits sync.Map // backend servers with a limit that could not be read, to log it once
 }
 
-// FindRoute returns the route of a request and the service that it goes to. found reports whether a route matches and
-// known whether a desired state has been applied yet.
-func (d *Dispatcher) FindRoute(host, path, id string) (route model.Route, service string, found, known bool) {
-	table := d.host.routes.Load()
-	if table == nil {
-		return model.Route{}, "", false, false
-	}
-	route, found = table.find(host, path)
-	if !found {
-		return model.Route{}, "", false, true
-	}
-	return route, serviceOf(route, id), true, true
-}
-
 // ConnectionLimits returns the connection limits of the current desired state.
 func (d *Dispatcher) ConnectionLimits() model.ConnectionLimits {
 	table := d.host.routes.Load()
@@ -128,10 +114,7 @@
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
 	isResumed := r.TakenUp || p.Resuming
-	priority, enginePriority := max(0, maxPriority-priorityStep*r.Route.Priority), min(r.Route.Priority, maxEnginePriority)
-	if isResumed {
-		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
-	}
+	priority, enginePriority := priorities(r, isResumed)
 	request := routing.Request{
 		ID:          r.ID,
 		Target:      targetOf(r),
@@ -162,6 +145,15 @@
 	}, nil
 }
 
+// priorities returns the priority of a request in the queue and at the engine. What the caller of a resumed stream has received
+// is lost unless the rest follows soon.
+func priorities(r RoutedRequest, isResumed bool) (queue, engine int) {
+	if isResumed {
+		return maxPriority, 0
+	}
+	return max(0, maxPriority-priorityStep*r.Priority), min(r.Priority, maxEnginePriority)
+}
+
 // startDeadline returns when the caller of a stream gives up if no event arrives: counted from the arrival of its
 // request, or from now if it has already received a part of the response. It is zero for requests without a stream.
 func startDeadline(now time.Time, r RoutedRequest, p *attempt.Progress) time.Time {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -130,10 +130,10 @@
 		readAt = h.Now()
 	}
 	h.history.reset(readAt, listing.Revision)
-	h.post(func(now time.Time) {
-		h.applyStoreContent(now, listing)
-		h.caughtUp.Store(consistency == store.Linearizable)
-	})
+	h.post(func(now time.Time) { h.applyStoreContent(now, listing) })
+	if consistency == store.Linearizable {
+		h.completeCatchUp(ctx, listing.Revision)
+	}
 	return listing.Revision, delay, nil
 }
 
@@ -149,7 +149,7 @@
 		return revision, 0, err
 	}
 	h.applyChange(change, true)
-	h.post(func(time.Time) { h.caughtUp.Store(true) })
+	h.completeCatchUp(ctx, change.Revision)
 	return change.Revision, watchDelay, nil
 }
 
@@ -361,17 +361,22 @@
 	state, err := h.Decoder.DecodeConfiguration(e.Value)
 	if err != nil {
 		h.Log.Error("desired state not valid, the last one stays in force", zap.Int64("Revision", e.Revision), zap.Error(err))
+		h.learnAttempts = invalidLearnAttempts
 		return
 	}
-	if current := h.routes.Load(); current != nil && state.Version <= current.state.Version {
+	current := h.routes.Load()
+	if current != nil && state.Version <= current.state.Version {
 		if state.Version < current.state.Version {
 			h.Log.Info("older desired state ignored", zap.Int64("Version", state.Version), zap.Int64("Current", current.state.Version), zap.Int64("Revision", e.Revision))
 		}
 		return
 	}
-	h.routes.Store(newRouteTable(state))
+	table := newRouteTable(state)
+	h.desired.Store(newDesiredState(state.Version, e))
+	h.routes.Store(table)
 	h.viewChanged = true
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
+	h.logWorkspaces(current, table)
 }
 
 // applyListing applies the entry of a backend server. An entry that can't be decoded removes the backend server.
