routing: requests of one priority are served by what their workspaces were served before

Within a priority, the workspace with the lowest counter is served next; a full queue refuses the workspace whose last turn is the latest; the prediction of lateness and Retry-After count the requests that are served before, also those that are still to come. Resumed streams go first. Requests without a workspace keep their order, which a fuzz compares with sorted class queues.

--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -20,6 +20,9 @@
 	// DefaultMemory is the time constant with which past service loses weight. It is five times the longest time that
 	// counters of other hosts usually take to arrive, and bounds how long a workspace can pay for what it was served before.
 	DefaultMemory = 10 * time.Second
+	// idleAfter is the time without requests or service in the zone from which a workspace counts as idle. Service at other
+	// hosts is learned up to about two seconds late.
+	idleAfter = 2 * time.Second
 	// maxExponent is the age of the epoch, in units of the memory, from which the counters are rebased. e^20 loses no
 	// precision that matters.
 	maxExponent = 20
@@ -37,14 +40,22 @@
 type Account struct {
 	Workspace string
 
-	level    float64 // the counter: service with past service aged, raised when the workspace was idle
-	used     float64 // aged service at all hosts of the zone that this host knows of
-	pending  float64 // the part of used that was served here and that no other host was told of
-	rank     int     // priority of the request that began to wait last
-	waiting  int     // requests that wait at this host
-	index    int     // in Counters.waiting
-	activeAt time.Time
-	changed  int64 // sequence number of the last change of used
+	level     float64 // the counter: service with past service aged, raised when the workspace was idle
+	used      float64 // aged service at all hosts of the zone that this host knows of
+	pending   float64 // the part of used that was served here and that no other host was told of
+	rank      int     // priority of the request that began to wait last
+	waiting   int     // requests that wait at this host
+	index     int     // in Counters.waiting
+	activeAt  time.Time
+	refusedAt time.Time // when a request was last refused here for lack of capacity
+	changed   int64     // sequence number of the last change of used
+}
+
+// isOwed reports whether the workspace keeps the difference of its counter to those of the others although none of its
+// requests waits here: it has been refused service lately, and goes on to request it, here or at other hosts of the zone.
+func (a *Account) isOwed(now time.Time, memory time.Duration) bool {
+	wasRefused := !a.refusedAt.IsZero() && now.Sub(a.refusedAt) < memory
+	return wasRefused && now.Sub(a.activeAt) < idleAfter
 }
 
 // IsBehind reports whether another workspace is served before this one.
@@ -93,13 +104,15 @@
 // HasWorkspaces reports whether any request had a workspace lately.
 func (c *Counters) HasWorkspaces() bool { return c.named > 0 }
 
-// Join records that a request of the workspace begins to wait at this host. If none of it waited here, its counter is raised
-// to the lowest one that waits with the same rank, or else to that of the workspace that was served last. So no workspace
-// can save up credit, and none is held back for what it was served while nobody else wanted it.
+// Join records that a request of the workspace begins to wait at this host. If none of it waited here and it is not owed
+// service, its counter is raised to the lowest one that waits with the same rank, or else to that of the workspace that was
+// served last. So no workspace can save up credit, and none is held back for what it was served while nobody else wanted it.
 func (c *Counters) Join(now time.Time, a *Account, rank int) {
 	c.rebase(now)
 	if a.waiting == 0 {
-		a.level = max(a.level, c.floor(rank))
+		if !a.isOwed(now, c.memory()) {
+			a.level = max(a.level, c.floor(rank))
+		}
 		a.index = len(c.waiting)
 		c.waiting = append(c.waiting, a)
 	}
@@ -119,6 +132,9 @@
 	c.waiting = c.waiting[:len(c.waiting)-1]
 }
 
+// Refuse records that a request of the workspace is refused for lack of capacity.
+func (c *Counters) Refuse(now time.Time, a *Account) { a.refusedAt = now }
+
 // Serve charges the workspace for a request that is sent now, with the service that is expected.
 func (c *Counters) Serve(now time.Time, a *Account, rank int, amount float64) {
 	c.rebase(now)
--- a/fairshare/counters_test.go
+++ b/fairshare/counters_test.go
@@ -157,3 +157,36 @@
 		})
 	}
 }
+
+// TestOwedWorkspaceIsNotRaised guards against hosts that forget what a workspace is owed in the zone, because each of them
+// gets a request of it only now and then.
+func TestOwedWorkspaceIsNotRaised(t *testing.T) {
+	tests := []struct {
+		name          string
+		refusedBefore time.Duration // the request, 0 if none was refused
+		activeBefore  time.Duration
+		want          float64
+	}{
+		{name: "never refused", activeBefore: time.Second, want: 900},
+		{name: "refused lately", refusedBefore: 3 * time.Second, activeBefore: time.Second},
+		{name: "refused long ago", refusedBefore: DefaultMemory, activeBefore: time.Second, want: 900},
+		{name: "refused and then idle", refusedBefore: 3 * time.Second, activeBefore: idleAfter, want: 900},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c Counters
+			start := testTime.Add(-DefaultMemory)
+			c.Join(start, c.Account(start, "other"), 50)
+			c.Charge(testTime, testTime, "other", 900)
+			a := c.Account(start, "a")
+			if tt.refusedBefore > 0 {
+				c.Refuse(testTime.Add(-tt.refusedBefore), a)
+			}
+			a.activeAt = testTime.Add(-tt.activeBefore)
+			c.Join(testTime, a, 50)
+			if got := c.Counter(testTime, a); !near(got, tt.want) {
+				t.Errorf("got counter %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronspread/fairshare"
 	"citronspread/model"
 )
 
@@ -13,20 +14,59 @@
 type cursor struct {
 	targetQueue *TargetQueue
 	class       Class
-	position    int
+	flows       []flowCursor
+	current     int // index in flows of the ticket to serve first, -1 if it must be found again
 	skipped     int
 }
 
+// flowCursor is a position in one flow of the class queue.
+type flowCursor struct {
+	flow     *flow
+	position int
+}
+
+// ticket returns the ticket to serve first of those that were not passed over, nil if there is none.
 func (c *cursor) ticket() *Ticket {
-	classQueue := c.targetQueue.ByClass[c.class]
-	if c.position >= len(classQueue) {
+	if c.current < 0 {
+		c.find()
+	}
+	if c.current < 0 {
+		return nil
+	}
+	return c.flows[c.current].ticket()
+}
+
+func (c *cursor) find() {
+	var best *Ticket
+	for i := range c.flows {
+		t := c.flows[i].ticket()
+		if t != nil && (best == nil || t.precedes(best)) {
+			best, c.current = t, i
+		}
+	}
+}
+
+func (c *flowCursor) ticket() *Ticket {
+	if c.position >= len(c.flow.tickets) {
 		return nil
 	}
-	return classQueue[c.position]
+	return c.flow.tickets[c.position]
+}
+
+// pass passes over the current ticket.
+func (c *cursor) pass() {
+	c.flows[c.current].position++
+	c.current = -1
 }
 
-// remaining returns the number of tickets from the position on.
-func (c *cursor) remaining() int { return len(c.targetQueue.ByClass[c.class]) - c.position }
+// remaining returns the number of tickets that were not passed over.
+func (c *cursor) remaining() int {
+	count := 0
+	for i := range c.flows {
+		count += len(c.flows[i].flow.tickets) - c.flows[i].position
+	}
+	return count
+}
 
 // admit queues a ticket, grants it at once if there is free capacity, or refuses it.
 // It returns the load demands to send.
@@ -39,6 +79,8 @@
 		return nil
 	}
 	t.Class = r.Policy.classOf(r.estimates.expectedTokens(&t.Request))
+	t.outputTokens = r.estimates.usualTokens(&t.Request)
+	t.cost = fairshare.Cost(t.promptTokens(), t.outputTokens)
 	if refused := r.queue.Push(now, t); refused != nil {
 		r.resolveQueueFull(now, refused, t)
 		if refused == t {
@@ -51,7 +93,7 @@
 		return nil
 	}
 	demands := r.appendDemand(now, nil, targetQueue)
-	if ahead, waiting := targetQueue.position(t); waiting && r.isPredictedLate(now, t, ahead) {
+	if ahead, waiting := targetQueue.ByClass[t.Class].position(t, r.queue.Shares.Scale(now)); waiting && r.isPredictedLate(now, t, ahead) {
 		r.refuse(now, t, ReasonLate)
 	}
 	return demands
@@ -63,7 +105,7 @@
 	if refused == added {
 		reason = ReasonQueueFull
 	}
-	refused.resolve(result{err: &RefusedError{Reason: reason, RetryAfter: r.retryAfter(now, refused)}})
+	refused.resolve(result{err: &RefusedError{Reason: reason, RetryAfter: r.retryAfter(now, refused), Turn: r.refusedTurnOf(now, refused)}})
 }
 
 // dispatch grants replicas to waiting requests until no request fits. After a freeze of the process it grants nothing
@@ -80,12 +122,16 @@
 		t := cursors[best].ticket()
 		if r.isTooLate(now, t) {
 			r.refuse(now, t, ReasonLate)
+			cursors[best].current = -1
 		} else if !t.trial && r.Suspects.IsSuspect(t.Fingerprint) || r.PromptParts.IsBlocked(now, t.PromptParts) {
-			r.returnSuspect(t)
+			r.returnSuspect(now, t)
+			cursors[best].current = -1
 		} else if r.awaitsAllowance(now, t) {
-			cursors[best].position++
+			cursors[best].pass()
 		} else if replica := r.chooseReplica(now, t, longWaiting); replica != nil {
 			r.grant(now, t, replica, longWaiting)
+			cursors[best].current = -1
+			forgetCurrent(cursors, t.account)
 		} else if !cursors[best].skip(r, t) {
 			r.wantAllowance(now, t.Target, cursors[best].remaining())
 			cursors = dropCursor(cursors, best)
@@ -99,8 +145,8 @@
 
 // returnSuspect removes a ticket whose request became a suspect, or has a part of its prompt blocked, since it waits. Acquire
 // then checks the request again.
-func (r *Router) returnSuspect(t *Ticket) {
-	if r.queue.Withdraw(t) {
+func (r *Router) returnSuspect(now time.Time, t *Ticket) {
+	if r.queue.Withdraw(now, t) {
 		t.resolve(result{suspected: true})
 	}
 }
@@ -121,13 +167,14 @@
 	if !pinned && !t.trial && len(t.Avoid) == 0 {
 		return false
 	}
-	c.position++
+	c.pass()
 	c.skipped++
 	return c.skipped <= maxSkips
 }
 
 // grant removes the ticket from the queue and resolves it with a grant for the replica.
 func (r *Router) grant(now time.Time, t *Ticket, replica *model.Replica, longWaiting map[string]int) {
+	turn := r.turnOf(now, t)
 	r.queue.Grant(now, t)
 	b := r.fleet.get(replica.Backend)
 	if b.ownRequests == 0 {
@@ -154,9 +201,11 @@
 		Replica:   *replica,
 		Priority:  enginePriority(t),
 		Waited:    now.Sub(t.Since),
+		Turn:      turn,
 		ticket:    t,
 		router:    r,
 		startedAt: now,
+		charged:   t.outputTokens,
 		long:      t.Class == Long,
 	}
 	r.pin(g)
@@ -170,7 +219,7 @@
 func (r *Router) countLongWaiting(now time.Time) map[string]int {
 	counts := make(map[string]int)
 	for _, targetQueue := range r.queue.targets {
-		if count := len(targetQueue.ByClass[Long]); count > 0 {
+		if count := targetQueue.ByClass[Long].Len(); count > 0 {
 			r.addLongWaiting(now, targetQueue.Target, counts, count)
 		}
 	}
@@ -191,33 +240,46 @@
 
 // cursors returns one cursor for each class queue that is not empty.
 func (q *Queue) cursors() []cursor {
-	all := make([]cursor, 0, len(q.targets))
+	flows := 0
 	for _, targetQueue := range q.targets {
-		for class, classQueue := range targetQueue.ByClass {
-			if len(classQueue) > 0 {
-				all = append(all, cursor{targetQueue: targetQueue, class: Class(class)})
+		for class := range targetQueue.ByClass {
+			flows += len(targetQueue.ByClass[class].flows)
+		}
+	}
+	all, positions := make([]cursor, 0, len(q.targets)), make([]flowCursor, 0, flows)
+	for _, targetQueue := range q.targets {
+		for class := range targetQueue.ByClass {
+			from := len(positions)
+			for _, f := range targetQueue.ByClass[class].flows {
+				positions = append(positions, flowCursor{flow: f})
+			}
+			if len(positions) > from {
+				all = append(all, cursor{targetQueue: targetQueue, class: Class(class), flows: positions[from:], current: -1})
 			}
 		}
 	}
 	return all
 }
 
-// bestCursor returns the index of the cursor to serve first: by priority, short before long, by deadline, by arrival.
+// bestCursor returns the index of the cursor to serve first, see Ticket.precedes.
 func bestCursor(cursors []cursor) int {
 	best := 0
 	for i := 1; i < len(cursors); i++ {
-		if servedBefore(cursors[i].ticket(), cursors[best].ticket()) {
+		if cursors[i].ticket().precedes(cursors[best].ticket()) {
 			best = i
 		}
 	}
 	return best
 }
 
-func servedBefore(a, b *Ticket) bool {
-	if a.Priority == b.Priority && a.Class != b.Class {
-		return a.Class == Short
+// forgetCurrent lets the cursors whose current ticket is of a workspace that was served now find the ticket to serve first
+// again. All other workspaces have kept their counters.
+func forgetCurrent(cursors []cursor, account *fairshare.Account) {
+	for i := range cursors {
+		if t := cursors[i].ticket(); t != nil && t.account == account {
+			cursors[i].current = -1
+		}
 	}
-	return a.before(b)
 }
 
 func dropCursor(cursors []cursor, i int) []cursor {
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -10,7 +10,7 @@
 
 const (
 	ReasonQueueFull  Reason = "queue_full"
-	ReasonDisplaced  Reason = "displaced" // a request of higher priority took its place in the full queue
+	ReasonDisplaced  Reason = "displaced" // a request that is served before it took its place in the full queue
 	ReasonLate       Reason = "deadline_exceeded"
 	ReasonSuspect    Reason = "suspect_request"
 	ReasonPromptPart Reason = "suspect_prompt" // a part of its prompt crashes backend servers
@@ -27,11 +27,23 @@
 	RetryAfter time.Duration
 	Part       string   // the blocked part of the prompt, for ReasonPromptPart
 	Backends   []string // the backend servers whose limits are used up, for ReasonLimited
+	Turn       *Turn    // of a request with a workspace that was queued
+}
+
+// Turn is what decided when a request of a workspace is served.
+type Turn struct {
+	Workspace string
+	Counter   float64 // of the workspace, see fairshare.Counters
+	Lowest    float64 // counter of the workspaces of the same priority that wait
+	Ahead     int     // requests that were expected to be served before it
 }
 
 func (e *RefusedError) Error() string {
 	if e.Part != "" {
 		return fmt.Sprintf("routing: refused: %s, part %s, retry after %s", e.Reason, e.Part, e.RetryAfter)
 	}
+	if e.Turn != nil {
+		return fmt.Sprintf("routing: refused: %s, retry after %s, workspace %s with counter %.0f, lowest %.0f", e.Reason, e.RetryAfter, e.Turn.Workspace, e.Turn.Counter, e.Turn.Lowest)
+	}
 	return fmt.Sprintf("routing: refused: %s, retry after %s", e.Reason, e.RetryAfter)
 }
--- a/routing/estimates.go
+++ b/routing/estimates.go
@@ -86,6 +86,24 @@
 	return min(expected, estimated)
 }
 
+// usualTokens returns the mean length of earlier responses to such requests, 0 if there was none. A workspace is charged for
+// it in advance. A length that callers merely allow does not count: those that allow much would otherwise hold the others'
+// counters up until the difference is given back.
+func (e *estimates) usualTokens(r *Request) int {
+	if r.Remaining > 0 {
+		return r.Remaining
+	}
+	h := e.histories[historyKeyOf(r)]
+	if h == nil || !h.tokens.known {
+		return 0
+	}
+	usual := int(h.tokens.value + 0.5)
+	if r.MaxTokens == 0 {
+		return usual
+	}
+	return min(usual, r.MaxTokens)
+}
+
 // expectedServiceTime returns the expected service time of the request, 0 if there is no recent sample.
 func (e *estimates) expectedServiceTime(now time.Time, r *Request) time.Duration {
 	h := e.histories[historyKeyOf(r)]
--- a/routing/fuzz_test.go
+++ b/routing/fuzz_test.go
@@ -27,6 +27,9 @@
 		time.Duration(rapid.IntRange(1, 5000).Draw(t, "timeout"))*time.Millisecond)
 	tk.Priority = rapid.IntRange(0, 100).Draw(t, "priority")
 	tk.Target.Adapter = rapid.SampledFrom([]string{"", "gate", "door"}).Draw(t, "adapter")
+	tk.Workspace = rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "workspace")
+	tk.PromptTokens = rapid.IntRange(0, 4000).Draw(t, "prompt")
+	tk.Resumed = rapid.Bool().Draw(t, "resumed")
 	tk.Fingerprint = model.Fingerprint(rapid.Uint64Range(0, 50).Draw(t, "fingerprint"))
 	m.pushed++
 	m.waiting = append(m.waiting, tk)
@@ -38,7 +41,7 @@
 		t.Skip("no waiting requests")
 	}
 	i := rapid.IntRange(0, len(m.waiting)-1).Draw(t, "which")
-	if m.router.queue.Withdraw(m.waiting[i]) {
+	if m.router.queue.Withdraw(m.now, m.waiting[i]) {
 		m.waiting = slices.Delete(m.waiting, i, i+1)
 		m.resolved++
 	}
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -33,6 +33,7 @@
 	Replica  model.Replica
 	Priority int           // in the engine's order: lower values run first
 	Waited   time.Duration // time in the queue
+	Turn     *Turn         // nil for a request without a workspace
 
 	ticket      *Ticket
 	router      *Router
@@ -40,6 +41,7 @@
 	lastTokenAt time.Time
 	tokenGap    time.Duration // time between the last two tokens
 	tokens      int
+	charged     int // output tokens for which the workspace was charged
 	long        bool
 	ended       bool
 	revoked     bool
@@ -101,6 +103,9 @@
 	}
 	g.tokens++
 	g.lastTokenAt = now
+	if g.tokens >= g.charged+chargeStep {
+		r.chargeOutput(now, g, g.tokens)
+	}
 	b.failures, b.overloads = 0, 0
 	if g.ticket.trial && !g.passed && g.tokens >= g.ticket.passTokens {
 		g.passed = true
@@ -127,6 +132,7 @@
 	g.ended = true
 	delete(r.unbegun, g)
 	possibleCause := r.finish(now, g, outcome)
+	r.settle(now, g, outcome)
 	crash := g.partsCrash(now, outcome)
 	if possibleCause || len(crash.Parts) > 0 {
 		r.losses.add(loss{backend: g.Replica.Backend, at: now, fingerprint: g.ticket.Fingerprint, parts: crash.begunParts()})
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -303,14 +303,17 @@
 		if !r.isLimited(now, targetQueue.Target) {
 			continue
 		}
-		for _, classQueue := range targetQueue.ByClass {
-			ahead := 0
-			for _, t := range slices.Clone(classQueue) {
+		for class := range targetQueue.ByClass {
+			var late []*Ticket
+			targetQueue.ByClass[class].visitInTurn(r.queue.Shares.Scale(now), func(t *Ticket, ahead int) (counts bool) {
 				if now.Sub(t.Since) < newRequestAge && r.isPredictedLate(now, t, ahead) {
-					r.refuse(now, t, ReasonLate)
-					continue
+					late = append(late, t)
+					return false
 				}
-				ahead++
+				return true
+			})
+			for _, t := range late {
+				r.refuse(now, t, ReasonLate)
 			}
 		}
 	}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
-	"slices"
 	"time"
+
+	"citronspread/fairshare"
 )
 
 // Ticket is one waiting request.
@@ -12,10 +13,15 @@
 	Since time.Time // when it was pushed to the queue
 	clearance
 	sequence uint64
+	account  *fairshare.Account // of the workspace
+	first    bool               // it resumes a stream and is served before the requests that are ordered by workspace
+	cost     float64            // expected service
 	result   chan result
+
+	outputTokens int // of cost
 }
 
-// before reports whether the ticket is served before another one of its class queue: by priority, deadline, arrival.
+// before reports whether the ticket is served before another one of its flow: by priority, deadline, arrival.
 func (t *Ticket) before(other *Ticket) bool {
 	if t.Priority != other.Priority {
 		return t.Priority > other.Priority
@@ -46,23 +52,20 @@
 	Unbalance int64 // audits in which the sum did not match
 }
 
-// TargetQueue holds the waiting requests for one target in one sorted queue for each class.
+// TargetQueue holds the waiting requests for one target in one queue for each class.
 type TargetQueue struct {
 	Target  Target
-	ByClass [classes][]*Ticket
+	ByClass [classes]ClassQueue
 }
 
-func (q *TargetQueue) Len() int { return len(q.ByClass[Short]) + len(q.ByClass[Long]) }
+func (q *TargetQueue) Len() int { return q.ByClass[Short].Len() + q.ByClass[Long].Len() }
 
-// position returns how many tickets are ahead of the ticket in its class queue, and whether it is waiting.
-func (q *TargetQueue) position(t *Ticket) (int, bool) {
-	return slices.BinarySearchFunc(q.ByClass[t.Class], t, compareTickets)
-}
-
-// Queue is a bounded priority queue of waiting requests, divided by target and class. It is not safe for concurrent use.
+// Queue is a bounded queue of waiting requests, divided by target and class and ordered by priority, workspace, deadline and
+// arrival. It is not safe for concurrent use.
 type Queue struct {
 	Limit  int
 	Counts Counts
+	Shares fairshare.Counters
 
 	targets  map[Target]*TargetQueue
 	waiting  int
@@ -75,20 +78,27 @@
 // TargetQueue returns the waiting requests for the target, nil if there are none.
 func (q *Queue) TargetQueue(target Target) *TargetQueue { return q.targets[target] }
 
-// Push adds a ticket to its class queue. If the queue is full, it returns the ticket to refuse: the lowest-ranked one
-// if its priority is lower than that of the new ticket, or else the new one.
+// Push adds a ticket to its class queue. If the queue is full, it returns the ticket to refuse: the one that would be served
+// last if the new one precedes it, or else the new one.
 func (q *Queue) Push(now time.Time, t *Ticket) (refused *Ticket) {
 	q.Counts.Pushed++
 	q.sequence++
 	t.sequence = q.sequence
 	t.Since = now
+	t.first = t.Resumed && (t.Workspace != "" || q.Shares.HasWorkspaces())
+	t.account = q.Shares.Account(now, t.Workspace)
+	if !t.first {
+		q.Shares.Join(now, t.account, t.Priority)
+	}
 	if q.waiting >= q.Limit {
-		refused = q.lowestRanked()
-		if refused == nil || refused.Priority >= t.Priority {
+		refused = q.displacedBy(now, t)
+		if refused == nil {
 			q.Counts.Refused++
+			q.leave(now, t)
+			q.Shares.Refuse(now, t.account)
 			return t
 		}
-		q.Refuse(refused)
+		q.Refuse(now, refused)
 	}
 	targetQueue := q.targets[t.Target]
 	if targetQueue == nil {
@@ -98,37 +108,40 @@
 		}
 		q.targets[t.Target] = targetQueue
 	}
-	classQueue := targetQueue.ByClass[t.Class]
-	at, _ := slices.BinarySearchFunc(classQueue, t, compareTickets)
-	targetQueue.ByClass[t.Class] = slices.Insert(classQueue, at, t)
+	targetQueue.ByClass[t.Class].insert(t)
 	q.waiting++
 	return refused
 }
 
-// Grant removes a ticket that is served.
+// Grant removes a ticket that is served and charges its workspace.
 func (q *Queue) Grant(now time.Time, t *Ticket) {
-	if !q.remove(t) {
+	if targetQueue := q.targets[t.Target]; targetQueue != nil {
+		targetQueue.ByClass[t.Class].recordGrant(t)
+	}
+	if !q.remove(now, t) {
 		return
 	}
 	q.Counts.Granted++
 	if now.After(t.Deadline) {
 		q.Counts.LateGrant++
 	}
+	q.Shares.Serve(now, t.account, t.Priority, t.cost)
 }
 
 // Refuse removes a ticket that is refused and reports whether it was waiting.
-func (q *Queue) Refuse(t *Ticket) bool {
-	if !q.remove(t) {
+func (q *Queue) Refuse(now time.Time, t *Ticket) bool {
+	if !q.remove(now, t) {
 		return false
 	}
 	q.Counts.Refused++
+	q.Shares.Refuse(now, t.account)
 	return true
 }
 
 // Withdraw removes a ticket without a decision of the router, for example because its caller disconnected,
 // and reports whether it was waiting.
-func (q *Queue) Withdraw(t *Ticket) bool {
-	if !q.remove(t) {
+func (q *Queue) Withdraw(now time.Time, t *Ticket) bool {
+	if !q.remove(now, t) {
 		return false
 	}
 	q.Counts.Withdrawn++
@@ -148,19 +161,20 @@
 func (q *Queue) PredictedLate(now time.Time, predictor Predictor) []*Ticket {
 	var late []*Ticket
 	for _, targetQueue := range q.targets {
-		for class, classQueue := range targetQueue.ByClass {
-			if len(classQueue) == 0 {
+		for class := range targetQueue.ByClass {
+			classQueue := &targetQueue.ByClass[class]
+			if classQueue.Len() == 0 {
 				continue
 			}
-			forecast, ahead := predictor.Forecast(now, targetQueue.Target, Class(class)), 0
-			for _, t := range classQueue {
+			forecast := predictor.Forecast(now, targetQueue.Target, Class(class))
+			classQueue.visitInTurn(q.Shares.Scale(now), func(t *Ticket, ahead int) (counts bool) {
 				start := now.Add(forecast.Wait(ahead))
 				if t.isLate(start, start.Add(predictor.ServiceTime(now, t))) || !now.Before(t.expiresAt()) {
 					late = append(late, t)
-					continue
+					return false
 				}
-				ahead++
-			}
+				return true
+			})
 		}
 	}
 	return late
@@ -172,11 +186,9 @@
 		q.Counts.Unbalance++
 	}
 	for _, targetQueue := range q.targets {
-		for _, classQueue := range targetQueue.ByClass {
-			for _, t := range classQueue {
-				if now.Sub(t.Deadline) > tolerance {
-					q.Counts.Unsettled++
-				}
+		for t := range targetQueue.all() {
+			if now.Sub(t.Deadline) > tolerance {
+				q.Counts.Unsettled++
 			}
 		}
 	}
@@ -188,16 +200,12 @@
 	return c.Pushed == c.Granted+c.Refused+c.Withdrawn+int64(q.waiting)
 }
 
-func (q *Queue) remove(t *Ticket) bool {
+func (q *Queue) remove(now time.Time, t *Ticket) bool {
 	targetQueue := q.targets[t.Target]
-	if targetQueue == nil {
+	if targetQueue == nil || !targetQueue.ByClass[t.Class].remove(t) {
 		return false
 	}
-	at, found := slices.BinarySearchFunc(targetQueue.ByClass[t.Class], t, compareTickets)
-	if !found {
-		return false
-	}
-	targetQueue.ByClass[t.Class] = slices.Delete(targetQueue.ByClass[t.Class], at, at+1)
+	q.leave(now, t)
 	q.waiting--
 	if targetQueue.Len() == 0 {
 		delete(q.targets, t.Target)
@@ -205,21 +213,95 @@
 	return true
 }
 
-// lowestRanked returns the ticket that would be served last, nil if none is waiting.
-func (q *Queue) lowestRanked() *Ticket {
-	var lowest *Ticket
+// leave records that a ticket no longer waits.
+func (q *Queue) leave(now time.Time, t *Ticket) {
+	if !t.first {
+		q.Shares.Leave(now, t.account)
+	}
+}
+
+// waitingGroup is what waits for one workspace, or all requests that resume streams.
+type waitingGroup struct {
+	last *Ticket // the one that is served last
+	cost float64 // of all
+}
+
+// displacedBy returns the ticket that a new one displaces from the full queue, nil if the new one must be refused. Among the
+// workspaces with tickets of the lowest priority it is the last one of the workspace whose last turn is the latest. So a
+// workspace that sends many requests displaces none of another one, and no request displaces one of its own workspace and
+// priority.
+func (q *Queue) displacedBy(now time.Time, added *Ticket) *Ticket {
+	groups := make(map[*fairshare.Account]*waitingGroup)
 	for _, targetQueue := range q.targets {
-		for _, classQueue := range targetQueue.ByClass {
-			if len(classQueue) == 0 {
-				continue
-			}
-			last := classQueue[len(classQueue)-1]
-			if lowest == nil || lowest.before(last) {
-				lowest = last
-			}
+		for t := range targetQueue.all() {
+			addToGroup(groups, t)
 		}
 	}
-	return lowest
+	own := addToGroup(groups, added)
+	isOwnLast := own.last == added || own.last.Priority == added.Priority
+	lowest := own
+	for _, g := range groups {
+		if g.last.Priority < lowest.last.Priority {
+			lowest = g
+		}
+	}
+	scale, priority := q.Shares.Scale(now), lowest.last.Priority
+	for _, g := range groups {
+		if g.last.Priority == priority && g.isServedAfter(lowest, scale) {
+			lowest = g
+		}
+	}
+	if lowest == own && isOwnLast {
+		return nil
+	}
+	return lowest.last
+}
+
+// addToGroup adds a ticket to the group of its workspace and returns the group.
+func addToGroup(groups map[*fairshare.Account]*waitingGroup, t *Ticket) *waitingGroup {
+	var key *fairshare.Account // nil for requests that resume streams
+	if !t.first {
+		key = t.account
+	}
+	g := groups[key]
+	if g == nil {
+		g = &waitingGroup{last: t}
+		groups[key] = g
+	}
+	if g.last.before(t) {
+		g.last = t
+	}
+	g.cost += t.cost
+	return g
+}
+
+// isServedAfter reports whether the last ticket of the group is served after that of another group of the same priority.
+func (g *waitingGroup) isServedAfter(other *waitingGroup, scale float64) bool {
+	if g.last.first != other.last.first {
+		return other.last.first
+	}
+	turn := g.last.account.Level() + (g.cost-g.last.cost)*scale
+	otherTurn := other.last.account.Level() + (other.cost-other.last.cost)*scale
+	if turn != otherTurn {
+		return turn > otherTurn
+	}
+	return other.last.before(g.last)
+}
+
+// precedes reports whether the ticket is served before another one of any queue: by priority, resumed streams first, then the
+// workspace that has been served least, then short requests before long ones, by deadline and arrival.
+func (t *Ticket) precedes(other *Ticket) bool {
+	switch {
+	case t.Priority != other.Priority:
+		return t.Priority > other.Priority
+	case t.first != other.first:
+		return t.first
+	case !t.first && t.account != other.account && t.account.Level() != other.account.Level():
+		return other.account.IsBehind(t.account)
+	case t.Class != other.Class:
+		return t.Class == Short
+	}
+	return t.before(other)
 }
 
 func compareTickets(a, b *Ticket) int {
--- a/routing/request.go
+++ b/routing/request.go
@@ -16,24 +16,37 @@
 
 // Request describes a caller's request to the router.
 type Request struct {
-	ID          string
-	Target      Target
-	Service     string
-	Fingerprint model.Fingerprint
-	PromptParts []string // IDs of the parts of the prompt that other requests may share, in order
-	Priority    int      // 0 (lowest) to 100
-	Deadline    time.Time
-	StartBy     time.Time // the caller disconnects if the response has not started by then; zero if there is no such limit
-	MaxTokens   int       // 0 if the caller set no limit
-	Delivered   int       // tokens of earlier attempts that were delivered to the caller
-	Remaining   int       // tokens that a resumption is expected to deliver, 0 for a new request
-	Resumed     bool      // it continues after what earlier attempts have delivered
-	Moves       int       // how often the response was moved to a faster replica
-	Avoid       []string  // backend servers that failed this request
+	ID           string
+	Target       Target
+	Service      string
+	Workspace    string // empty if the request has none
+	Fingerprint  model.Fingerprint
+	PromptParts  []string // IDs of the parts of the prompt that other requests may share, in order
+	Priority     int      // 0 (lowest) to 100
+	Deadline     time.Time
+	StartBy      time.Time // the caller disconnects if the response has not started by then; zero if there is no such limit
+	PromptTokens int       // 0 if the caller stated none
+	MaxTokens    int       // 0 if the caller set no limit
+	Delivered    int       // tokens of earlier attempts that were delivered to the caller
+	Remaining    int       // tokens that a resumption is expected to deliver, 0 for a new request
+	Resumed      bool      // it continues after what earlier attempts have delivered
+	Moves        int       // how often the response was moved to a faster replica
+	Avoid        []string  // backend servers that failed this request
 
 	askedAt time.Time // when an allowance was first requested for it, zero before
 }
 
+// unstatedPromptTokens is the length of a prompt whose caller stated none, so that it is not free.
+const unstatedPromptTokens = 200
+
+// promptTokens returns the tokens of the prompt for which the workspace is charged.
+func (r *Request) promptTokens() int {
+	if r.PromptTokens > 0 {
+		return r.PromptTokens
+	}
+	return unstatedPromptTokens
+}
+
 // avoids reports whether the request has failed on the backend server.
 func (r *Request) avoids(backend string) bool {
 	return slices.Contains(r.Avoid, backend)
--- a/routing/review.go
+++ b/routing/review.go
@@ -46,10 +46,11 @@
 
 // refuse removes a ticket from the queue and resolves it with a RefusedError.
 func (r *Router) refuse(now time.Time, t *Ticket, reason Reason) {
-	if !r.queue.Refuse(t) {
+	turn := r.refusedTurnOf(now, t)
+	if !r.queue.Refuse(now, t) {
 		return
 	}
-	refused := &RefusedError{Reason: reason, RetryAfter: r.retryAfter(now, t)}
+	refused := &RefusedError{Reason: reason, RetryAfter: r.retryAfter(now, t), Turn: turn}
 	if reason == ReasonLate && r.isLimited(now, t.Target) {
 		refused.Reason = ReasonLimited
 		_, refused.Backends = r.splitLimited(now, t.Target)
@@ -61,7 +62,7 @@
 func (r *Router) retryAfter(now time.Time, t *Ticket) time.Duration {
 	ahead := 0
 	if targetQueue := r.queue.TargetQueue(t.Target); targetQueue != nil {
-		ahead = len(targetQueue.ByClass[t.Class])
+		ahead = targetQueue.ByClass[t.Class].endPosition(t, r.queue.Shares.Scale(now))
 	}
 	wait := r.Forecast(now, t.Target, t.Class).Wait(ahead)
 	return max(minRetryAfter, wait)
@@ -118,12 +119,10 @@
 // demand returns the load demand for the waiting requests: their number, highest priority and earliest deadline.
 func (q *TargetQueue) demand() model.LoadDemand {
 	d := model.LoadDemand{Key: q.Target.Key, Adapter: q.Target.Adapter, Software: q.Target.Software, Waiting: q.Len()}
-	for _, classQueue := range q.ByClass {
-		for _, t := range classQueue {
-			d.Priority = max(d.Priority, t.Priority)
-			if d.Deadline.IsZero() || t.Deadline.Before(d.Deadline) {
-				d.Deadline = t.Deadline
-			}
+	for t := range q.all() {
+		d.Priority = max(d.Priority, t.Priority)
+		if d.Deadline.IsZero() || t.Deadline.Before(d.Deadline) {
+			d.Deadline = t.Deadline
 		}
 	}
 	return d
@@ -132,11 +131,9 @@
 // oldest returns the arrival time of the request that has waited longest.
 func (q *TargetQueue) oldest() time.Time {
 	var oldest time.Time
-	for _, classQueue := range q.ByClass {
-		for _, t := range classQueue {
-			if oldest.IsZero() || t.Since.Before(oldest) {
-				oldest = t.Since
-			}
+	for t := range q.all() {
+		if oldest.IsZero() || t.Since.Before(oldest) {
+			oldest = t.Since
 		}
 	}
 	return oldest
--- a/routing/router.go
+++ b/routing/router.go
@@ -283,7 +283,7 @@
 		err = contextRefusal(ctx)
 	}
 	r.mu.Lock()
-	removed := r.queue.Withdraw(t)
+	removed := r.queue.Withdraw(r.Now(), t)
 	r.mu.Unlock()
 	if removed {
 		return result{err: err}
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -48,6 +48,9 @@
 	enginePrio   bool          // the engines schedule by priority
 	moves        bool          // responses may be moved to a faster replica
 	zones        int           // zones of the replicas; the routers are in the first one; 0 means one
+	reportEvery  time.Duration // 0 means reportEvery and reportLag
+	reportLag    time.Duration
+	finishWithin time.Duration // time after the arrivals for the requests to finish; 0 means length
 }
 
 // results are the results of a plan.
@@ -102,9 +105,16 @@
 	movedStreams []*simulatedStream
 	reportedAt   time.Time
 	slowedAt     time.Time
+
+	onStep   func()                   // called in each step, nil for none
+	onFinish func(s *simulatedStream) // called for each complete response, nil for none
+	onRefuse func(s *simulatedStream) // called for each refused request, nil for none
 }
 
 func newPolicySimulation(p plan) *policySimulation {
+	if p.reportEvery == 0 {
+		p.reportEvery, p.reportLag = reportEvery, reportLag
+	}
 	sm := &policySimulation{plan: p, random: rand.New(rand.NewPCG(p.seed, 7)), now: testTime}
 	sm.results.short = hdrhistogram.New(1, 3_600_000, 3)
 	sm.results.long = hdrhistogram.New(1, 3_600_000, 3)
@@ -123,13 +133,17 @@
 	return sm
 }
 
-// run runs the plan. Arrivals end after plan.length; the requests then get the same time again to finish.
+// run runs the plan. Arrivals end after plan.length; the requests then get the same time again, or finishWithin, to finish.
 func (sm *policySimulation) run() results {
-	for sm.now.Before(testTime.Add(2 * sm.length)) {
+	end := testTime.Add(sm.length + cmp.Or(sm.finishWithin, sm.length))
+	for sm.now.Before(end) {
 		sm.now = sm.now.Add(simulationStep)
 		if sm.now.Before(testTime.Add(sm.length)) {
 			sm.arrive(false, sm.shortRate*sm.currentBurst())
 			sm.arrive(true, sm.longRate)
+			if sm.onStep != nil {
+				sm.onStep()
+			}
 		}
 		sm.slow()
 		for _, r := range sm.replicas {
@@ -139,7 +153,7 @@
 			sm.submit(s)
 		}
 		sm.movedStreams = sm.movedStreams[:0]
-		if sm.now.Sub(sm.reportedAt) >= reportEvery {
+		if sm.now.Sub(sm.reportedAt) >= sm.reportEvery {
 			sm.report()
 		}
 		for i, r := range sm.routers {
@@ -242,7 +256,7 @@
 		r.reports = append(r.reports, simulatedReport{at: sm.now, running: len(r.running), waiting: len(r.waiting)})
 		late := simulatedReport{at: testTime}
 		for _, old := range r.reports {
-			if sm.now.Sub(old.at) >= reportLag {
+			if sm.now.Sub(old.at) >= sm.reportLag {
 				late = old
 			}
 		}
@@ -295,6 +309,9 @@
 
 func (sm *policySimulation) refuse(s *simulatedStream) {
 	sm.results.refused++
+	if sm.onRefuse != nil {
+		sm.onRefuse(s)
+	}
 	if s.long {
 		sm.results.longRefused++
 	}
@@ -355,6 +372,9 @@
 		}
 	}
 	s.grant.Done(sm.now, OutcomeComplete)
+	if sm.onFinish != nil {
+		sm.onFinish(s)
+	}
 }
 
 func log2(n int) int {
--- a/routing/state.go
+++ b/routing/state.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// shareStates bounds the workspaces whose counters are shown.
+const shareStates = 16
+
 // State is the state of a router for the state dump.
 type State struct {
 	Queue    Counts
@@ -14,6 +17,7 @@
 	Lines    []TargetQueueState // sorted by target
 	Backends []BackendState
 	Limits   []LimitState // of the backend servers that have stated a limit
+	Shares   []ShareState // of the workspaces that were served most
 	Budget   BudgetTotals
 	Suspects SuspectTotals
 }
@@ -38,6 +42,12 @@
 	TokenGap    time.Duration
 }
 
+// ShareState is the counter of a workspace.
+type ShareState struct {
+	Workspace string
+	Counter   float64 // service, see fairshare.Counters
+}
+
 // LimitState describes the limit of a backend server and this host's allowance.
 type LimitState struct {
 	Backend   string
@@ -54,7 +64,7 @@
 	state := State{Queue: r.queue.Counts, Waiting: r.queue.Len(), Budget: r.Budget.Totals(), Suspects: r.Suspects.Totals()}
 	for _, targetQueue := range r.queue.targets {
 		state.Lines = append(state.Lines, TargetQueueState{
-			Target: targetQueue.Target, Short: len(targetQueue.ByClass[Short]), Long: len(targetQueue.ByClass[Long]), OldestFor: now.Sub(targetQueue.oldest()),
+			Target: targetQueue.Target, Short: targetQueue.ByClass[Short].Len(), Long: targetQueue.ByClass[Long].Len(), OldestFor: now.Sub(targetQueue.oldest()),
 		})
 	}
 	slices.SortFunc(state.Lines, func(a, b TargetQueueState) int {
@@ -70,6 +80,9 @@
 			Backend: name, PerSecond: a.PerSecond, StatedFor: now.Sub(a.StatedAt), Sendable: a.Sendable(now), NextIn: max(0, at.Sub(now)),
 		})
 	}
+	for _, share := range r.queue.Shares.Busiest(now, shareStates) {
+		state.Shares = append(state.Shares, ShareState{Workspace: share.Workspace, Counter: share.Service})
+	}
 	return state
 }
 
