gateway: hosts of a zone exchange the counters of workspaces with their relay

A host sees a part of the traffic of its zone, so its own counters let a workspace that is served at many hosts pass. The lines granted and turn refused show the counters that decided, and explain prints the grants before a refused turn.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -7,8 +7,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"citronspread/standin"
 )
@@ -115,3 +117,21 @@
 		t.Errorf("got %q, want one line with the event", got)
 	}
 }
+
+// TestLogOfInlineFields guards against fields of one event that are logged as a nested value, in which explain finds nothing.
+func TestLogOfInlineFields(t *testing.T) {
+	var output bytes.Buffer
+	logger, buffer, err := newBufferedLogger("Info", &output)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Info("granted", zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddString("Workspace", "w")
+		e.AddFloat64("Counter", 1234567)
+		return nil
+	})), zap.Skip())
+	buffer.Close(time.Second)
+	if got, want := output.String(), "event=granted Workspace=w Counter=1234567\n"; !strings.HasSuffix(got, want) {
+		t.Errorf("got %q, want it to end with %q", got, want)
+	}
+}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -27,7 +27,9 @@
 	windowBefore = 8 * time.Second
 	// windowAfter is how long after the last line of a request related events are included. Other hosts receive a change
 	// within this time.
-	windowAfter  = 2 * time.Second
+	windowAfter = 2 * time.Second
+	// turnWindow is how long before a request that was refused for its turn grants of other workspaces are included.
+	turnWindow   = 2 * time.Second
 	maxLineBytes = 1 << 20
 )
 
@@ -151,6 +153,7 @@
 // explain returns the lines of a request and the related events of its backend servers, model and hosts, sorted by time.
 func explain(lines []logLine, request string) []string {
 	var first, last time.Time
+	isTurnRefused := false
 	involved := make(map[string]bool) // key=value of each backend server, model and host in the request's lines
 	for _, l := range lines {
 		if l.get("Request") != request {
@@ -162,6 +165,7 @@
 		if l.at.After(last) {
 			last = l.at
 		}
+		isTurnRefused = isTurnRefused || l.get("event") == "turn refused"
 		for _, key := range []string{"Backend", "Model", "Host"} {
 			if value := l.get(key); value != "" {
 				involved[key+"="+value] = true
@@ -178,7 +182,7 @@
 	}
 	var selected []logLine
 	for _, l := range lines {
-		if l.get("Request") == request || isRelated(l, first, last, involved) {
+		if l.get("Request") == request || isRelated(l, first, last, involved) || isTurnRefused && isTurnBefore(l, first, last, involved) {
 			selected = append(selected, l)
 		}
 	}
@@ -206,6 +210,13 @@
 	return l.get("Backend") == "" && involved["Host="+l.get("Host")]
 }
 
+// isTurnBefore reports whether a line is a grant of a workspace for the same model, on a host that logged the request, while
+// the request waited or shortly before.
+func isTurnBefore(l logLine, first, last time.Time, involved map[string]bool) bool {
+	return l.get("event") == "granted" && l.get("Workspace") != "" && involved["Model="+l.get("Model")] && involved["Host="+l.get("Host")] &&
+		!l.at.Before(first.Add(-turnWindow)) && !l.at.After(last)
+}
+
 // text formats a line with its time relative to first. An asterisk marks the lines of the request itself.
 func (l logLine) text(first time.Time, request string) string {
 	var b strings.Builder
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -50,3 +50,22 @@
 		t.Errorf("got %q, want the statement and the allowance of i-2 before the refusal", got)
 	}
 }
+
+// TestExplainTurn guards against a refusal behind another workspace without the lines that show which ones were served.
+func TestExplainTurn(t *testing.T) {
+	lines, _ := parseLog(strings.NewReader(`time=2026-10-10T05:44:07Z level=info event=granted Host=front-1 Request=q0 Backend=i-1 Model=m0 Workspace=w2 Counter=100 LowestCounter=100
+time=2026-10-10T05:44:10Z level=info event=granted Host=front-1 Request=q1 Backend=i-1 Model=m0 Workspace=w2 Counter=300 LowestCounter=300
+time=2026-10-10T05:44:10Z level=info event=granted Host=front-1 Request=q2 Backend=i-1 Model=m1 Workspace=w2 Counter=300 LowestCounter=300
+time=2026-10-10T05:44:10Z level=info event=granted Host=front-2 Request=q3 Backend=i-1 Model=m0 Workspace=w2 Counter=300 LowestCounter=300
+time=2026-10-10T05:44:11Z level=info event="turn refused" Host=front-1 Request=q9 Model=m0 Reason=deadline_exceeded Workspace=w1 Counter=5200 LowestCounter=400 Ahead=17
+time=2026-10-10T05:44:11Z level=warn event="not served" Host=front-1 Request=q9 Status=503
+time=2026-10-10T05:44:12Z level=warn event="not served" Host=front-1 Request=q8 Status=503 Model=m0
+`))
+	got := explain(lines, "q9")
+	if len(got) != 3 || !strings.Contains(got[0], "Workspace=w2") || !strings.Contains(got[1], "Ahead=17") {
+		t.Errorf("got %q, want the grant of the other workspace before the refusal", got)
+	}
+	if got := explain(lines, "q8"); len(got) != 1 {
+		t.Errorf("got %q for a request that was not refused for its turn, want its line only", got)
+	}
+}
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -80,6 +80,7 @@
 	host := newGatewayHost(s, store, logger, c.parallelLoads)
 	host.Metrics.AddGauge("citronspread_store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(store.Calls.Load()) })
 	host.Metrics.AddGauge("citronspread_limited_backends", "Backend servers that have stated a limit.", func() float64 { return float64(host.LimitedBackends()) })
+	host.Metrics.AddLabelledGauge("citronspread_workspace_counter", "Counters of the workspaces that were served most in the zone, see docs/design/fair-shares.md.", "workspace", host.WorkspaceCounters)
 	host.Metrics.AddGauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(buffer.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
 	err = c.runHost(ctx, s, host, logger, buffer)
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -133,26 +133,29 @@
 		priority, enginePriority = maxPriority, 0 // what its caller has received is lost unless the rest follows soon
 	}
 	request := routing.Request{
-		ID:          r.ID,
-		Target:      targetOf(r),
-		Service:     r.Service,
-		Fingerprint: r.Fingerprint,
-		PromptParts: r.PromptParts,
-		Priority:    priority,
-		Deadline:    r.Deadline,
-		StartBy:     startDeadline(d.host.Now(), r, p),
-		MaxTokens:   r.MaxTokens,
-		Resumed:     isResumed,
-		Avoid:       p.Failed,
+		ID:           r.ID,
+		Target:       targetOf(r),
+		Service:      r.Service,
+		Workspace:    r.Workspace,
+		Fingerprint:  r.Fingerprint,
+		PromptParts:  r.PromptParts,
+		Priority:     priority,
+		Deadline:     r.Deadline,
+		StartBy:      startDeadline(d.host.Now(), r, p),
+		PromptTokens: promptTokens(r),
+		MaxTokens:    r.MaxTokens,
+		Resumed:      isResumed,
+		Avoid:        p.Failed,
 	}
 	grant, err := d.host.router.Acquire(ctx, request)
 	if err != nil {
+		d.logTurnRefused(r, err)
 		return nil, err
 	}
 	d.host.Metrics.ObserveGrantWait(grant.Waited)
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone), zap.String("Software", grant.Replica.Software),
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
-		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed))
+		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed), turnFields(grant.Turn))
 	return &Grant{
 		Address:     grant.Replica.Address,
 		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend},
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -281,6 +281,8 @@
 	suspectCalls atomic.Int64
 	limitCalls   limitCalls
 	suffix       string // of the desired state, which makes it larger
+	workspaces   []model.Workspace
+	servedCalls  atomic.Int64 // calls to relays that report what was served to workspaces
 }
 
 type fleetHost struct {
@@ -336,6 +338,9 @@
 		return nil, ctx.Err()
 	}
 	awaitThaw(ctx, p.host, to)
+	if request.Served != nil {
+		p.fleet.servedCalls.Add(1)
+	}
 	reply := to.serveFollow(ctx, request)
 	awaitThaw(ctx, p.host, to)
 	to.send(ctx, reply)
@@ -391,6 +396,7 @@
 			ConfigurationKey: "config", ListingPrefix: "servers/",
 			DecodeConfiguration: func(value []byte) (s model.DesiredState, err error) {
 				_, err = fmt.Sscan(string(value), &s.Version)
+				s.Workspaces = f.workspaces
 				return s, err
 			},
 			DecodeListing: func(store.Entry) (model.BackendListing, error) { return model.BackendListing{}, errors.New("none") },
@@ -419,7 +425,12 @@
 
 // newTestFleet starts the hosts of a fleet at once and lets them settle.
 func newTestFleet(t *testing.T, hosts int, settle time.Duration) *testFleet {
-	f := &testFleet{store: newFleetStore(), hosts: make(map[string]*fleetHost)}
+	return startTestFleet(t, &testFleet{}, hosts, settle)
+}
+
+// startTestFleet is newTestFleet for a fleet with settings.
+func startTestFleet(t *testing.T, f *testFleet, hosts int, settle time.Duration) *testFleet {
+	f.store, f.hosts = newFleetStore(), make(map[string]*fleetHost)
 	f.store.put("config", "1")
 	for i := range fakeKeyCount {
 		f.store.put(fmt.Sprintf("other/%d", i), "x")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -179,8 +179,10 @@
 // the history is not fresh, this host first watches the store, and replies that it is not fresh if that takes too long.
 func (h *Host) serveFollow(ctx context.Context, request *peer.FollowRequest) *peer.FollowReply {
 	h.takeRelayDuty()
+	h.receiveServed(request.Served)
 	reply := h.awaitChange(ctx, request)
 	reply.SentAt = h.Now()
+	reply.Served = h.servedTotals(request.Served)
 	if request.AcceptsPacked {
 		h.history.pack(reply)
 	}
@@ -288,7 +290,7 @@
 	if h.suspectsFrom != address {
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
-	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
+	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true, Served: h.reportServed(address)}
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter, h.partsAfter, h.limitsAfter = address, reply.SuspectSequence, reply.PartSequence, reply.LimitSequence
@@ -296,6 +298,7 @@
 		h.router.MergeSuspects(now, onOwnClock(now, reply.SentAt, reply.Suspects))
 		h.router.MergeSuspectParts(now, partsOnOwnClock(now, reply.SentAt, reply.Parts))
 		h.router.MergeLimits(limitsOnOwnClock(now, reply.SentAt, reply.Limits))
+		h.servedReported(request.Served, reply.Served)
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -54,6 +54,34 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// labelledGauge is a gauge with one label, whose values are read whenever the metrics are scraped. It implements
+// prometheus.Collector.
+type labelledGauge struct {
+	description *prometheus.Desc
+	read        func() map[string]float64
+}
+
+// Describe implements prometheus.Collector.
+func (g *labelledGauge) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- g.description
+}
+
+// Collect implements prometheus.Collector.
+func (g *labelledGauge) Collect(values chan<- prometheus.Metric) {
+	for label, value := range g.read() {
+		metric, err := prometheus.NewConstMetric(g.description, prometheus.GaugeValue, value, label)
+		if err != nil {
+			continue // the label is no valid UTF-8
+		}
+		values <- metric
+	}
+}
+
+// AddLabelledGauge registers a gauge with one label, whose values are read by label value whenever the metrics are scraped.
+func (m *Metrics) AddLabelledGauge(name, help, label string, read func() map[string]float64) {
+	m.registry.MustRegister(&labelledGauge{description: prometheus.NewDesc(name, help, []string{label}, nil), read: read})
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,11 +1,15 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"net"
 	"testing"
 
+	"citronspread/fairshare"
 	"citronspread/gossip"
 	"citronspread/membership"
 )
@@ -98,3 +102,46 @@
 		t.Errorf("refused: got %v, want %v", got, want)
 	}
 }
+
+// TestCountersAreOptional guards against messages that hosts of the previous build can't read, and against ones that grow in
+// deployments without workspaces or with very many.
+func TestCountersAreOptional(t *testing.T) {
+	encoding, err := newCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	type previousRequest struct {
+		After         int64
+		AcceptsLimits bool
+	}
+	request := FollowRequest{After: 7, AcceptsLimits: true}
+	plain, err := encoding.Marshal(&request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bytes.Contains(plain, []byte("Served")) {
+		t.Error("got counters in a message without any, want none")
+	}
+	request.Served = &fairshare.Report{From: "host", Run: math.MaxUint64, Number: 3}
+	for i := range fairshare.MaxAmounts {
+		request.Served.Amounts = append(request.Served.Amounts, fairshare.Amount{Workspace: fmt.Sprintf("workspace-%06d", i), Service: 1e6 / 3})
+	}
+	encoded, err := encoding.Marshal(&request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, limit := len(encoded)-len(plain), 2<<10; got > limit {
+		t.Errorf("got %d bytes of counters, want at most %d", got, limit)
+	}
+	var decoded FollowRequest
+	if err := encoding.Unmarshal(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := decoded.Served, request.Served; got.Run != want.Run || len(got.Amounts) != len(want.Amounts) || got.Amounts[5] != want.Amounts[5] {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	var previous previousRequest
+	if err := encoding.Unmarshal(encoded, &previous); err != nil || previous.After != 7 || !previous.AcceptsLimits {
+		t.Errorf("got %+v and %v by the previous build, want the fields that it knows", previous, err)
+	}
+}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"citronspread/fairshare"
 	"citronspread/model"
 	"citronspread/ratelimit"
 	"citronspread/store"
@@ -146,6 +147,8 @@
 	LimitsAfter   int64         // the same for limits of backend servers
 	AcceptsPacked bool          // the follower reads FollowReply.Packed
 	AcceptsLimits bool          // the follower reads FollowReply.Limits
+	// Served is what the follower has served to workspaces, nil if the deployment has none.
+	Served *fairshare.Report `cbor:",omitempty"`
 }
 
 // FollowReply contains the changes of the store.
@@ -162,6 +165,8 @@
 	Limits          []model.BackendLimit
 	LimitSequence   int64     // of the relay's last limit
 	SentAt          time.Time // on the clock of the relay, to which the times of suspects, parts and limits refer
+	// Served is the reply to FollowRequest.Served, nil without it.
+	Served *fairshare.Totals `cbor:",omitempty"`
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
--- a/routing/router.go
+++ b/routing/router.go
@@ -273,26 +273,38 @@
 	}
 	timer := time.NewTimer(t.expiresAt().Sub(r.Now()))
 	defer timer.Stop()
-	var err error
+	var refused *RefusedError
 	select {
 	case res := <-t.result:
 		return res
 	case <-timer.C:
-		err = &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}
+		refused = &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}
 	case <-ctx.Done():
-		err = contextRefusal(ctx)
+		refused = contextRefusal(ctx)
 	}
-	r.mu.Lock()
-	removed := r.queue.Withdraw(r.Now(), t)
-	r.mu.Unlock()
-	if removed {
-		return result{err: err}
+	if r.withdrawWaiting(t, refused) {
+		return result{err: refused}
 	}
 	return <-t.result
 }
 
+// withdrawWaiting removes a ticket that is refused as its wait has ended, and reports whether it was waiting.
+func (r *Router) withdrawWaiting(t *Ticket, refused *RefusedError) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	refused.Turn = r.refusedTurnOf(now, t)
+	if !r.queue.Withdraw(now, t) {
+		return false
+	}
+	if refused.Reason == ReasonLate {
+		r.queue.Shares.Refuse(now, t.account)
+	}
+	return true
+}
+
 // contextRefusal returns the refusal for an ended context: its deadline passed or the caller disconnected.
-func contextRefusal(ctx context.Context) error {
+func contextRefusal(ctx context.Context) *RefusedError {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}
 	}
