--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -7,6 +7,7 @@
 package fairshare
 
 import (
+	"container/list"
 	"math"
 	"time"
 )
@@ -47,8 +48,9 @@
 	waiting   int     // requests that wait at this host
 	index     int     // in Counters.waiting
 	activeAt  time.Time
-	refusedAt time.Time // when a request was last refused here for lack of capacity
-	changed   int64     // sequence number of the last change of used
+	refusedAt time.Time     // when a request was last refused here for lack of capacity
+	changed   int64         // sequence number of the last change of used
+	element   *list.Element // in Counters.changes, nil before the first change
 }
 
 // isOwed reports whether the workspace keeps the difference of its counter to those of the others although none of its
@@ -61,8 +63,7 @@
 // IsBehind reports whether another workspace is served before this one.
 func (a *Account) IsBehind(other *Account) bool { return other.level < a.level }
 
-// Level returns the counter in scaled units, which are the same for all accounts of one Counters until the next call with
-// another time.
+// Level returns the counter in scaled units, to compare accounts of one Counters.
 func (a *Account) Level() float64 { return a.level }
 
 // Counters holds the accounts of a host. The zero value is ready to use.
@@ -79,6 +80,7 @@
 	epoch     time.Time
 	reference map[int]float64 // by rank: the counter of the workspace that was served last, before it was charged
 	sequence  int64
+	changes   list.List // of *Account, the last changed one first
 
 	reports reports
 	relay   relay
@@ -180,6 +182,11 @@
 	a.used = max(0, a.used+scaled)
 	c.sequence++
 	a.changed = c.sequence
+	if a.element == nil {
+		a.element = c.changes.PushFront(a)
+	} else {
+		c.changes.MoveToFront(a.element)
+	}
 }
 
 func (c *Counters) floor(rank int) float64 {
@@ -221,12 +228,9 @@
 	}
 	factor := 1 / c.scale(now)
 	c.epoch = now
-	for name, a := range c.accounts {
+	for _, a := range c.accounts {
 		if a.waiting == 0 && now.Sub(a.activeAt) > pruneAfter*c.memory() {
-			delete(c.accounts, name)
-			if name != "" {
-				c.named--
-			}
+			c.remove(a)
 			continue
 		}
 		a.level *= factor
@@ -239,3 +243,15 @@
 	c.reports.rebase(factor)
 	c.relay.expire(now, pruneAfter*c.memory())
 }
+
+// remove drops an account.
+func (c *Counters) remove(a *Account) {
+	delete(c.accounts, a.Workspace)
+	if a.element != nil {
+		c.changes.Remove(a.element)
+		a.element = nil
+	}
+	if a.Workspace != "" {
+		c.named--
+	}
+}
--- a/fairshare/exchange.go
+++ b/fairshare/exchange.go
@@ -113,13 +113,13 @@
 	if r.run == 0 {
 		r.restart() // a first report without a reply may have reached another process
 		known := func(a *Account) float64 { return a.used - a.pending }
-		for _, a := range largest(c.accounts, known) {
+		for _, a := range c.largest(MaxAmounts, known) {
 			report.Known = append(report.Known, Amount{Workspace: a.Workspace, Service: known(a) / scale})
 		}
 	}
 	if r.inFlight == nil {
 		r.number++
-		for _, a := range largest(c.accounts, func(a *Account) float64 { return math.Abs(a.pending) }) {
+		for _, a := range c.largest(MaxAmounts, func(a *Account) float64 { return math.Abs(a.pending) }) {
 			r.inFlight = append(r.inFlight, sentAmount{account: a, scaled: a.pending})
 		}
 	}
@@ -130,26 +130,40 @@
 	return report
 }
 
-// largest returns the accounts with the largest amounts above 0, at most MaxAmounts.
-func largest(accounts map[string]*Account, amount func(a *Account) float64) []*Account {
-	var found []*Account
-	for _, a := range accounts {
-		if amount(a) > 0 {
-			found = append(found, a)
+// largest collects the accounts with the largest amounts, in descending order.
+type largest struct {
+	amount   func(a *Account) float64
+	count    int
+	accounts []*Account
+}
+
+func (l *largest) add(a *Account) {
+	if len(l.accounts) == l.count {
+		if l.compare(l.accounts[l.count-1], a) < 0 {
+			return
 		}
+		l.accounts = l.accounts[:l.count-1]
 	}
-	return limit(found, amount, MaxAmounts)
+	at, _ := slices.BinarySearchFunc(l.accounts, a, l.compare)
+	l.accounts = slices.Insert(l.accounts, at, a)
 }
 
-// limit returns the accounts with the largest amounts if there are more than a number.
-func limit(accounts []*Account, amount func(a *Account) float64, count int) []*Account {
-	if len(accounts) <= count {
-		return accounts
+func (l *largest) compare(a, b *Account) int {
+	if order := cmp.Compare(l.amount(b), l.amount(a)); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Workspace, b.Workspace)
+}
+
+// largest returns the accounts with the largest amounts above 0.
+func (c *Counters) largest(count int, amount func(a *Account) float64) []*Account {
+	found := largest{amount: amount, count: count}
+	for _, a := range c.accounts {
+		if amount(a) > 0 {
+			found.add(a)
+		}
 	}
-	slices.SortFunc(accounts, func(a, b *Account) int {
-		return cmp.Or(cmp.Compare(amount(b), amount(a)), cmp.Compare(a.Workspace, b.Workspace))
-	})
-	return slices.Clone(accounts[:count])
+	return found.accounts
 }
 
 // Reported applies the relay's reply to the latest report.
@@ -215,14 +229,16 @@
 		after = 0
 	}
 	totals := &Totals{Run: run, Sequence: c.sequence}
-	var changed []*Account
-	for _, a := range c.accounts {
-		if a.changed > after {
-			changed = append(changed, a)
+	changed := largest{amount: func(a *Account) float64 { return a.used }, count: MaxAmounts}
+	for e := c.changes.Front(); e != nil; e = e.Next() {
+		a := e.Value.(*Account)
+		if a.changed <= after {
+			break
 		}
+		changed.add(a)
 	}
 	scale := c.scale(now)
-	for _, a := range limit(changed, func(a *Account) float64 { return a.used }, MaxAmounts) {
+	for _, a := range changed.accounts {
 		totals.Amounts = append(totals.Amounts, Amount{Workspace: a.Workspace, Service: a.used / scale})
 		a.pending = 0
 	}
@@ -235,16 +251,12 @@
 // Busiest returns the counters of the workspaces with the most service, at most the given number.
 func (c *Counters) Busiest(now time.Time, count int) []Amount {
 	c.rebase(now)
-	accounts := make([]*Account, 0, len(c.accounts))
-	for _, a := range c.accounts {
+	var amounts []Amount
+	for _, a := range c.largest(count, func(a *Account) float64 { return a.used }) {
 		if a.Workspace != "" {
-			accounts = append(accounts, a)
+			amounts = append(amounts, Amount{Workspace: a.Workspace, Service: c.Counter(now, a)})
 		}
 	}
-	var amounts []Amount
-	for _, a := range limit(accounts, func(a *Account) float64 { return a.used }, count) {
-		amounts = append(amounts, Amount{Workspace: a.Workspace, Service: c.Counter(now, a)})
-	}
 	return amounts
 }
 
--- a/fairshare/exchange_test.go
+++ b/fairshare/exchange_test.go
@@ -266,3 +266,30 @@
 		}
 	})
 }
+
+// BenchmarkExchange measures one call of a host to its relay, at the relay, while a tenth of the workspaces change between
+// two calls of the host.
+func BenchmarkExchange(b *testing.B) {
+	for _, workspaces := range []int{16, 300, 10_000} {
+		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
+			z := newZone(2)
+			for i := range workspaces {
+				z.hosts[0].Charge(testTime, testTime, fmt.Sprint("w-", i), float64(i+1))
+			}
+			z.exchange(testTime, 1, 0)
+			for i := range b.N {
+				b.StopTimer()
+				for j := range workspaces / 10 {
+					z.hosts[0].Charge(testTime, testTime, fmt.Sprint("w-", (i+j*10)%workspaces), 100)
+				}
+				report := z.report(testTime, 1, 0)
+				b.StartTimer()
+				z.hosts[0].Receive(testTime, 1, report)
+				totals := z.hosts[0].Totals(testTime, 1, report)
+				b.StopTimer()
+				z.hosts[1].Reported(testTime, totals)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/routing/shares_simulation_test.go
+++ b/routing/shares_simulation_test.go
@@ -44,6 +44,20 @@
 	late     int                     // refused requests that had waited for their whole time
 }
 
+func newShareOf() *shareOf {
+	return &shareOf{waits: hdrhistogram.New(1, 60_000, 3), refusals: hdrhistogram.New(1, 60_000, 3)}
+}
+
+func (s *shareOf) add(other *shareOf) {
+	s.sent += other.sent
+	s.served += other.served
+	s.retries += other.retries
+	s.late += other.late
+	s.service += other.service
+	s.waits.Merge(other.waits)
+	s.refusals.Merge(other.refusals)
+}
+
 func (s *shareOf) servedPart() float64 { return float64(s.served) / float64(max(1, s.sent)) }
 
 const (
@@ -93,7 +107,7 @@
 func (sm *shareSimulation) share(workspace string) *shareOf {
 	s := sm.shares[workspace]
 	if s == nil {
-		s = &shareOf{waits: hdrhistogram.New(1, 60_000, 3), refusals: hdrhistogram.New(1, 60_000, 3)}
+		s = newShareOf()
 		sm.shares[workspace] = s
 	}
 	return s
@@ -211,16 +225,10 @@
 
 // others returns the sum of all workspaces but one.
 func (sm *shareSimulation) others(except string) *shareOf {
-	sum := &shareOf{waits: hdrhistogram.New(1, 60_000, 3), refusals: hdrhistogram.New(1, 60_000, 3)}
+	sum := newShareOf()
 	for name, s := range sm.shares {
 		if name != except {
-			sum.sent += s.sent
-			sum.served += s.served
-			sum.retries += s.retries
-			sum.late += s.late
-			sum.service += s.service
-			sum.waits.Merge(s.waits)
-			sum.refusals.Merge(s.refusals)
+			sum.add(s)
 		}
 	}
 	return sum
--- a/routing/shares_zone_test.go
+++ b/routing/shares_zone_test.go
@@ -243,3 +243,45 @@
 		t.Errorf("got a message with %d workspaces, want at most %d", got, limit)
 	}
 }
+
+// BenchmarkPolicyShares compares what callers get beside a flood, with and without workspaces and the exchange of counters.
+func BenchmarkPolicyShares(b *testing.B) {
+	for _, hosts := range []int{1, 10, 25} {
+		for _, v := range []struct {
+			name string
+			plan sharePlan
+		}{
+			{"without", sharePlan{oblivious: true}},
+			{"alone", sharePlan{}},
+			{"exchange-5s", sharePlan{exchange: 5 * time.Second}},
+			{"exchange-1s", sharePlan{exchange: time.Second}},
+		} {
+			if hosts == 1 && v.plan.exchange > 0 {
+				continue
+			}
+			b.Run(fmt.Sprintf("hosts=%d/%s", hosts, v.name), func(b *testing.B) {
+				const length, settled = 20, 5 // seconds
+				flood, others, service, part := newShareOf(), newShareOf(), 0.0, 0.0
+				for seed := range uint64(policySeeds) {
+					p := v.plan
+					p.hosts, p.length, p.demands, p.seed = hosts, length*time.Second, floodAmong(), seed
+					sm := runShares(p)
+					flood.add(sm.shares["flood"])
+					others.add(sm.others("flood"))
+					part += sm.serviceBetween("flood", settled, length)
+					for name := range sm.shares {
+						service += sm.serviceBetween(name, settled, length)
+					}
+				}
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(100*others.servedPart(), "%others")
+				b.ReportMetric(100*flood.servedPart(), "%flood")
+				b.ReportMetric(100*part/service, "%capacity-of-flood")
+				b.ReportMetric(service/policySeeds/(length-settled), "service/s")
+				b.ReportMetric(float64(others.waits.ValueAtQuantile(95)), "wait-p95-ms")
+				b.ReportMetric(float64(others.refusals.ValueAtQuantile(50)), "refusal-p50-ms")
+				b.ReportMetric(float64(others.refusals.ValueAtQuantile(95)), "refusal-p95-ms")
+			})
+		}
+	}
+}
