--- a/fairshare/counters_test.go
+++ b/fairshare/counters_test.go
@@ -190,3 +190,19 @@
 		})
 	}
 }
+
+// TestDroppedAccountIsNotTold guards against accounts that were dropped and still appear in messages, or are counted again.
+func TestDroppedAccountIsNotTold(t *testing.T) {
+	var c Counters
+	c.Charge(testTime, testTime, "old", 100)
+	now := testTime.Add(25 * DefaultMemory)
+	c.Charge(now, now, "new", 100)
+	totals := c.Totals(now, 1, &Report{})
+	if len(totals.Amounts) != 1 || totals.Amounts[0].Workspace != "new" || c.Len() != 1 {
+		t.Errorf("got %+v of %d workspaces, want the new one only", totals.Amounts, c.Len())
+	}
+	c.Charge(now, now, "old", 7)
+	if got, want := c.Counter(now, c.Account(now, "old")), 7.0; !near(got, want) || c.Len() != 2 {
+		t.Errorf("got counter %v of %d workspaces, want %v of 2", got, c.Len(), want)
+	}
+}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -125,7 +125,8 @@
 	if now.After(t.Deadline) {
 		q.Counts.LateGrant++
 	}
-	q.Shares.Serve(now, t.account, t.Priority, t.cost)
+	// The account of a stream that is resumed may have been dropped while it waited, see Counters.Join.
+	q.Shares.Serve(now, q.Shares.Account(now, t.Workspace), t.Priority, t.cost)
 }
 
 // Refuse removes a ticket that is refused and reports whether it was waiting.
