routing: backend servers are chosen by their whole load, and full ones are left alone until something changes

EvenPicker weights by the load of all hosts, from statements of the backend servers and from sums of what hosts report, which count less the older they are. A refusal for lack of room holds for all waiting requests until a request there has ended, newer information shows fewer requests, or a pause has passed, after which one request finds out. Tokens count against the memory of a backend server beside slots; where many hosts could overfill it unknowingly, a grant says that its owner must be asked for a place.

--- a/model/replica.go
+++ b/model/replica.go
@@ -4,19 +4,20 @@
 
 // Replica is a loaded model version on a backend server, in the view of the routers.
 type Replica struct {
-	Key       ModelKey
-	Backend   string
-	Zone      string
-	Address   string // IP:port of the engine
-	Service   string
-	Software  string // version of the backend server's software, empty if it states none
-	Adapters  []string
-	Capacity  int  // requests the engine's batch can hold
-	Running   int  // from the owner's last report
-	Waiting   int  // from the owner's last report
-	Credits   int  // number of requests that the owner allows this entry host to add
-	Draining  bool // gets no new requests
-	UpdatedAt time.Time
+	Key         ModelKey
+	Backend     string
+	Zone        string
+	Address     string // IP:port of the engine
+	Service     string
+	Software    string // version of the backend server's software, empty if it states none
+	Adapters    []string
+	Capacity    int  // requests the engine's batch can hold
+	CacheTokens int  // tokens that the engine's memory holds, 0 if unknown
+	Running     int  // from the owner's last report
+	Waiting     int  // from the owner's last report
+	Credits     int  // number of requests that the owner allows this entry host to add
+	Draining    bool // gets no new requests
+	UpdatedAt   time.Time
 }
 
 // ServiceEndpoint is a host of a plain service.
@@ -35,6 +36,7 @@
 	Complete bool // the configuration and the host list are known
 	Zone     string
 	Routers  int            // number of live entry hosts in the zone, 0 counts as 1
+	Hosts    int            // number of live entry hosts in all zones, 0 if unknown
 	Models   []*RoutedModel // shared with other snapshots and never changed
 	Services []ServiceEndpoint
 	Suspects []Suspect
--- a/model/status.go
+++ b/model/status.go
@@ -45,4 +45,5 @@
 	Adapter  string
 	Requests int // sent since the last report
 	Running  int // in progress at the time of the report
+	Tokens   int `cbor:",omitempty"` // of the prompts and longest possible answers of these
 }
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -109,7 +109,7 @@
 // shows it full, this router uses at most its fair share of it.
 func (r *Router) hasCapacity(now time.Time, t *Ticket, replica *model.Replica) bool {
 	b, capacity := r.fleet.get(replica.Backend), r.capacity(replica)
-	if now.Before(b.pausedUntil) || b.ownRequests+b.otherRequests >= capacity {
+	if now.Before(b.pausedUntil) || b.ownRequests+b.otherRequests >= capacity || !r.hasRoom(now, t, replica) {
 		return false
 	}
 	if b.totalRequests >= capacity && b.ownRequests >= r.fairShare(capacity) {
@@ -139,7 +139,12 @@
 func (r *Router) candidate(now time.Time, t *Ticket, replica *model.Replica) Candidate {
 	b := r.fleet.get(replica.Backend)
 	latency, at := b.observed.latency(now, b.ownRequests, r.estimates.expectedTokens(&t.Request))
+	v := r.loadView(now, replica.Backend)
 	return Candidate{
+		KnownOthers: v.others,
+		Confidence:  v.weight,
+		Typical:     r.typicalLoad(now),
+		Slowness:    v.slowness,
 		Backend:     replica.Backend,
 		Capacity:    r.capacity(replica),
 		Outstanding: b.ownRequests,
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -133,9 +133,8 @@
 	if b.ownRequests == 0 {
 		b.observed.recordStart(now)
 	}
-	b.ownRequests++
+	input := r.recordGrantedLoad(now, b, t, replica)
 	r.limits.use(now, replica.Backend)
-	r.usages.recordStart(replica.Backend, t.Target)
 	switch {
 	case t.Class == Long:
 		b.ownLongRequests++
@@ -154,6 +153,7 @@
 		Replica:   *replica,
 		Priority:  enginePriority(t),
 		Waited:    now.Sub(t.Since),
+		Load:      input,
 		ticket:    t,
 		router:    r,
 		startedAt: now,
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"citronspread/model"
@@ -11,14 +12,17 @@
 // endpointCalls holds this router's calls to the endpoints of plain services, by address.
 type endpointCalls struct {
 	running      map[string]int
+	byBackend    map[string]int // of running, by the names of the backend servers
+	full         map[string]*fullState
 	trials       map[string]int       // of running, trials of suspects
 	trialCrashAt map[string]time.Time // when a crash was last attributed to a trial
 	pausedUntil  map[string]time.Time
+	awaitingRoom int // calls that wait because all endpoints are full
 }
 
 func newEndpointCalls() endpointCalls {
 	return endpointCalls{
-		running: make(map[string]int), trials: make(map[string]int), trialCrashAt: make(map[string]time.Time), pausedUntil: make(map[string]time.Time),
+		running: make(map[string]int), byBackend: make(map[string]int), full: make(map[string]*fullState), trials: make(map[string]int), trialCrashAt: make(map[string]time.Time), pausedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -26,6 +30,7 @@
 // Done must be called once.
 type EndpointGrant struct {
 	Endpoint    model.ServiceEndpoint
+	Load        LoadInput // of the backend server, before this call
 	router      *Router
 	fingerprint model.Fingerprint
 	trial       bool
@@ -70,30 +75,55 @@
 		if !errors.As(err, &wait) {
 			return grant, err
 		}
-		if err := r.awaitAllowance(ctx, request, wait); err != nil {
+		r.countAwaitingRoom(wait, 1)
+		err = r.awaitAllowance(ctx, request, wait)
+		r.countAwaitingRoom(wait, -1)
+		if err != nil {
 			return nil, err
 		}
 	}
 }
 
+// countAwaitingRoom counts the calls that wait because all endpoints are full.
+func (r *Router) countAwaitingRoom(wait *allowanceWaitError, n int) {
+	if !wait.full {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endpointCalls.awaitingRoom += n
+}
+
 // grantEndpoint chooses an endpoint and counts a call to it. It skips leaving endpoints, endpoints with MaxEndpointCalls
-// calls and those whose address is in Avoid. If all others have stated a limit that allows no call now, it returns a
-// *allowanceWaitError and remembers that the request waits.
+// calls, those whose address is in Avoid and full ones. If all others have stated a limit that allows no call now, or are full,
+// it returns a *allowanceWaitError. In the first case it remembers that the request waits.
 func (r *Router) grantEndpoint(now time.Time, request *Request, trial bool) (*EndpointGrant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reindex(now)
 	var usable []model.ServiceEndpoint
-	var limited []string
+	var limited, full []string
+	roomAt := now.Add(maxFullPause)
 	for _, e := range r.index.endpoints[request.Service] {
 		if e.Leaving || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
 			continue
 		}
+		if f := r.endpointCalls.fullOf(e.Address); r.isFull(now, f, backendOf(e), r.loadView(now, backendOf(e)).slots) {
+			full = append(full, backendOf(e))
+			if f.until.After(now) && f.until.Before(roomAt) {
+				roomAt = f.until
+			}
+			continue
+		}
 		usable = append(usable, e)
 		if r.limits.allowances[backendOf(e)] != nil {
 			limited = append(limited, backendOf(e))
 		}
 	}
+	if len(usable) == 0 && len(full) > 0 {
+		wait := min(roomAt.Sub(now), fullPause)
+		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.limits.changed, backends: full, full: true}
+	}
 	if len(usable) == 0 {
 		return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: minRetryAfter}
 	}
@@ -103,18 +133,16 @@
 	if len(limited) > 0 && r.limits.sendable(now, limited) == 0 && r.limits.askFor(now, request, limited) && now.Sub(request.askedAt) < maxReplyWait {
 		return nil, &allowanceWaitError{next: maxReplyWait, changed: r.limits.changed}
 	}
-	best, found := model.ServiceEndpoint{}, false
-	for _, e := range usable {
-		if r.limits.allows(now, backendOf(e)) && (!found || r.endpointBefore(now, e, best, trial)) {
-			best, found = e, true
-		}
-	}
+	best := r.chooseEndpoint(now, usable, trial)
+	input := r.loadInput(now, backendOf(best))
+	r.endpointCalls.fullOf(best.Address).granted(now, r.random)
 	r.limits.use(now, backendOf(best))
 	r.endpointCalls.running[best.Address]++
+	r.endpointCalls.byBackend[backendOf(best)]++
 	if trial {
 		r.endpointCalls.trials[best.Address]++
 	}
-	return &EndpointGrant{Endpoint: best, router: r, fingerprint: request.Fingerprint, trial: trial, startedAt: now}, nil
+	return &EndpointGrant{Endpoint: best, Load: input, router: r, fingerprint: request.Fingerprint, trial: trial, startedAt: now}, nil
 }
 
 // Done ends the call. An endpoint that did not respond as expected is used last for Policy.FailurePause.
@@ -122,6 +150,14 @@
 	r := g.router
 	r.mu.Lock()
 	possibleCause := r.endpointCalls.finish(now, g, outcome)
+	f := r.endpointCalls.fullOf(g.Endpoint.Address)
+	r.endFull(now, f, backendOf(g.Endpoint), g.startedAt, outcome)
+	if f.at.IsZero() {
+		delete(r.endpointCalls.full, g.Endpoint.Address)
+	}
+	if r.endpointCalls.awaitingRoom > 0 {
+		r.limits.notify()
+	}
 	var survived []loss
 	if possibleCause {
 		r.losses.add(loss{backend: backendOf(g.Endpoint), at: now, fingerprint: g.fingerprint})
@@ -132,6 +168,7 @@
 		if outcome != OutcomeAbandoned && g.Endpoint.Backend != "" { // without an ID it may have been restarted
 			survived = r.losses.takeSurvived(now, g.Endpoint.Backend, g.startedAt)
 		}
+	case OutcomeOverloaded: // see fullState
 	default:
 		r.endpointCalls.pausedUntil[g.Endpoint.Address] = now.Add(r.Policy.FailurePause)
 	}
@@ -154,6 +191,7 @@
 	address := g.Endpoint.Address
 	trials := c.trials[address]
 	decrement(c.running, address)
+	decrement(c.byBackend, backendOf(g.Endpoint))
 	if g.trial {
 		decrement(c.trials, address)
 	}
@@ -176,24 +214,60 @@
 	}
 }
 
-// endpointBefore reports whether endpoint a is preferred to endpoint b: reachable ones first, for a trial those without
-// another trial, then those in the router's zone, then those with fewer calls. Ties are broken at random.
-func (r *Router) endpointBefore(now time.Time, a, b model.ServiceEndpoint, trial bool) bool {
-	pausedA, pausedB := now.Before(r.endpointCalls.pausedUntil[a.Address]), now.Before(r.endpointCalls.pausedUntil[b.Address])
-	if pausedA != pausedB {
-		return pausedB
+// fullOf returns the state of an endpoint that may be full.
+func (c *endpointCalls) fullOf(address string) *fullState {
+	f := c.full[address]
+	if f == nil {
+		f = &fullState{}
+		c.full[address] = f
 	}
-	sharedA, sharedB := r.endpointCalls.trials[a.Address] > 0, r.endpointCalls.trials[b.Address] > 0
-	if trial && sharedA != sharedB {
-		return sharedB
+	return f
+}
+
+// chooseEndpoint chooses one of the usable endpoints whose limits allow a call: of the reachable ones if there are any, for a
+// trial of those without another trial, then of those in the router's zone unless Policy.AnyZone is set, then of those that
+// are expected to have room. Among the rest the router's picker decides.
+func (r *Router) chooseEndpoint(now time.Time, usable []model.ServiceEndpoint, trial bool) model.ServiceEndpoint {
+	left := slices.DeleteFunc(usable, func(e model.ServiceEndpoint) bool { return !r.limits.allows(now, backendOf(e)) })
+	left = preferred(left, func(e model.ServiceEndpoint) bool { return !now.Before(r.endpointCalls.pausedUntil[e.Address]) })
+	if trial {
+		left = preferred(left, func(e model.ServiceEndpoint) bool { return r.endpointCalls.trials[e.Address] == 0 })
+	}
+	if !r.Policy.AnyZone {
+		left = preferred(left, func(e model.ServiceEndpoint) bool { return e.Zone == r.Zone })
+	}
+	left = preferred(left, func(e model.ServiceEndpoint) bool {
+		v := r.loadView(now, backendOf(e))
+		return v.slots == 0 || v.weight*v.others+float64(r.endpointCalls.running[e.Address]) < r.Policy.fillLimit(v.slots)
+	})
+	candidates := make([]Candidate, len(left))
+	slots := 0
+	for i, e := range left {
+		v := r.loadView(now, backendOf(e))
+		slots = max(slots, v.slots)
+		candidates[i] = Candidate{
+			Backend: backendOf(e), Capacity: v.slots, Outstanding: r.endpointCalls.running[e.Address],
+			KnownOthers: v.others, Confidence: v.weight, Slowness: v.slowness,
+		}
 	}
-	localA, localB := a.Zone == r.Zone, b.Zone == r.Zone
-	if localA != localB {
-		return localA
+	for i := range candidates {
+		if candidates[i].Capacity == 0 {
+			candidates[i].Capacity = max(1, slots) // equal ones, as far as is known
+		}
+	}
+	return left[r.Picker.Pick(now, candidates, r.random)]
+}
+
+// preferred returns the endpoints for which the condition holds, or all if it holds for none.
+func preferred(endpoints []model.ServiceEndpoint, condition func(model.ServiceEndpoint) bool) []model.ServiceEndpoint {
+	var found []model.ServiceEndpoint
+	for _, e := range endpoints {
+		if condition(e) {
+			found = append(found, e)
+		}
 	}
-	runningA, runningB := r.endpointCalls.running[a.Address], r.endpointCalls.running[b.Address]
-	if runningA != runningB {
-		return runningA < runningB
+	if len(found) == 0 {
+		return endpoints
 	}
-	return r.random.IntN(2) == 0
+	return found
 }
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -11,22 +11,24 @@
 	loadHistorySlots    = 32
 	loadHistoryInterval = 100 * time.Millisecond
 	maxFailures         = 3                      // failures in a row up to which the pause grows
-	maxOverloads        = 5                      // overload refusals in a row up to which the pause doubles
 	notLoadedPause      = 250 * time.Millisecond // minimum pause of a target that the engine has not loaded
 	pruneInterval       = time.Second            // shortest time between two prunes of the fleet
 )
 
 // backend is this router's own view of a backend server, with the figures of the last report.
 type backend struct {
+	name            string
 	ownRequests     int // running requests of this router
 	ownLongRequests int // of these, long ones
+	ownTokens       int // of their prompts and longest possible answers
+	capacity        int // of the replica that was last considered, 0 before
 	shortStreak     int // short grants since the last long one while long requests waited
 	otherRequests   int // requests of other routers, from the last report
 	totalRequests   int // all requests, from the last report
 	reportedAt      time.Time
 	pausedUntil     time.Time
-	failures        int                  // in a row, reset by a token
-	overloads       int                  // in a row, reset by a token
+	failures        int // in a row, reset by a token
+	full            fullState
 	notLoadedAt     map[Target]time.Time // when the engine last responded that a target is not loaded
 	observed        observed
 	trials          int       // running trials of suspects
@@ -49,7 +51,7 @@
 		if f.backends == nil {
 			f.backends = make(map[string]*backend)
 		}
-		b = &backend{notLoadedAt: make(map[Target]time.Time)}
+		b = &backend{name: name, notLoadedAt: make(map[Target]time.Time)}
 		f.backends[name] = b
 	}
 	return b
@@ -112,6 +114,16 @@
 	return highest
 }
 
+// ownUpTo returns the recorded load of this router at an earlier time, at most 3.2 s ago.
+func (b *backend) ownUpTo(at time.Time) int {
+	slot := at.UnixNano() / int64(loadHistoryInterval)
+	if slot > b.lastSlot || b.lastSlot == 0 {
+		return b.ownRequests
+	}
+	slot = max(slot, b.lastSlot-loadHistorySlots+1)
+	return b.loadHistory[(slot%loadHistorySlots+loadHistorySlots)%loadHistorySlots]
+}
+
 // applyReport derives the load of other routers from a report. The delay of the report is not known exactly, so the
 // highest load of this router that it may include is subtracted. This may underestimate the load of the other routers;
 // engines refuse requests beyond their capacity.
@@ -146,13 +158,6 @@
 	b.pausedUntil = now.Add(pause * time.Duration(b.failures))
 }
 
-// pauseAfterOverload pauses the backend server after it refused a request as overloaded. The pause doubles with each
-// refusal in a row, up to the factor 2^maxOverloads.
-func (b *backend) pauseAfterOverload(now time.Time, pause time.Duration) {
-	b.pausedUntil = now.Add(pause << b.overloads)
-	b.overloads = min(b.overloads+1, maxOverloads)
-}
-
 // isSilent reports whether no stream of this router has received a token for the given time.
 func (b *backend) isSilent(now time.Time, silence time.Duration) bool {
 	return now.Sub(b.observed.lastTokenAt) >= silence
--- a/routing/grant.go
+++ b/routing/grant.go
@@ -26,6 +26,7 @@
 	OutcomeBad                           // the response stalled, belonged to another request or could not be decoded
 	OutcomeAbandoned                     // the caller disconnected
 	OutcomeRejected                      // the engine rejected the request as invalid
+	OutcomeNoPlace                       // the owner of the backend server had no place, nothing was sent
 )
 
 // Grant is the right to send one attempt to a replica. Done must be called once.
@@ -33,6 +34,7 @@
 	Replica  model.Replica
 	Priority int           // in the engine's order: lower values run first
 	Waited   time.Duration // time in the queue
+	Load     LoadInput     // of the backend server, before this request
 
 	ticket      *Ticket
 	router      *Router
@@ -101,7 +103,8 @@
 	}
 	g.tokens++
 	g.lastTokenAt = now
-	b.failures, b.overloads = 0, 0
+	b.failures = 0
+	b.full.acceptFrom(g.startedAt)
 	if g.ticket.trial && !g.passed && g.tokens >= g.ticket.passTokens {
 		g.passed = true
 		b.endTrial(g.ticket)
@@ -199,8 +202,7 @@
 func (r *Router) finish(now time.Time, g *Grant, outcome Outcome) (possibleCause bool) {
 	b := r.fleet.get(g.Replica.Backend)
 	trials := b.trials
-	b.ownRequests--
-	r.usages.recordEnd(g.Replica.Backend, g.ticket.Target)
+	r.recordEndedLoad(now, b, g, outcome)
 	if g.long {
 		b.ownLongRequests--
 	}
@@ -213,8 +215,6 @@
 		r.estimates.recordResponse(now, &g.ticket.Request, g.ticket.Class, g.tokens, now.Sub(g.startedAt))
 	case OutcomeNotLoaded:
 		b.notLoadedAt[g.ticket.Target] = now
-	case OutcomeOverloaded:
-		b.pauseAfterOverload(now, r.Policy.OverloadPause)
 	case OutcomeUnreachable:
 		b.pauseAfterFailure(now, r.Policy.FailurePause)
 	case OutcomeBad:
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -407,7 +407,16 @@
 	total   time.Duration // until this call is expected to get one
 	changed <-chan struct{}
 
-	backends []string // with limits that are used up
+	backends []string // with limits that are used up, or full
+	full     bool     // the backend servers are full
+}
+
+// reason returns the reason of a refusal for which the wait is too long.
+func (e *allowanceWaitError) reason() Reason {
+	if e.full {
+		return ReasonFull
+	}
+	return ReasonLimited
 }
 
 func (e *allowanceWaitError) Error() string {
@@ -462,7 +471,7 @@
 // sent too late.
 func (r *Router) awaitAllowance(ctx context.Context, request *Request, wait *allowanceWaitError) error {
 	if wait.total > request.Deadline.Sub(r.Now())-minCallTime {
-		return &RefusedError{Reason: ReasonLimited, RetryAfter: max(minRetryAfter, wait.total), Backends: wait.backends}
+		return &RefusedError{Reason: wait.reason(), RetryAfter: max(minRetryAfter, wait.total), Backends: wait.backends}
 	}
 	timer := time.NewTimer(max(wait.next, tickInterval))
 	defer timer.Stop()
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -18,6 +18,11 @@
 	Latency     time.Duration
 	ObservedAt  time.Time // when this router last observed Latency, zero if never
 	Credits     int       // further requests that the owner allows this router to send
+
+	KnownOthers float64 // requests of other routers, by statements and reports of hosts; see Router.loadView
+	Confidence  float64 // weight of KnownOthers, 0 if they are not known
+	Typical     float64 // mean load of the known backend servers, per slot
+	Slowness    float64 // 1 is normal
 }
 
 // load returns the known number of requests on the replica.
@@ -129,6 +134,65 @@
 	return sum / time.Duration(count)
 }
 
+// EvenPicker chooses at random, with weights that fall with the expected load of a candidate per slot. The load is what this
+// router has there and what is known of the other routers, which counts less the older it is.
+type EvenPicker struct {
+	Exponent float64 // how strongly it prefers candidates of lower load
+}
+
+// Pick implements Picker.
+func (p EvenPicker) Pick(now time.Time, candidates []Candidate, r *rand.Rand) int {
+	if len(candidates) == 1 {
+		return 0
+	}
+	unknown := unknownLoad(candidates)
+	typical := typicalLatency(now, candidates)
+	weights, sum := make([]float64, len(candidates)), 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		slots := float64(max(c.Capacity, 1))
+		others := c.Confidence*c.KnownOthers + (1-c.Confidence)*unknown*slots
+		cost := (float64(c.Outstanding) + others + 1) / slots * max(c.Slowness, 0.1) * latencyFactor(now, c, typical)
+		weights[i] = slots * math.Pow(cost, -p.Exponent)
+		sum += weights[i]
+	}
+	remaining := r.Float64() * sum
+	for i, w := range weights {
+		remaining -= w
+		if remaining < 0 {
+			return i
+		}
+	}
+	return len(candidates) - 1
+}
+
+// unknownLoad returns the load per slot that is assumed where none is known: the mean of the known candidates, or that of all
+// backend servers if it is higher, so that a backend server gains nothing if its load is not known.
+func unknownLoad(candidates []Candidate) float64 {
+	sum, weight, typical := 0.0, 0.0, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		sum += c.Confidence * (c.KnownOthers + float64(c.Outstanding)) / float64(max(c.Capacity, 1))
+		weight += c.Confidence
+		typical = max(typical, c.Typical)
+	}
+	if weight == 0 {
+		return typical
+	}
+	return max(typical, sum/weight)
+}
+
+// maxLatencyFactor bounds how much a slow response makes a candidate less likely.
+const maxLatencyFactor = 8
+
+// latencyFactor returns by how much the candidate's responses to this router take longer than the typical ones, at least 1.
+func latencyFactor(now time.Time, c *Candidate, typical time.Duration) float64 {
+	if !c.isFresh(now) || typical <= 0 {
+		return 1
+	}
+	return min(max(1, c.Latency.Seconds()/typical.Seconds()), maxLatencyFactor)
+}
+
 // CreditPicker chooses the candidate with the most credits.
 type CreditPicker struct{}
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -1,7 +1,10 @@
 // Package routing queues the requests of an entry host and decides when each is sent and to which backend server.
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Policy holds the limits of admission and routing on one entry host.
 type Policy struct {
@@ -15,7 +18,7 @@
 	ColdStart        time.Duration // expected cold start of a model until one was measured
 	AdapterStart     time.Duration // expected load time of an adapter whose model is loaded, 0 to expect the model's cold start
 	DemandInterval   time.Duration // interval between load demands for a target
-	OverloadPause    time.Duration // pause of a backend server after an overload refusal, doubled with each further one in a row
+	FillFactor       float64       // known load from which a backend server gets no further request, as a multiple of its capacity; 0 if the replicas' reports state the load
 	FailurePause     time.Duration // pause of a backend server that failed; multiplied by the number of failures in a row
 	MoveFactor       float64       // minimum ratio of a response's remaining time to that on another replica for a move, 0 for no moves
 	MoveGain         time.Duration // minimum time saved by moving a response
@@ -37,7 +40,6 @@
 		DefaultCapacity:  16,
 		ColdStart:        5 * time.Second,
 		DemandInterval:   500 * time.Millisecond,
-		OverloadPause:    50 * time.Millisecond,
 		FailurePause:     time.Second,
 		MoveFactor:       2,
 		MoveGain:         300 * time.Millisecond,
@@ -47,6 +49,14 @@
 	}
 }
 
+// fillLimit returns the known load from which a backend server gets no further request.
+func (p Policy) fillLimit(capacity int) float64 {
+	if p.FillFactor <= 0 {
+		return math.Inf(1)
+	}
+	return p.FillFactor * float64(capacity)
+}
+
 // longCap returns how many long requests this entry host may run concurrently on a replica.
 func (p Policy) longCap(capacity, routers int) int {
 	return routerShare(capacity, p.LongCapShare, routers)
--- a/routing/request.go
+++ b/routing/request.go
@@ -25,13 +25,16 @@
 	Deadline    time.Time
 	StartBy     time.Time // the caller disconnects if the response has not started by then; zero if there is no such limit
 	MaxTokens   int       // 0 if the caller set no limit
+	Tokens      int       // of the prompt and of the longest possible answer, 0 if unknown
 	Delivered   int       // tokens of earlier attempts that were delivered to the caller
 	Remaining   int       // tokens that a resumption is expected to deliver, 0 for a new request
 	Resumed     bool      // it continues after what earlier attempts have delivered
 	Moves       int       // how often the response was moved to a faster replica
 	Avoid       []string  // backend servers that failed this request
 
-	askedAt time.Time // when an allowance was first requested for it, zero before
+	askedAt    time.Time // when an allowance was first requested for it, zero before
+	heldTokens int       // that it may take on its backend server, set when it is granted
+	needsPlace bool      // the owner of the backend server must be asked for a place, set when it is granted
 }
 
 // avoids reports whether the request has failed on the backend server.
--- a/routing/review.go
+++ b/routing/review.go
@@ -53,6 +53,8 @@
 	if reason == ReasonLate && r.isLimited(now, t.Target) {
 		refused.Reason = ReasonLimited
 		_, refused.Backends = r.splitLimited(now, t.Target)
+	} else if full := r.withoutRoom(now, t); reason == ReasonLate && len(full) > 0 {
+		refused.Reason, refused.Backends = ReasonFull, full
 	}
 	t.resolve(result{err: refused})
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -67,6 +67,8 @@
 	endpointCalls endpointCalls
 	usages        usages
 	limits        limits
+	loads         loads
+	tokenMean     mean // of the tokens that requests state
 }
 
 // pin holds the grants of all running copies of an unproven request, which run on one backend server.
@@ -211,6 +213,7 @@
 	r.unbegun = make(map[*Grant]bool)
 	r.endpointCalls = newEndpointCalls()
 	r.limits = newLimits()
+	r.loads = newLoads()
 	if r.Now == nil {
 		r.Now = time.Now
 	}
--- a/routing/state.go
+++ b/routing/state.go
@@ -32,6 +32,11 @@
 	Running     int
 	RunningLong int
 	Others      int
+	Known       float64       // requests of other routers, see Router.loadView
+	KnownAge    time.Duration // of Known
+	Tokens      int           // of Running
+	Slowness    float64       // as stated, 1 is normal
+	Full        bool          // refused a request and nothing has changed since
 	Failures    int
 	PausedFor   time.Duration
 	FirstToken  time.Duration
@@ -61,7 +66,10 @@
 		return cmp.Or(cmp.Compare(a.Target.Key.String(), b.Target.Key.String()), cmp.Compare(a.Target.Adapter, b.Target.Adapter), cmp.Compare(a.Target.Software, b.Target.Software))
 	})
 	for _, name := range slices.Sorted(maps.Keys(r.fleet.backends)) {
-		state.Backends = append(state.Backends, r.fleet.backends[name].state(now, name))
+		s, v := r.fleet.backends[name].state(now, name), r.loadView(now, name)
+		s.Known, s.KnownAge, s.Slowness = v.others, v.age, v.slowness
+		s.Full = r.isFull(now, &r.fleet.backends[name].full, name, r.fleet.backends[name].capacity)
+		state.Backends = append(state.Backends, s)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.limits.allowances)) {
 		a := r.limits.allowances[name]
@@ -78,6 +86,7 @@
 		Backend:     name,
 		Running:     b.ownRequests,
 		RunningLong: b.ownLongRequests,
+		Tokens:      b.ownTokens,
 		Others:      b.otherRequests,
 		Failures:    b.failures,
 		PausedFor:   max(0, b.pausedUntil.Sub(now)),
--- a/routing/usage.go
+++ b/routing/usage.go
@@ -24,14 +24,17 @@
 	return &u.entries[len(u.entries)-1]
 }
 
-func (u *usages) recordStart(backend string, target Target) {
+func (u *usages) recordStart(backend string, target Target, tokens int) {
 	e := u.findOrAdd(backend, target)
 	e.Requests++
 	e.Running++
+	e.Tokens += tokens
 }
 
-func (u *usages) recordEnd(backend string, target Target) {
-	u.findOrAdd(backend, target).Running--
+func (u *usages) recordEnd(backend string, target Target, tokens int) {
+	e := u.findOrAdd(backend, target)
+	e.Running--
+	e.Tokens -= tokens
 }
 
 // take returns the usages and resets the counts. Entries with running requests are retained.
