gateway: hosts exchange the loads of backend servers in calls that they make anyway

A host sends two to four requests a second to 60 to 100 backend servers, so its own view of each is many seconds old.

The owner of a backend server sums the usage reports that it gets from all hosts and returns the sum in the reply, which was empty. Hosts pass statements on with their reports, and exchange all loads with the relay of their zone in the calls by which they follow it, at most once a second. Reserve is a new call: a grant that needs a place asks the owner, which counts tokens and requests exactly; without a reply within 100 ms what the host knows decides, and the owner is left alone for a second. The granted line names the inputs of the choice. Hosts of the previous build ignore the new fields.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -30,6 +30,10 @@
 	// softwareRetryAfter is when a caller may take up a stream again whose software version serves no more. It comes back
 	// only if backend servers of it are started again.
 	softwareRetryAfter = 5 * time.Second
+	// fullRetryAfter is sent if the backend servers had no place: about the time that a request runs.
+	fullRetryAfter = 2 * time.Second
+	// tooLargeRetryAfter is sent for a request that no backend server can hold. Only another configuration changes that.
+	tooLargeRetryAfter = 10 * time.Second
 	// budgetShare is the part of the shared retry budget that the hosts use. The rest is a margin for hosts that
 	// count different numbers of live hosts.
 	budgetShare = 0.8
@@ -44,6 +48,7 @@
 	proposals map[string]*baseProposal   // of first base versions, by service
 
 	invalidLimits sync.Map // backend servers with a limit that could not be read, to log it once
+	invalidLoads  sync.Map // the same for loads
 }
 
 // FindRoute returns the route of a request and the service that it goes to. found reports whether a route matches and
@@ -142,17 +147,22 @@
 		Deadline:    r.Deadline,
 		StartBy:     startDeadline(d.host.Now(), r, p),
 		MaxTokens:   r.MaxTokens,
+		Tokens:      r.Tokens,
 		Resumed:     isResumed,
 		Avoid:       p.Failed,
 	}
-	grant, err := d.host.router.Acquire(ctx, request)
+	if engine := d.engineOf(r.Service); engine != nil && engine.CacheTokens > 0 && r.Tokens > engine.CacheTokens {
+		return nil, &routing.RefusedError{Reason: routing.ReasonMemory, RetryAfter: tooLargeRetryAfter}
+	}
+	grant, err := d.acquirePlace(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	d.host.Metrics.ObserveGrantWait(grant.Waited)
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone), zap.String("Software", grant.Replica.Software),
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
-		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed))
+		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed),
+		zap.Int("Own", grant.Load.Own), zap.Float64("Others", grant.Load.Others), zap.Bool("LoadKnown", grant.Load.Known), zap.Duration("LoadAge", grant.Load.Age), zap.Bool("Place", grant.NeedsPlace()))
 	return &Grant{
 		Address:     grant.Replica.Address,
 		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend},
@@ -162,6 +172,29 @@
 	}, nil
 }
 
+// acquirePlace waits for a grant and, if it needs one, for a place from the owner of the backend server.
+func (d *Dispatcher) acquirePlace(ctx context.Context, request routing.Request) (*routing.Grant, error) {
+	for range maxDenials {
+		grant, err := d.host.router.Acquire(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		if d.takePlace(ctx, request.ID, grant) {
+			return grant, nil
+		}
+		grant.Done(d.host.Now(), routing.OutcomeNoPlace)
+	}
+	return nil, &routing.RefusedError{Reason: routing.ReasonFull, RetryAfter: fullRetryAfter}
+}
+
+// engineOf returns the capacity of each backend server of a service, nil for a plain service.
+func (d *Dispatcher) engineOf(service string) *model.EngineSpec {
+	if table := d.host.routes.Load(); table != nil {
+		return table.state.Services[service].Engine
+	}
+	return nil
+}
+
 // startDeadline returns when the caller of a stream gives up if no event arrives: counted from the arrival of its
 // request, or from now if it has already received a part of the response. It is zero for requests without a stream.
 func startDeadline(now time.Time, r RoutedRequest, p *attempt.Progress) time.Time {
@@ -181,5 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.Strings("Avoid", p.Failed),
+		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age))
 	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend}, Priority: -1, endpointGrant: endpoint}, nil
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -280,6 +280,7 @@
 	hosts        map[string]*fleetHost // by peer address
 	suspectCalls atomic.Int64
 	limitCalls   limitCalls
+	loadCalls    loadCalls
 	suffix       string // of the desired state, which makes it larger
 }
 
@@ -363,6 +364,7 @@
 	for _, e := range reply.Packed {
 		size += len(e.Value)
 	}
+	size += loadRecordBytes * len(reply.Loads)
 	h.linkMu.Lock()
 	now := time.Now()
 	if h.linkFreeAt.Before(now) {
--- a/gateway/grant.go
+++ b/gateway/grant.go
@@ -27,6 +27,15 @@
 	return g.Incarnation.ID
 }
 
+// LoadName returns the name of the backend server for the record of its load: its ID, or the address of a plain service
+// without one.
+func (g *Grant) LoadName() string {
+	if g.Incarnation.ID != "" {
+		return g.Incarnation.ID
+	}
+	return g.Address
+}
+
 // Done reports the outcome of the attempt and releases the grant.
 func (g *Grant) Done(now time.Time, outcome routing.Outcome) {
 	if g.endpointGrant != nil {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -47,6 +47,9 @@
 	defaultColdStart = 700 * time.Millisecond
 	// defaultAdapterStart is the time of an adapter load and of the calls to the owner.
 	defaultAdapterStart = residency.AdapterLoad + 10*time.Millisecond
+	// fillFactor and loadExponent are the best of those that docs/design/even-load.md compares.
+	fillFactor   = 1.25
+	loadExponent = 4
 )
 
 // Host is one entry host. The exported fields are set before Prepare, except Dispatcher, which Prepare sets.
@@ -84,6 +87,8 @@
 	caughtUp        atomic.Bool // the changes since that list have been applied
 	hosts           hostCount
 	startedAt       time.Time // when Prepare was called
+	loads           *loadBook
+	ownerAddresses  atomic.Pointer[map[string]string] // peer addresses of the owners, by backend server
 	events          chan func(now time.Time)
 	ctx             context.Context // done when the host stops
 	cancel          context.CancelFunc
@@ -103,6 +108,7 @@
 	suspectsAfter int64  // its sequence number of the last one
 	partsAfter    int64  // its sequence number of the last suspect part
 	limitsAfter   int64  // its sequence number of the last limit
+	loadExchange  loadExchange
 
 	// The fields below are used by the control thread only.
 	view            *view
@@ -125,6 +131,7 @@
 	claiming        bool          // a claim is in progress
 	lastRenewAt     time.Time
 	usageSentAt     time.Time
+	loadsSteppedAt  time.Time
 	suspectsLearned bool // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
@@ -143,6 +150,7 @@
 	}
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
+	h.loads = newLoadBook()
 	h.view = newView(h.Zone)
 	h.owned = make(map[string]*ownedBackend)
 	h.demands = make(map[routing.Target]*demand)
@@ -161,9 +169,10 @@
 	policy.ColdStart = defaultColdStart
 	policy.AdapterStart = defaultAdapterStart
 	policy.AnyZone = true
+	policy.FillFactor = fillFactor
 	policy.MoveFactor = 0 // a move repeats the prefill, which slows other requests by more than the move gains
 	h.router = &routing.Router{
-		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, DemandReporter: h, AllowanceRequester: h, Budget: &routing.Budget{},
+		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.EvenPicker{Exponent: loadExponent}, DemandReporter: h, AllowanceRequester: h, Budget: &routing.Budget{},
 		Suspects: &routing.Suspects{
 			Name: h.Name, RefuseFor: refuseSuspectFor, ClaimPropagationDelay: suspectClaimPropagationDelay, TrialClaimTTL: suspectTrialClaimTTL,
 			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect, Republish: h.publishSuspect,
@@ -287,7 +296,7 @@
 	if expired := h.view.expire(now); len(expired) > 0 {
 		h.viewChanged = true
 		for _, id := range expired {
-			h.router.ForgetLimit(id)
+			h.forgetBackend(now, id)
 		}
 		h.Log.Info("entries did not come back", zap.Strings("Backends", expired))
 	}
@@ -299,6 +308,7 @@
 	h.stepOwnership(now)
 	h.stepSoftware(now)
 	h.stepOwned(now)
+	h.stepLoads(now)
 	h.stepUsage(now)
 	h.stepSpread(now)
 	h.expireLimits(now)
@@ -313,7 +323,9 @@
 	}
 	h.viewChanged = false
 	h.version++
-	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone()))
+	snapshot := h.view.snapshot(now, h.version, table.state, h.routersOfZone())
+	snapshot.Hosts = len(h.table.Live())
+	h.snapshot.Store(snapshot)
 	h.router.Changed()
 }
 
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -31,7 +31,8 @@
 	Place(ctx context.Context, address string, request *peer.PlaceRequest) (*peer.PlaceReply, error)
 	Offer(ctx context.Context, address string, request *peer.OfferRequest) (*peer.OfferReply, error)
 	LoadModel(ctx context.Context, address string, request *peer.LoadModelRequest) (*peer.LoadModelReply, error)
-	ReportPlatformUsage(ctx context.Context, address string, request *peer.UsageRequest) error
+	ReportPlatformUsage(ctx context.Context, address string, request *peer.UsageRequest) (*peer.UsageReply, error)
+	Reserve(ctx context.Context, address string, request *peer.ReserveRequest) (*peer.ReserveReply, error)
 	Suspect(ctx context.Context, address string, request *peer.SuspectRequest) error
 	SuspectParts(ctx context.Context, address string, request *peer.SuspectPartsRequest) error
 	ListRefused(ctx context.Context, address string) (*peer.RefusedReply, error)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -33,10 +33,16 @@
 	return p.host.requestLoad(ctx, p.host.PeerAddress, request)
 }
 
-// ReportPlatformUsage records the requests that another entry host sends to the backend servers that this host owns.
-func (p *platformHandler) ReportPlatformUsage(_ context.Context, request *peer.UsageRequest) (*peer.Empty, error) {
+// ReportPlatformUsage records the requests that another entry host sends to the backend servers that this host owns, and
+// returns the load of these.
+func (p *platformHandler) ReportPlatformUsage(_ context.Context, request *peer.UsageRequest) (*peer.UsageReply, error) {
 	p.host.post(func(now time.Time) { p.host.recordUsage(now, request.From, request.Usages) })
-	return &peer.Empty{}, nil
+	return &peer.UsageReply{Loads: p.host.receiveUsage(p.host.Now(), request)}, nil
+}
+
+// Reserve takes a place on a backend server that this host owns.
+func (p *platformHandler) Reserve(_ context.Context, request *peer.ReserveRequest) (*peer.ReserveReply, error) {
+	return p.host.reserve(p.host.Now(), request), nil
 }
 
 // Follow returns changes of the store to a host that uses this one as its relay.
@@ -76,17 +82,22 @@
 		}
 	}
 	for address, usages := range byOwner {
+		request := &peer.UsageRequest{From: h.Name, Usages: usages}
 		if address == h.PeerAddress {
 			h.recordUsage(now, h.Name, usages)
+			h.receiveUsage(now, request)
 			continue
 		}
-		request := &peer.UsageRequest{From: h.Name, Usages: usages}
+		request.Loads = h.loadsOf(now, usages)
 		h.spawn(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 			defer cancel()
-			if err := h.Peers.ReportPlatformUsage(ctx, address, request); err != nil {
+			reply, err := h.Peers.ReportPlatformUsage(ctx, address, request)
+			if err != nil {
 				h.Log.Debug("usage not sent", zap.String("Owner", address), zap.Error(err))
+				return
 			}
+			h.mergeLoads(reply.Loads, false)
 		})
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -180,6 +180,7 @@
 func (h *Host) serveFollow(ctx context.Context, request *peer.FollowRequest) *peer.FollowReply {
 	h.takeRelayDuty()
 	reply := h.awaitChange(ctx, request)
+	h.replyWithLoads(request, reply)
 	reply.SentAt = h.Now()
 	if request.AcceptsPacked {
 		h.history.pack(reply)
@@ -289,6 +290,7 @@
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
 	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
+	told := h.askForLoads(h.Now(), address, request)
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter, h.partsAfter, h.limitsAfter = address, reply.SuspectSequence, reply.PartSequence, reply.LimitSequence
@@ -296,6 +298,9 @@
 		h.router.MergeSuspects(now, onOwnClock(now, reply.SentAt, reply.Suspects))
 		h.router.MergeSuspectParts(now, partsOnOwnClock(now, reply.SentAt, reply.Parts))
 		h.router.MergeLimits(limitsOnOwnClock(now, reply.SentAt, reply.Limits))
+		if request.AcceptsLoads {
+			h.receiveLoads(told, reply)
+		}
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -84,7 +84,7 @@
 	m := *c.models[i]
 	m.Replicas = make([]model.Replica, 0, len(c.holders[i]))
 	for _, id := range slices.Sorted(maps.Keys(c.holders[i])) {
-		m.Replicas = append(m.Replicas, v.backends[id].replica(m.Declaration.Key.Model))
+		m.Replicas = append(m.Replicas, v.backends[id].replica(m.Declaration.Key.Model, c.services[m.Service].Engine.CacheTokens))
 	}
 	c.models[i] = &m
 }
@@ -110,17 +110,18 @@
 	return s
 }
 
-func (b *backendView) replica(name string) model.Replica {
+func (b *backendView) replica(name string, cacheTokens int) model.Replica {
 	return model.Replica{
-		Key:       modelKey(b.listing.Service, name),
-		Backend:   b.listing.Life.ID,
-		Zone:      b.listing.Zone,
-		Address:   b.listing.Address,
-		Service:   b.listing.Service,
-		Software:  b.listing.Software,
-		Adapters:  slices.Sorted(maps.Keys(b.adapters[name])),
-		Capacity:  b.listing.Slots,
-		Draining:  b.listing.Draining,
-		UpdatedAt: b.changedAt,
+		Key:         modelKey(b.listing.Service, name),
+		Backend:     b.listing.Life.ID,
+		Zone:        b.listing.Zone,
+		Address:     b.listing.Address,
+		Service:     b.listing.Service,
+		Software:    b.listing.Software,
+		Adapters:    slices.Sorted(maps.Keys(b.adapters[name])),
+		Capacity:    b.listing.Slots,
+		CacheTokens: cacheTokens,
+		Draining:    b.listing.Draining,
+		UpdatedAt:   b.changedAt,
 	}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -391,7 +391,7 @@
 	}
 	h.viewChanged = true
 	if restarted {
-		h.router.ForgetLimit(id)
+		h.forgetBackend(now, id)
 	}
 	if before == nil || restarted || listing.Draining != wasDraining {
 		h.Log.Info("backend server listed", zap.String("Backend", id), zap.String("Service", listing.Service), zap.String("Address", listing.Address),
@@ -409,7 +409,7 @@
 		return
 	}
 	h.view.remove(now, id)
-	h.router.ForgetLimit(id)
+	h.forgetBackend(now, id)
 	h.viewChanged = true
 	h.Log.Info("backend server gone", zap.String("Backend", id))
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,8 @@
 	grantWait  prometheus.Histogram
 	storeCalls *prometheus.CounterVec
 	allowances prometheus.Counter
+	places     *prometheus.CounterVec
+	badLoads   prometheus.Counter
 }
 
 // New returns metrics with all counters at zero.
@@ -45,7 +47,9 @@
 	}
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_store_calls_total", Help: "Calls to the platform's store by kind and by what caused them. A read of several pages counts once."}, []string{"kind", "cause"})
 	m.allowances = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_allowance_calls_total", Help: "Calls to other entry hosts for allowances of backend servers that have stated a limit."})
-	m.registry.MustRegister(m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
+	m.places = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_places_total", Help: "Places on backend servers that were asked for at their owners, by answer."}, []string{"answer"})
+	m.badLoads = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_invalid_loads_total", Help: "Responses of backend servers with a load that could not be read."})
+	m.registry.MustRegister(m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
 	return m
 }
 
@@ -76,6 +80,12 @@
 // CountAllowanceCall counts a call to another entry host for an allowance.
 func (m *Metrics) CountAllowanceCall() { m.allowances.Inc() }
 
+// CountPlace counts a place on a backend server that was asked for at its owner, by answer.
+func (m *Metrics) CountPlace(answer string) { m.places.WithLabelValues(answer).Inc() }
+
+// CountInvalidLoad counts a response with a load that could not be read.
+func (m *Metrics) CountInvalidLoad() { m.badLoads.Inc() }
+
 // StoreCalls returns the numbers of calls to the platform's store as "cause/kind=number", sorted.
 func (m *Metrics) StoreCalls() []string {
 	var counts []string
--- a/peer/message.go
+++ b/peer/message.go
@@ -76,6 +76,26 @@
 type UsageRequest struct {
 	From   string // name of the router's host
 	Usages []model.Usage
+	Loads  []LoadRecord `cbor:",omitempty"` // what the host knows of these backend servers
+}
+
+// UsageReply is the reply to a UsageRequest on the users' platform. Hosts of earlier versions send an Empty.
+type UsageReply struct {
+	Loads []LoadRecord `cbor:",omitempty"` // of the backend servers that the replying host owns
+}
+
+// ReserveRequest requests a place for a request on a backend server from its owner.
+type ReserveRequest struct {
+	From    string
+	Backend string
+	Tokens  int // of the prompt and of the longest possible answer
+}
+
+// ReserveReply is the reply to a ReserveRequest.
+type ReserveReply struct {
+	Known  bool // the replying host knows what is on the backend server
+	Placed bool
+	Loads  []LoadRecord `cbor:",omitempty"` // of the backend server
 }
 
 // Empty is the reply to calls that return no data.
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -15,7 +15,8 @@
 	Place(ctx context.Context, request *PlaceRequest) (*PlaceReply, error)
 	Offer(ctx context.Context, request *OfferRequest) (*OfferReply, error)
 	LoadModel(ctx context.Context, request *LoadModelRequest) (*LoadModelReply, error)
-	ReportPlatformUsage(ctx context.Context, request *UsageRequest) (*Empty, error)
+	ReportPlatformUsage(ctx context.Context, request *UsageRequest) (*UsageReply, error)
+	Reserve(ctx context.Context, request *ReserveRequest) (*ReserveReply, error)
 	Suspect(ctx context.Context, request *SuspectRequest) (*Empty, error)
 	SuspectParts(ctx context.Context, request *SuspectPartsRequest) (*Empty, error)
 	ListRefused(ctx context.Context, request *Empty) (*RefusedReply, error)
@@ -31,6 +32,7 @@
 	unary("/Fleet/Offer", PlatformHandler.Offer),
 	unary("/Fleet/Hold", PlatformHandler.LoadModel),
 	unary("/Fleet/Use", PlatformHandler.ReportPlatformUsage),
+	unary("/Fleet/Reserve", PlatformHandler.Reserve),
 	unary("/Fleet/Suspect", PlatformHandler.Suspect),
 	unary("/Fleet/Parts", PlatformHandler.SuspectParts),
 	unary("/Fleet/Refused", PlatformHandler.ListRefused),
@@ -146,6 +148,9 @@
 	LimitsAfter   int64         // the same for limits of backend servers
 	AcceptsPacked bool          // the follower reads FollowReply.Packed
 	AcceptsLimits bool          // the follower reads FollowReply.Limits
+	Loads         []LoadRecord  `cbor:",omitempty"` // what the follower has learned of backend servers since its last call with AcceptsLoads
+	LoadsAfter    int64         `cbor:",omitempty"` // as SuspectsAfter, for loads of backend servers
+	AcceptsLoads  bool          `cbor:",omitempty"` // the follower reads FollowReply.Loads
 }
 
 // FollowReply contains the changes of the store.
@@ -160,8 +165,10 @@
 	Parts           []model.SuspectPart
 	PartSequence    int64 // of the relay's last suspect part
 	Limits          []model.BackendLimit
-	LimitSequence   int64     // of the relay's last limit
-	SentAt          time.Time // on the clock of the relay, to which the times of suspects, parts and limits refer
+	LimitSequence   int64        // of the relay's last limit
+	Loads           []LoadRecord `cbor:",omitempty"`
+	LoadSequence    int64        `cbor:",omitempty"` // of the relay's last change of a load
+	SentAt          time.Time    // on the clock of the relay, to which the times of suspects, parts and limits refer
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
@@ -212,10 +219,14 @@
 	return invoke[LoadModelReply](ctx, c, address, "/Fleet/Hold", request)
 }
 
-// ReportPlatformUsage reports the usage of replicas to their owner.
-func (c *Client) ReportPlatformUsage(ctx context.Context, address string, request *UsageRequest) error {
-	_, err := invoke[Empty](ctx, c, address, "/Fleet/Use", request)
-	return err
+// ReportPlatformUsage reports the usage of replicas to their owner, which replies with the load of its backend servers.
+func (c *Client) ReportPlatformUsage(ctx context.Context, address string, request *UsageRequest) (*UsageReply, error) {
+	return invoke[UsageReply](ctx, c, address, "/Fleet/Use", request)
+}
+
+// Reserve requests a place on a backend server from its owner.
+func (c *Client) Reserve(ctx context.Context, address string, request *ReserveRequest) (*ReserveReply, error) {
+	return invoke[ReserveReply](ctx, c, address, "/Fleet/Reserve", request)
 }
 
 // Suspect sends a suspect to another entry host.
