httponce: a cautious client reuses young idle connections

Each request that must not run twice opened a connection. A cautious client uses an idle one up to a given age, and no longer does so for ten minutes at a server that has closed one without a response, since whether that request has run is not known.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -14,19 +14,32 @@
 
 const (
 	defaultDialTimeout = time.Second
-	idleTimeout        = 30 * time.Second
+	defaultIdleTimeout = 30 * time.Second
 	maxHeaderBytes     = 64 << 10
+	// distrustFor is how long a server that closed a reused connection without a response gets a connection for each request
+	// of a cautious client. Such a server closes idle connections sooner than the client.
+	distrustFor  = 10 * time.Minute
+	maxDistrusts = 1024
 )
 
 // Client sends HTTP requests that the transport never replays.
 type Client struct {
 	DialTimeout     time.Duration
 	IdlePerHost     int
-	FreshConnection bool // open a connection for each request
-	KeepAlive       net.KeepAliveConfig
+	IdleTotal       int           // idle connections to all servers, 0 for no limit
+	IdleTimeout     time.Duration // age from which an idle connection is not used again, 0 for 30 s
+	FreshConnection bool          // open a connection for each request
+	// Cautious opens a connection for each request to a server that has closed a reused one without a response, for
+	// distrustFor. Whether that request has run is not known, and it must not be sent again.
+	Cautious  bool
+	KeepAlive net.KeepAliveConfig
 
 	once      sync.Once
 	transport *http.Transport
+	fresh     *http.Transport // without reuse, for servers that are distrusted
+
+	mu         sync.Mutex
+	distrusted map[string]time.Time // by address: until when
 }
 
 // Do sends the request at most once.
@@ -46,19 +59,26 @@
 		GotFirstResponseByte: func() { beganAfter.Store(int64(max(1, time.Since(start)))) },
 	}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	transport, isFresh := c.transport, c.FreshConnection
+	if c.Cautious && c.isDistrusted(start, request.URL.Host) {
+		transport, isFresh = c.fresh, true
+	}
 	// The transport never replays a request that has a body but no GetBody, whatever its method and headers.
 	// On a fresh connection it replays nothing, so a request without a body stays as it is.
 	request.GetBody = nil
-	if !c.FreshConnection || request.ContentLength != 0 {
+	if !isFresh || request.ContentLength != 0 {
 		request.Body = opaqueBody{request.Body}
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	if err == nil {
 		return response, nil
 	}
 	if lastConn == nil || !lastConn.abort() {
 		return nil, &UnsentError{Address: request.URL.Host, Err: err}
 	}
+	if c.Cautious && reused && beganAfter.Load() == 0 && request.Context().Err() == nil {
+		c.distrust(time.Now(), request.URL.Host)
+	}
 	return nil, &NoResponseError{
 		Address: request.URL.Host, Reused: reused, BeganAfter: time.Duration(beganAfter.Load()), Truncated: lastConn.isTruncated(), Elapsed: time.Since(start), Err: err,
 	}
@@ -70,12 +90,43 @@
 	c.transport.CloseIdleConnections()
 }
 
+// isDistrusted reports whether a server has closed a reused connection without a response.
+func (c *Client) isDistrusted(now time.Time, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, found := c.distrusted[address]
+	if found && now.After(until) {
+		delete(c.distrusted, address)
+	}
+	return found && !now.After(until)
+}
+
+func (c *Client) distrust(now time.Time, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.distrusted == nil || len(c.distrusted) >= maxDistrusts {
+		c.distrusted = make(map[string]time.Time)
+	}
+	c.distrusted[address] = now.Add(distrustFor)
+}
+
 func (c *Client) init() {
+	c.transport = c.newTransport(c.FreshConnection)
+	if c.Cautious {
+		c.fresh = c.newTransport(true)
+	}
+}
+
+func (c *Client) newTransport(fresh bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: c.KeepAlive}
 	if dialer.Timeout == 0 {
 		dialer.Timeout = defaultDialTimeout
 	}
-	c.transport = &http.Transport{
+	idleTimeout := c.IdleTimeout
+	if idleTimeout == 0 {
+		idleTimeout = defaultIdleTimeout
+	}
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -84,7 +135,8 @@
 			return &conn{Conn: raw}, nil
 		},
 		DisableCompression:     true,
-		DisableKeepAlives:      c.FreshConnection,
+		DisableKeepAlives:      fresh,
+		MaxIdleConns:           c.IdleTotal,
 		MaxIdleConnsPerHost:    c.IdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
