--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -17,7 +17,7 @@
 	// loadsInterval is the time between two exchanges of loads with the relay. It is twice as long in zones of more than
 	// largeZone hosts: 256 backend servers take about 11 kB, which the relay sends to each of them.
 	loadsInterval = time.Second
-	largeZone     = 24
+	largeZone     = 32
 	// reserveTimeout limits the request for a place. The owner replies without its control thread.
 	reserveTimeout = 100 * time.Millisecond
 	// ownerPause is how long an owner that did not reply is not asked for a place again, so that not every request waits for
