--- a/gateway/host.go
+++ b/gateway/host.go
@@ -47,6 +47,9 @@
 	defaultColdStart = 700 * time.Millisecond
 	// defaultAdapterStart is the time of an adapter load and of the calls to the owner.
 	defaultAdapterStart = residency.AdapterLoad + 10*time.Millisecond
+	// fillFactor and loadExponent are the best of those that docs/design/even-load.md compares.
+	fillFactor   = 1.25
+	loadExponent = 4
 )
 
 // Host is one entry host. The exported fields are set before Prepare, except Dispatcher, which Prepare sets.
@@ -85,6 +88,8 @@
 	caughtUp        atomic.Bool // the changes since that list have been applied
 	hosts           hostCount
 	startedAt       time.Time // when Prepare was called
+	loads           *loadBook
+	ownerAddresses  atomic.Pointer[map[string]string] // peer addresses of the owners, by backend server
 	events          chan func(now time.Time)
 	ctx             context.Context // done when the host stops
 	cancel          context.CancelFunc
@@ -104,6 +109,7 @@
 	suspectsAfter int64  // its sequence number of the last one
 	partsAfter    int64  // its sequence number of the last suspect part
 	limitsAfter   int64  // its sequence number of the last limit
+	loadExchange  loadExchange
 
 	// The fields below are used by the control thread only.
 	view            *view
@@ -128,7 +134,8 @@
 	usageSentAt     time.Time
 	learnedAt       time.Time // when other hosts were last asked for the desired state
 	learnAttempts   int       // how often they are still to be asked since the store's desired state is invalid
-	suspectsLearned bool      // the relays were asked for the suspects that they refuse
+	loadsSteppedAt  time.Time
+	suspectsLearned bool // the relays were asked for the suspects that they refuse
 	spreadCheckedAt time.Time
 	lastSpread      map[model.ModelKey]time.Time // when each model was last spread to a further backend server
 }
@@ -146,6 +153,7 @@
 	}
 	h.events = make(chan func(time.Time), eventCapacity)
 	h.history = newHistory()
+	h.loads = newLoadBook()
 	h.view = newView(h.Zone)
 	h.owned = make(map[string]*ownedBackend)
 	h.demands = make(map[routing.Target]*demand)
@@ -164,9 +172,10 @@
 	policy.ColdStart = defaultColdStart
 	policy.AdapterStart = defaultAdapterStart
 	policy.AnyZone = true
+	policy.FillFactor = fillFactor
 	policy.MoveFactor = 0 // a move repeats the prefill, which slows other requests by more than the move gains
 	h.router = &routing.Router{
-		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.LatencyPicker{}, DemandReporter: h, AllowanceRequester: h, Budget: &routing.Budget{},
+		Name: h.Name, Zone: h.Zone, Policy: policy, Picker: routing.EvenPicker{Exponent: loadExponent}, DemandReporter: h, AllowanceRequester: h, Budget: &routing.Budget{},
 		Suspects: &routing.Suspects{
 			Name: h.Name, RefuseFor: refuseSuspectFor, ClaimPropagationDelay: suspectClaimPropagationDelay, TrialClaimTTL: suspectTrialClaimTTL,
 			Retention: suspectRetention, Limit: suspectLimit, Publish: h.publishSuspect, Republish: h.publishSuspect,
@@ -290,7 +299,7 @@
 	if expired := h.view.expire(now); len(expired) > 0 {
 		h.viewChanged = true
 		for _, id := range expired {
-			h.router.ForgetLimit(id)
+			h.forgetBackend(now, id)
 		}
 		h.Log.Info("entries did not come back", zap.Strings("Backends", expired))
 	}
@@ -303,6 +312,7 @@
 	h.stepOwnership(now)
 	h.stepSoftware(now)
 	h.stepOwned(now)
+	h.stepLoads(now)
 	h.stepUsage(now)
 	h.stepSpread(now)
 	h.expireLimits(now)
@@ -317,7 +327,9 @@
 	}
 	h.viewChanged = false
 	h.version++
-	h.snapshot.Store(h.view.snapshot(now, h.version, table.state, h.routersOfZone()))
+	snapshot := h.view.snapshot(now, h.version, table.state, h.routersOfZone())
+	snapshot.Hosts = len(h.table.Live())
+	h.snapshot.Store(snapshot)
 	h.router.Changed()
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,8 @@
 	grantWait  prometheus.Histogram
 	storeCalls *prometheus.CounterVec
 	allowances prometheus.Counter
+	places     *prometheus.CounterVec
+	badLoads   prometheus.Counter
 
 	unauthorized prometheus.Counter
 }
@@ -48,7 +50,9 @@
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_store_calls_total", Help: "Calls to the platform's store by kind and by what caused them. A read of several pages counts once."}, []string{"kind", "cause"})
 	m.allowances = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_allowance_calls_total", Help: "Calls to other entry hosts for allowances of backend servers that have stated a limit."})
 	m.unauthorized = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_unauthorized_total", Help: "Requests refused with 401 for want of a workspace's key."})
-	m.registry.MustRegister(m.unauthorized, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
+	m.places = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_places_total", Help: "Places on backend servers that were asked for at their owners, by answer."}, []string{"answer"})
+	m.badLoads = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_invalid_loads_total", Help: "Responses of backend servers with a load that could not be read."})
+	m.registry.MustRegister(m.unauthorized, m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
 	return m
 }
 
@@ -110,6 +114,12 @@
 // CountUnauthorized counts a request that was refused for want of a workspace's key.
 func (m *Metrics) CountUnauthorized() { m.unauthorized.Inc() }
 
+// CountPlace counts a place on a backend server that was asked for at its owner, by answer.
+func (m *Metrics) CountPlace(answer string) { m.places.WithLabelValues(answer).Inc() }
+
+// CountInvalidLoad counts a response with a load that could not be read.
+func (m *Metrics) CountInvalidLoad() { m.badLoads.Inc() }
+
 // StoreCalls returns the numbers of calls to the platform's store as "cause/kind=number", sorted.
 func (m *Metrics) StoreCalls() []string {
 	var counts []string
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -180,9 +180,8 @@
 	if b.ownRequests == 0 {
 		b.observed.recordStart(now)
 	}
-	b.ownRequests++
+	input := r.recordGrantedLoad(now, b, t, replica)
 	r.limits.use(now, replica.Backend)
-	r.usages.recordStart(replica.Backend, t.Target)
 	switch {
 	case t.Class == Long:
 		b.ownLongRequests++
@@ -202,6 +201,7 @@
 		Priority:  enginePriority(t),
 		Waited:    now.Sub(t.Since),
 		Turn:      turn,
+		Load:      input,
 		ticket:    t,
 		router:    r,
 		startedAt: now,
--- a/routing/shares_test.go
+++ b/routing/shares_test.go
@@ -394,7 +394,7 @@
 	}{
 		{name: "complete stream", tokens: 40, maxTokens: 100, outcomes: []Outcome{OutcomeComplete}, want: 180},
 		{name: "interrupted and sent again", tokens: 40, outcomes: []Outcome{OutcomeConnectionLost, OutcomeComplete}, want: 360},
-		{name: "not run", outcomes: []Outcome{OutcomeOverloaded, OutcomeNotLoaded, OutcomeUnreachable}, want: 0},
+		{name: "not run", outcomes: []Outcome{OutcomeOverloaded, OutcomeNotLoaded, OutcomeUnreachable, OutcomeNoPlace}, want: 0},
 		{name: "without events", maxTokens: 30, outcomes: []Outcome{OutcomeComplete}, want: 160},
 		{name: "caller disconnected", maxTokens: 30, outcomes: []Outcome{OutcomeAbandoned}, want: 100},
 	}
@@ -403,7 +403,7 @@
 			r := newRouter(DefaultPolicy(), replica("a", 1))
 			for i, outcome := range tt.outcomes {
 				now := testTime.Add(time.Duration(i) * time.Microsecond)
-				r.fleet.get("a").pausedUntil = time.Time{}
+				r.fleet.get("a").pausedUntil, r.fleet.get("a").full = time.Time{}, fullState{}
 				clear(r.fleet.get("a").notLoadedAt)
 				tk := workspaceTicket(now, "a")
 				tk.MaxTokens = tt.maxTokens
