--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -181,6 +181,7 @@
 	h.takeRelayDuty()
 	h.receiveServed(request.Served)
 	reply := h.awaitChange(ctx, request)
+	h.replyWithLoads(request, reply)
 	reply.SentAt = h.Now()
 	reply.Served = h.servedTotals(request.Served)
 	if request.AcceptsPacked {
@@ -291,6 +292,7 @@
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
 	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true, Served: h.reportServed(address)}
+	told := h.askForLoads(h.Now(), address, request)
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
 		h.suspectsFrom, h.suspectsAfter, h.partsAfter, h.limitsAfter = address, reply.SuspectSequence, reply.PartSequence, reply.LimitSequence
@@ -299,6 +301,9 @@
 		h.router.MergeSuspectParts(now, partsOnOwnClock(now, reply.SentAt, reply.Parts))
 		h.router.MergeLimits(limitsOnOwnClock(now, reply.SentAt, reply.Limits))
 		h.servedReported(request.Served, reply.Served)
+		if request.AcceptsLoads {
+			h.receiveLoads(told, reply)
+		}
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
