ratelimit: amounts, and caps that zones share in pools

One mechanism has both: an allowance is an amount, valid from when it was asked for, and a request states the least amount that is of use to it. Validity that was counted from the reply would let a host that was frozen use an old allowance.

A Desk decides for one host, without sockets and clocks: allowances of hosts, shares of zones, pools that borrow the shares. TestCapIsSharedAndUsed and TestCapHoldsInFailures run fleets of desks in virtual time with hosts that die, freeze, restart and join, zones apart, an unreachable store and lost or late messages; the tests of stated limits are unchanged.

--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -14,17 +14,17 @@
 	prefetchWindow = 100 * time.Millisecond
 )
 
-// Allowance holds the allowance of this host for one backend server.
+// Allowance holds the allowance of this host for one backend server or workspace.
 type Allowance struct {
 	PerSecond float64
 	StatedAt  time.Time // when the backend server stated the limit
 
-	requests   int // requests that may be sent until validUntil
-	validUntil time.Time
-	asking     bool
-	askAfter   time.Time
-	spacing    time.Duration
-	used       rate
+	parcels  parcels
+	asking   bool
+	askedAt  time.Time // when the request was sent that asking is about
+	askAfter time.Time
+	spacing  time.Duration
+	used     usage
 
 	leaderlessSince time.Time // when the leader was last found to be unreachable, zero if it is reachable
 	credit          float64   // part of a request, which accumulates while the leader is unreachable
@@ -37,25 +37,33 @@
 	return &Allowance{PerSecond: perSecond, StatedAt: statedAt, spacing: seconds(1 / max(perSecond, minPerSecond))}
 }
 
-// Sendable returns how many requests may be sent now.
+// Sendable returns how many requests may be sent now, or which amount may be used.
 func (a *Allowance) Sendable(now time.Time) int {
 	a.accumulate(now)
-	sendable := int(a.credit)
-	if now.Before(a.validUntil) {
-		sendable += a.requests
-	}
-	return sendable
+	return int(a.credit) + a.parcels.total(now)
 }
 
 // Use records that a request is sent.
 func (a *Allowance) Use(now time.Time) {
-	a.used.add(now)
 	switch {
-	case a.requests > 0 && now.Before(a.validUntil):
-		a.requests--
+	case a.parcels.total(now) > 0:
+		a.Spend(now, 1)
+		return
 	case a.credit >= 1:
 		a.credit--
 	}
+	a.used.add(now, 1)
+}
+
+// Spend uses an amount that Sendable covers, and returns until when it could have been used.
+func (a *Allowance) Spend(now time.Time, count int) (until time.Time) {
+	a.used.add(now, count)
+	return a.parcels.take(now, count)
+}
+
+// Return gives back an amount that was spent but not used.
+func (a *Allowance) Return(now time.Time, count int, until time.Time) {
+	a.parcels.add(now, count, until)
 }
 
 // MayAsk reports whether the leader may be asked for an allowance now.
@@ -64,35 +72,42 @@
 // IsAsking reports whether the leader was asked and has not replied.
 func (a *Allowance) IsAsking() bool { return a.asking }
 
-// Ask returns for how many requests the leader must be asked now, if a number of requests wait. The caller must report
-// the reply with Receive or Unreachable.
+// Ask returns the amount that the leader must be asked for now, if requests that cost waiting together wait. The caller must
+// report the reply with Receive, Unreachable or Failed.
 func (a *Allowance) Ask(now time.Time, waiting int) int {
+	return a.AskUntil(now, now, waiting)
+}
+
+// AskUntil is Ask for requests that may wait until a time. What can't be used until then does not count.
+func (a *Allowance) AskUntil(now, until time.Time, waiting int) int {
 	if !a.MayAsk(now) {
 		return 0
 	}
-	if now.Before(a.validUntil) {
-		waiting -= a.requests
-	}
+	waiting -= a.parcels.total(until)
 	if waiting <= 0 {
 		return 0
 	}
-	a.asking = true
-	return waiting + int(a.used.perSecond(now)*prefetchWindow.Seconds())
+	a.asking, a.askedAt = true, now
+	return waiting + a.used.prefetch(now)
 }
 
-// Receive adds the allowance of a reply.
+// Receive adds the allowance of a reply. It is valid from when the request for it was sent, so that it has ended for this host
+// when it has ended for the leader, however long the reply took.
 func (a *Allowance) Receive(now time.Time, reply Reply) {
-	if !now.Before(a.validUntil) {
-		a.requests = 0
+	validFrom := now
+	if a.asking {
+		validFrom = a.askedAt.Add(reply.Held)
 	}
 	a.asking, a.leaderlessSince, a.credit = false, time.Time{}, 0
-	a.requests += reply.Count
-	if reply.Count > 0 {
-		a.validUntil = now.Add(reply.ValidFor)
-	}
+	a.parcels.add(now, reply.Count, validFrom.Add(reply.ValidFor))
 	a.askAfter, a.spacing = now.Add(reply.RetryAfter), reply.Spacing
 }
 
+// Failed records that a request was not answered. The next one may be sent after a pause.
+func (a *Allowance) Failed(now time.Time, pause time.Duration) {
+	a.asking, a.askAfter = false, now.Add(pause)
+}
+
 // Unreachable records that the leader has not replied. Until it does, the host uses an equal part of leaderlessShare of the
 // limit. The random number below 1 makes hosts that lose the leader at the same time send at different times.
 func (a *Allowance) Unreachable(now time.Time, hosts int, random float64) {
@@ -128,15 +143,34 @@
 	a.creditAt = now
 }
 
-// rate counts events per second, by counting those of the current and of the previous second.
+// usage measures what requests have used.
+type usage struct {
+	amount   rate
+	requests rate
+}
+
+func (u *usage) add(now time.Time, count int) {
+	u.amount.add(now, count)
+	u.requests.add(now, 1)
+}
+
+// prefetch returns the amount that is expected to be used within prefetchWindow, 0 if no request is expected.
+func (u *usage) prefetch(now time.Time) int {
+	if u.requests.perSecond(now)*prefetchWindow.Seconds() < 1 {
+		return 0
+	}
+	return int(u.amount.perSecond(now) * prefetchWindow.Seconds())
+}
+
+// rate measures an amount per second, by adding up those of the current and of the previous second.
 type rate struct {
 	second            int64
 	current, previous int
 }
 
-func (r *rate) add(now time.Time) {
+func (r *rate) add(now time.Time, count int) {
 	r.advance(now)
-	r.current++
+	r.current += count
 }
 
 func (r *rate) perSecond(now time.Time) float64 {
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -1,12 +1,15 @@
-// Package ratelimit divides the requests per second that a backend server takes from all entry hosts together. One entry
-// host, the leader of the limit, gives the others allowances with an Allocator: numbers of requests that they may send within
-// a short time. Each host that sends requests to the backend server keeps its own in an Allowance.
+// Package ratelimit divides limits that all entry hosts share: the requests per second that a backend server has stated, and
+// the usage caps of workspaces. What is divided is an amount per second: of requests, each of which costs 1, or of tokens.
+// Amounts are handed out for a short time and wait with a host in an Allowance.
+//
+// The limit of a backend server has one leader, which gives the hosts allowances with an Allocator.
+//
+// The cap of a workspace is divided into equal shares of the zones. An allotter in each zone has a Share, and gives the hosts of
+// the zone allowances. If a zone needs more than its share, a pool leader borrows the shares of all zones for a short time in a
+// Pool and divides them by demand. A Desk has all of these roles of one host. It has no sockets and no clock.
 package ratelimit
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 const (
 	// allowanceTTL is how long an allowance may be used. It bounds what hosts can save up.
@@ -33,39 +36,46 @@
 // Request is a request for an allowance.
 type Request struct {
 	Host   string
-	Count  int
+	Count  int  // amount
+	Least  int  // smallest amount that is of use: the cost of the first request that waits, 0 for 1
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
 }
 
+func (r Request) least() int { return max(1, r.Least) }
+
 // Reply is the reply to a request for an allowance.
 type Reply struct {
-	Count      int           // requests that the host may send
-	ValidFor   time.Duration // how long it may send them
+	Count      int           // amount that the host may use: one for each request to a backend server, or tokens
+	ValidFor   time.Duration // how long it may use them, from when it sent the request, and Held
 	RetryAfter time.Duration // expected time until the host gets its next allowance, 0 if it got all that it asked for
-	Spacing    time.Duration // expected time between two requests of the host
+	Spacing    time.Duration // expected time in which the host gets a further amount of 1
+	Held       time.Duration // from the arrival of the request to the reply, if it waited for the amount
 }
 
 // Allocator divides the limit of one backend server. Its allowances in a period exceed the limit for this period at most by
 // that for burstWindow, or by minBurst requests.
 type Allocator struct {
-	perSecond float64
-	tokens    float64 // requests that may be sent
-	updatedAt time.Time
-	queued    map[string]time.Time // hosts that got too small an allowance for their queue: until when they must ask again
-	askedAt   map[string]time.Time // when each host last asked
+	bucket
+	askers
 }
 
 // NewAllocator returns an allocator that gives its first allowance after handoverPause.
 func NewAllocator(now time.Time, perSecond float64) *Allocator {
-	a := &Allocator{perSecond: max(perSecond, minPerSecond), updatedAt: now, queued: make(map[string]time.Time), askedAt: make(map[string]time.Time)}
-	a.tokens = -a.perSecond * handoverPause.Seconds()
+	a := &Allocator{bucket: bucket{updatedAt: now}, askers: newAskers()}
+	a.setLimit(perSecond)
+	a.level = -a.perSecond * handoverPause.Seconds()
 	return a
 }
 
 // SetLimit replaces the limit.
 func (a *Allocator) SetLimit(now time.Time, perSecond float64) {
 	a.refill(now)
+	a.setLimit(perSecond)
+}
+
+func (a *Allocator) setLimit(perSecond float64) {
 	a.perSecond = max(perSecond, minPerSecond)
+	a.capacity = max(minBurst, a.perSecond*burstWindow.Seconds())
 }
 
 // IsIdle reports whether no host has asked for an allowance recently.
@@ -79,48 +89,32 @@
 func (a *Allocator) Take(now time.Time, r Request) Reply {
 	a.refill(now)
 	a.expire(now)
-	a.askedAt[r.Host] = now
-	delete(a.queued, r.Host)
-	waiting := len(a.queued) + 1
+	waiting := a.begin(now, r)
 	granted := 0
-	if a.tokens >= 1 && (r.Queued || waiting == 1 || a.tokens >= a.burst()) {
-		granted = min(r.Count, max(1, int(a.tokens)/waiting))
+	if r.Queued || waiting == 1 || a.level >= a.capacity {
+		granted = r.part(a.level, a.required(r.least()), waiting)
 	}
-	a.tokens -= float64(granted)
+	a.level -= float64(granted)
 	reply := Reply{Count: granted, ValidFor: allowanceTTL, Spacing: seconds(float64(waiting) / a.perSecond)}
 	if granted < r.Count {
-		reply.RetryAfter = a.retryAfter(waiting, r.Queued)
+		reply.RetryAfter = a.retryAfter(r)
 	}
 	if granted < r.Count && r.Queued {
-		a.queued[r.Host] = now.Add(reply.RetryAfter + askTolerance)
+		a.wait(now, r, reply.RetryAfter+askTolerance)
 	}
 	return reply
 }
 
 // retryAfter returns the time until the turn of a host behind the waiting ones. Hosts without a queue ask less often if they
 // are many.
-func (a *Allocator) retryAfter(waiting int, queued bool) time.Duration {
-	pause := seconds((float64(waiting) - a.tokens) / a.perSecond)
-	if !queued {
+func (a *Allocator) retryAfter(r Request) time.Duration {
+	pause := seconds((float64(a.ahead()+r.least()) - a.level) / a.perSecond)
+	if !r.Queued {
 		pause = max(pause, seconds(float64(len(a.askedAt))/maxAsksPerSecond))
 	}
 	return min(max(pause, minRetryPause), maxRetryPause)
 }
 
-func (a *Allocator) burst() float64 { return max(minBurst, a.perSecond*burstWindow.Seconds()) }
-
-func (a *Allocator) refill(now time.Time) {
-	elapsed := max(0, now.Sub(a.updatedAt))
-	a.tokens = min(a.tokens+a.perSecond*elapsed.Seconds(), a.burst())
-	a.updatedAt = now
-}
-
-// expire forgets the hosts that have not asked again.
-func (a *Allocator) expire(now time.Time) {
-	maps.DeleteFunc(a.queued, func(_ string, until time.Time) bool { return now.After(until) })
-	maps.DeleteFunc(a.askedAt, func(_ string, at time.Time) bool { return now.Sub(at) > askerTTL })
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s, 2*maxRetryPause.Seconds()) * float64(time.Second))
 }
--- /dev/null
+++ b/ratelimit/zoneview.go
@@ -0,0 +1,176 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+
+	"citronspread/membership"
+	"citronspread/model"
+)
+
+const (
+	// deputies is how many hosts stand in for an allotter, and for a leader.
+	deputies = 3
+	// handoverPause of an allotter: a host that other hosts of the zone still took for the allotter may have an old view for 3.5 s
+	// (two relays, each of which passes changes on for 1.75 s after the store has responded), and lends the share for loanTTL.
+	allotterPause = 4500 * time.Millisecond
+	// confirmedPause is this pause if the hosts that rank next have confirmed that they do not take themselves for the allotter.
+	confirmedPause = loanTTL + 2*lenderMargin
+	// maxViews bounds the earlier sets of hosts that are remembered.
+	maxViews = 32
+)
+
+// HostView is what a host knows of the other hosts.
+type HostView struct {
+	Name   string // of this host
+	Zone   string
+	Live   []model.Peer
+	Zones  int  // number of zones that have hosts or had some: those that are cut off use their shares
+	Counts bool // the other hosts count this host as live
+}
+
+// zoneSet is the set of hosts of the own zone from a time on.
+type zoneSet struct {
+	from  time.Time
+	hosts []model.Peer
+}
+
+// ranking holds the hosts that divide the cap of one workspace.
+type ranking struct {
+	allotters  []model.Peer // of the own zone, in their order
+	isFirst    bool         // this host is the allotter
+	firstSince time.Time
+	leaders    []string          // peer addresses of the allotters of the zones, in the order in which they lead the pool
+	byZone     map[string]string // peer addresses of the allotters
+}
+
+// rankings computes the rankings of workspaces from what a host knows of the other hosts, and keeps them until that changes.
+type rankings struct {
+	self        model.Peer
+	view        HostView
+	sets        []zoneSet // of the own zone, the latest last
+	byWorkspace map[string]*ranking
+}
+
+// setView replaces what is known of the hosts.
+func (r *rankings) setView(now time.Time, v HostView) {
+	if !v.Counts {
+		v.Live = slices.DeleteFunc(slices.Clone(v.Live), func(p model.Peer) bool { return p.Name == v.Name })
+	}
+	if len(r.sets) > 0 && r.view.Zones == v.Zones && equalPeers(r.view.Live, v.Live) {
+		return
+	}
+	r.view = v
+	r.byWorkspace = make(map[string]*ranking)
+	var own []model.Peer
+	for _, p := range v.Live {
+		if p.Zone == v.Zone {
+			own = append(own, p)
+		}
+	}
+	if n := len(r.sets); n > 0 && slices.EqualFunc(r.sets[n-1].hosts, own, func(a, b model.Peer) bool { return a.Name == b.Name }) {
+		r.sets[n-1].hosts = own
+		return
+	}
+	r.sets = append(r.sets, zoneSet{from: now, hosts: own})
+	r.sets = r.sets[max(0, len(r.sets)-maxViews):]
+}
+
+// equalPeers compares two lists, of which the first is usually the second.
+func equalPeers(a, b []model.Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || slices.Equal(a, b))
+}
+
+func capKey(workspace string) string { return "cap/" + workspace }
+
+// of returns the ranking of a workspace.
+func (r *rankings) of(workspace string) *ranking {
+	if known := r.byWorkspace[workspace]; known != nil {
+		return known
+	}
+	key := capKey(workspace)
+	k := &ranking{byZone: make(map[string]string)}
+	zones := make(map[string][]model.Peer)
+	for _, p := range r.view.Live {
+		zones[p.Zone] = append(zones[p.Zone], p)
+	}
+	var zonePeers []model.Peer
+	for zone, hosts := range zones {
+		first, _ := membership.Leader(hosts, key)
+		k.byZone[zone] = first.Address
+		zonePeers = append(zonePeers, model.Peer{Name: zone})
+	}
+	for _, zone := range membership.Ranked(zonePeers, key) {
+		if len(k.leaders) < deputies {
+			k.leaders = append(k.leaders, k.byZone[zone.Name])
+		}
+	}
+	k.allotters = membership.Ranked(zones[r.view.Zone], key)
+	k.allotters = k.allotters[:min(len(k.allotters), deputies+1)]
+	if len(k.allotters) == 0 {
+		k.allotters = []model.Peer{r.self} // divides what it gets from a pool
+	}
+	for i := len(r.sets) - 1; i >= 0; i-- {
+		first, found := membership.Leader(r.sets[i].hosts, key)
+		if !found || first.Name != r.view.Name {
+			break
+		}
+		k.isFirst, k.firstSince = true, r.sets[i].from
+	}
+	r.byWorkspace[workspace] = k
+	return k
+}
+
+// precedes reports whether the host with a peer address leads the pool before another one.
+func (r *ranking) precedes(a, b string) bool {
+	i, j := slices.Index(r.leaders, a), slices.Index(r.leaders, b)
+	return i >= 0 && (j < 0 || i < j)
+}
+
+// confirmation is what the hosts that rank next say of whether this host is the allotter.
+type confirmation struct {
+	askedAt   time.Time
+	pending   int
+	yes, no   int
+	failed    int
+	okAt      time.Time // when the hosts were asked that confirmed it last
+	fullSince time.Time // since when all of them have confirmed it, without a gap
+}
+
+const (
+	// confirmTTL is how long a confirmation counts from when it was requested, and confirmInterval when it is renewed.
+	confirmTTL      = time.Second
+	confirmInterval = 300 * time.Millisecond
+)
+
+// answered records one reply.
+func (c *confirmation) answered(first, failed bool) {
+	c.pending--
+	switch {
+	case failed:
+		c.failed++
+	case first:
+		c.yes++
+	default:
+		c.no++
+	}
+	if c.pending > 0 {
+		return
+	}
+	wasValid := !c.okAt.IsZero() && c.askedAt.Sub(c.okAt) < confirmTTL
+	switch {
+	case c.no > 0 || c.yes == 0:
+		c.okAt, c.fullSince = time.Time{}, time.Time{}
+	case c.failed > 0:
+		c.okAt, c.fullSince = c.askedAt, time.Time{}
+	default:
+		if c.fullSince.IsZero() || !wasValid {
+			c.fullSince = c.askedAt
+		}
+		c.okAt = c.askedAt
+	}
+}
+
+func (c *confirmation) isValid(now time.Time) bool {
+	return !c.okAt.IsZero() && now.Sub(c.okAt) < confirmTTL
+}
