gateway: usage caps of workspaces over all hosts

A request takes its tokens before it is queued, once for all attempts; beyond the cap its caller gets 429 with the time of the next tokens. Hosts exchange the shares with one new method of peers, which the previous build does not know: its hosts count as ones that do not reply.

The tokens of a request that has not run are given back.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"citronspread/ratelimit"
 	"citronspread/routing"
 )
 
@@ -79,6 +80,8 @@
 	Refusals         int      // sends for which a server responded that it did not run the request
 	Resuming         bool     // the caller has received a part of the response, and the next send continues after it
 	Failed           []string // backend servers on which the request failed
+
+	Tokens ratelimit.Taken // what the request has taken of the usage cap of its workspace
 }
 
 // Loop sends a request and repeats it within limits.
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -31,13 +31,13 @@
 	maxLineBytes = 1 << 20
 )
 
-// relatedEvents are the events of backend servers, models and hosts that can explain what happened to a request. The
+// relatedEvents are the events of backend servers, models, workspaces and hosts that can explain what happened to a request. The
 // texts must match the log messages, including those of earlier builds.
 var relatedEvents = []string{
 	"allowance", "backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "entries did not come back", "entry hosts changed",
 	"invariant violated", "lead does not answer, deciding here", "limit stated", "limit withdrawn", "no allowance", "no offer", "no report", "not placed", "not renewed", "order", "owner does not answer",
 	"ownership lost", "ownership regained", "placed", "prompt part blocked", "prompt part no longer blocked", "spread", "store lost", "store regained",
-	"stopping", "suspect",
+	"leading cap", "no reply about a cap", "share lent", "stopping", "suspect", "zone on its own share",
 }
 
 type explainCommand struct {
@@ -148,10 +148,11 @@
 	return line, err
 }
 
-// explain returns the lines of a request and the related events of its backend servers, model and hosts, sorted by time.
+// explain returns the lines of a request and the related events of its backend servers, model, workspace and hosts, sorted by
+// time.
 func explain(lines []logLine, request string) []string {
 	var first, last time.Time
-	involved := make(map[string]bool) // key=value of each backend server, model and host in the request's lines
+	involved := make(map[string]bool) // key=value of each backend server, model, workspace and host in the request's lines
 	for _, l := range lines {
 		if l.get("Request") != request {
 			continue
@@ -162,7 +163,7 @@
 		if l.at.After(last) {
 			last = l.at
 		}
-		for _, key := range []string{"Backend", "Model", "Host"} {
+		for _, key := range []string{"Backend", "Model", "Workspace", "Host"} {
 			if value := l.get(key); value != "" {
 				involved[key+"="+value] = true
 			}
@@ -190,9 +191,8 @@
 	return texts
 }
 
-// isRelated reports whether a line is a related event of the request. An event of one of its backend servers or models
-// counts on any host. An event that names neither a backend server nor a model counts only on the hosts that logged the
-// request.
+// isRelated reports whether a line is a related event of the request. An event of one of its backend servers, models or its
+// workspace counts on any host. An event that names none of these counts only on the hosts that logged the request.
 func isRelated(l logLine, first, last time.Time, involved map[string]bool) bool {
 	if l.at.Before(first.Add(-windowBefore)) || l.at.After(last.Add(windowAfter)) || !slices.Contains(relatedEvents, l.get("event")) {
 		return false
@@ -203,6 +203,9 @@
 	if name := l.get("Model"); name != "" {
 		return involved["Model="+name]
 	}
+	if workspace := l.get("Workspace"); workspace != "" {
+		return involved["Workspace="+workspace]
+	}
 	return l.get("Backend") == "" && involved["Host="+l.get("Host")]
 }
 
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -50,3 +50,17 @@
 		t.Errorf("got %q, want the statement and the allowance of i-2 before the refusal", got)
 	}
 }
+
+// TestExplainCap guards against a refusal for a usage cap without the lines that say who divides the cap.
+func TestExplainCap(t *testing.T) {
+	lines, _ := parseLog(strings.NewReader(`time=2026-10-10T05:44:09Z level=info event="leading cap" Host=front-2 Workspace=hule
+time=2026-10-10T05:44:09Z level=info event="zone on its own share" Host=front-1 Workspace=other Zone=a
+time=2026-10-10T05:44:10Z level=info event="zone on its own share" Host=front-3 Workspace=hule Zone=a PerSecond=900
+time=2026-10-10T05:44:11Z level=info event="cap refused" Host=front-1 Request=q9 Workspace=hule Tokens=1200 RetryAfter=1.5s
+time=2026-10-10T05:44:11Z level=warn event="not served" Host=front-1 Request=q9 Status=429
+`))
+	got := explain(lines, "q9")
+	if len(got) != 4 || !strings.Contains(got[0], "leading cap") || !strings.Contains(got[1], "PerSecond=900") {
+		t.Errorf("got %q, want the leader and the own share of the workspace before the refusal", got)
+	}
+}
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -22,6 +22,7 @@
 	"citronspread/logbuffer"
 	"citronspread/metrics"
 	"citronspread/platform"
+	"citronspread/ratelimit"
 )
 
 const gatewayHelp = `Run an entry host on the users' platform until SIGTERM or SIGINT, then stop gracefully.
@@ -80,6 +81,10 @@
 	host := newGatewayHost(s, store, logger, c.parallelLoads)
 	host.Metrics.AddGauge("citronspread_store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(store.Calls.Load()) })
 	host.Metrics.AddGauge("citronspread_limited_backends", "Backend servers that have stated a limit.", func() float64 { return float64(host.LimitedBackends()) })
+	host.Metrics.AddGauge("citronspread_capped_workspaces", "Workspaces that have a usage cap.", func() float64 { return float64(host.CapState().Capped) })
+	host.Metrics.AddGauge("citronspread_cap_tokens_granted", "Tokens, or requests, that caps have allowed to requests of this host since the start.", func() float64 { return float64(host.CapState().Granted) })
+	host.Metrics.AddGauge("citronspread_cap_tokens_refused", "Tokens, or requests, that caps have refused to requests of this host since the start.", func() float64 { return float64(host.CapState().Refused) })
+	host.Metrics.AddGauge("citronspread_zones_on_own_share", "Workspaces that this host divides for its zone without reaching a pool.", func() float64 { return float64(host.CapState().OwnShares) })
 	host.Metrics.AddGauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(buffer.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
 	err = c.runHost(ctx, s, host, logger, buffer)
@@ -112,6 +117,7 @@
 		WeightLoadWindow:  s.WeightLoadWindow,
 		WeightLoadOverage: s.WeightLoadOverage,
 		MaxWeightLoads:    parallelLoads,
+		CapTolerance:      ratelimit.Tolerance{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 	}
 	host.Prepare()
 	return host
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -145,10 +145,17 @@
 		Resumed:     isResumed,
 		Avoid:       p.Failed,
 	}
+	if err := d.takeTokens(ctx, r, p); err != nil {
+		return nil, err
+	}
 	grant, err := d.host.router.Acquire(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	if err := d.renewTokens(ctx, r, p); err != nil {
+		grant.Done(d.host.Now(), routing.OutcomeAbandoned)
+		return nil, err
+	}
 	d.host.Metrics.ObserveGrantWait(grant.Waited)
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone), zap.String("Software", grant.Replica.Software),
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
@@ -177,9 +184,16 @@
 
 func (d *Dispatcher) acquireEndpoint(ctx context.Context, r RoutedRequest, p *attempt.Progress) (*Grant, error) {
 	request := routing.Request{ID: r.ID, Service: r.Service, Fingerprint: r.Fingerprint, Deadline: r.Deadline, Avoid: p.Failed}
+	if err := d.takeTokens(ctx, r, p); err != nil {
+		return nil, err
+	}
 	endpoint, err := d.host.router.AcquireEndpoint(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	if err := d.renewTokens(ctx, r, p); err != nil {
+		endpoint.Done(d.host.Now(), routing.OutcomeAbandoned)
+		return nil, err
+	}
 	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend}, Priority: -1, endpointGrant: endpoint}, nil
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -280,7 +280,9 @@
 	hosts        map[string]*fleetHost // by peer address
 	suspectCalls atomic.Int64
 	limitCalls   limitCalls
-	suffix       string // of the desired state, which makes it larger
+	suffix       string                      // of the desired state, which makes it larger
+	workspaces   map[int64][]model.Workspace // of versions of the desired state
+	capCalls     atomic.Int64
 }
 
 type fleetHost struct {
@@ -391,6 +393,9 @@
 			ConfigurationKey: "config", ListingPrefix: "servers/",
 			DecodeConfiguration: func(value []byte) (s model.DesiredState, err error) {
 				_, err = fmt.Sscan(string(value), &s.Version)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				s.Workspaces = f.workspaces[s.Version]
 				return s, err
 			},
 			DecodeListing: func(store.Entry) (model.BackendListing, error) { return model.BackendListing{}, errors.New("none") },
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -71,6 +71,8 @@
 	WeightLoadOverage float64       // factor by which a window may exceed that rate
 	MaxWeightLoads    int           // loads that the weight store serves at once at full speed
 
+	CapTolerance ratelimit.Tolerance // of the usage caps of workspaces, zero for the defaults
+
 	Dispatcher *Dispatcher
 
 	router   *routing.Router
@@ -79,6 +81,7 @@
 	// serviceSoftware holds the software versions by service.
 	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
 	streams         *streamRecorder
+	caps            *capDesk
 	stopping        atomic.Bool
 	backendsListed  atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
 	caughtUp        atomic.Bool // the changes since that list have been applied
@@ -151,6 +154,7 @@
 	h.published = make(map[string]publishedLimit)
 	h.software = newSoftwareTracker()
 	h.streams = &streamRecorder{host: h}
+	h.caps = newCapDesk(h)
 	h.permits.taken = make(map[string]bool)
 	h.registerPause = registerPause
 	h.lastSpread = make(map[model.ModelKey]time.Time)
@@ -302,6 +306,7 @@
 	h.stepUsage(now)
 	h.stepSpread(now)
 	h.expireLimits(now)
+	h.caps.updateView(now)
 	h.publish(now)
 }
 
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -11,6 +11,7 @@
 
 	"citronspread/model"
 	"citronspread/peer"
+	"citronspread/ratelimit"
 	"citronspread/residency"
 	"citronspread/store"
 )
@@ -40,6 +41,7 @@
 	Follow(ctx context.Context, address string, request *peer.FollowRequest) (*peer.FollowReply, error)
 	RecordStreams(ctx context.Context, address string, request *peer.RecordStreamsRequest) error
 	FindSoftware(ctx context.Context, address string, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error)
+	Cap(ctx context.Context, address string, request *ratelimit.CapRequest) (*ratelimit.CapReply, error)
 }
 
 // BackendClient sends orders to backend servers and fetches their reports. Each call names the incarnation that it is
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -13,11 +13,17 @@
 // routeTable finds routes in one desired state. It is immutable.
 type routeTable struct {
 	state  model.DesiredState
-	byHost map[string][]model.Route // longest prefix first
+	byHost map[string][]model.Route  // longest prefix first
+	caps   map[string]model.UsageCap // by workspace, without those that have no limit
 }
 
 func newRouteTable(state model.DesiredState) *routeTable {
-	t := &routeTable{state: state, byHost: make(map[string][]model.Route)}
+	t := &routeTable{state: state, byHost: make(map[string][]model.Route), caps: make(map[string]model.UsageCap)}
+	for _, w := range state.Workspaces {
+		if w.Cap.PerSecond > 0 {
+			t.caps[w.Name] = w.Cap
+		}
+	}
 	for _, route := range state.Routes {
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -9,6 +9,7 @@
 
 	"citronspread/model"
 	"citronspread/ownership"
+	"citronspread/ratelimit"
 	"citronspread/residency"
 	"citronspread/routing"
 )
@@ -30,6 +31,7 @@
 	Backends   map[string]model.BackendListing
 	Router     routing.State
 	Software   map[string]serviceSoftware // by service
+	Caps       []ratelimit.ShareState     // of the workspaces whose caps this host has a part in dividing
 }
 
 // ServeState serves the state of the host as JSON.
@@ -57,6 +59,7 @@
 		Name: h.Name, StoreEra: h.table.Era, Ready: h.Ready(), Registered: h.registered, MayOrder: h.table.MayOrder(now),
 		Hosts: maps.Clone(h.table.Hosts), Owners: make(map[string]string),
 		Owned: make(map[string]*residency.Account), Backends: make(map[string]model.BackendListing), Router: h.router.State(now),
+		Caps: h.caps.shares(now),
 	}
 	if table := h.routes.Load(); table != nil {
 		s.Version = table.state.Version
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -369,7 +369,9 @@
 		}
 		return
 	}
-	h.routes.Store(newRouteTable(state))
+	table := newRouteTable(state)
+	h.routes.Store(table)
+	h.caps.setCaps(table.caps)
 	h.viewChanged = true
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,7 @@
 	grantWait  prometheus.Histogram
 	storeCalls *prometheus.CounterVec
 	allowances prometheus.Counter
+	capCalls   *prometheus.CounterVec
 }
 
 // New returns metrics with all counters at zero.
@@ -45,7 +46,8 @@
 	}
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_store_calls_total", Help: "Calls to the platform's store by kind and by what caused them. A read of several pages counts once."}, []string{"kind", "cause"})
 	m.allowances = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_allowance_calls_total", Help: "Calls to other entry hosts for allowances of backend servers that have stated a limit."})
-	m.registry.MustRegister(m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
+	m.capCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_cap_calls_total", Help: "Calls to other entry hosts about the usage caps of workspaces, by kind."}, []string{"kind"})
+	m.registry.MustRegister(m.capCalls, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
 	return m
 }
 
@@ -76,6 +78,9 @@
 // CountAllowanceCall counts a call to another entry host for an allowance.
 func (m *Metrics) CountAllowanceCall() { m.allowances.Inc() }
 
+// CountCapCall counts a call to another entry host about the usage cap of a workspace, by kind.
+func (m *Metrics) CountCapCall(kind string) { m.capCalls.WithLabelValues(kind).Inc() }
+
 // StoreCalls returns the numbers of calls to the platform's store as "cause/kind=number", sorted.
 func (m *Metrics) StoreCalls() []string {
 	var counts []string
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -313,6 +313,18 @@
 	return h.LivenessRevision != 0
 }
 
+// CountsAsLive reports whether other hosts count this host as live, as of the observed state of the store.
+func (t *Table) CountsAsLive() bool {
+	h, known := t.Hosts[t.Self.Name]
+	switch {
+	case !known || h.Record.Left:
+		return false
+	case h.Record.Era < t.Era:
+		return t.carrying && (h.Carried || h.LivenessRevision != 0)
+	}
+	return h.LivenessRevision != 0
+}
+
 // Claims returns the claims on backend servers that this host should make now.
 func (t *Table) Claims(now time.Time, backends []Backend) []Claim {
 	if !t.MayOrder(now) || now.Sub(t.ObservedAt) > maxObservationAge {
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -24,6 +24,7 @@
 	Follow(ctx context.Context, request *FollowRequest) (*FollowReply, error)
 	RecordStreams(ctx context.Context, request *RecordStreamsRequest) (*Empty, error)
 	FindSoftware(ctx context.Context, request *FindSoftwareRequest) (*FindSoftwareReply, error)
+	Cap(ctx context.Context, request *ratelimit.CapRequest) (*ratelimit.CapReply, error)
 }
 
 var platformMethods = []methodEntry{
@@ -39,6 +40,7 @@
 	unary("/Fleet/Follow", PlatformHandler.Follow),
 	unary("/Fleet/RecordStreams", PlatformHandler.RecordStreams),
 	unary("/Fleet/FindSoftware", PlatformHandler.FindSoftware),
+	unary("/Fleet/Cap", PlatformHandler.Cap),
 }
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
@@ -261,3 +263,8 @@
 func (c *Client) FindSoftware(ctx context.Context, address string, request *FindSoftwareRequest) (*FindSoftwareReply, error) {
 	return invoke[FindSoftwareReply](ctx, c, address, "/Fleet/FindSoftware", request)
 }
+
+// Cap sends a request about the usage cap of a workspace to another entry host.
+func (c *Client) Cap(ctx context.Context, address string, request *ratelimit.CapRequest) (*ratelimit.CapReply, error) {
+	return invoke[ratelimit.CapReply](ctx, c, address, "/Fleet/Cap", request)
+}
--- a/ratelimit/askers.go
+++ b/ratelimit/askers.go
@@ -101,16 +101,6 @@
 	return max(1, len(l.active))
 }
 
-// lastAsked returns when a request last arrived, zero if none has for activeFor.
-func (l *line) lastAsked() (last time.Time) {
-	for _, at := range l.active {
-		if at.After(last) {
-			last = at
-		}
-	}
-	return last
-}
-
 // count returns what the held requests ask for.
 func (l *line) count() (total int) {
 	for _, h := range l.held {
--- a/ratelimit/cap_simulation_test.go
+++ b/ratelimit/cap_simulation_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"citronspread/model"
@@ -46,7 +45,7 @@
 // capSimulation is a fleet of hosts that share the caps of workspaces, in virtual time and without a network. The hosts have
 // clocks with offsets, leases in a store, and views of each other that lag behind it.
 type capSimulation struct {
-	t      testing.TB
+	t      reporter
 	random *rand.Rand
 	now    time.Duration
 	events simEvents
@@ -103,7 +102,13 @@
 func (simCapEvents) ShareLent(string, string)       {}
 func (simCapEvents) ZoneOnOwnShare(string, float64) {}
 
-func newCapSimulation(t testing.TB, seed uint64, hosts, zones int, caps map[string]Cap) *capSimulation {
+// reporter is told of violations.
+type reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
+
+func newCapSimulation(t reporter, seed uint64, hosts, zones int, caps map[string]Cap) *capSimulation {
 	s := &capSimulation{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), zones: zones, caps: caps, group: make(map[int]int), cross: 30 * time.Millisecond,
 		storeUp: true, leases: make(map[string]time.Duration), asked: make(map[string]int), calls: make(map[CapCall]int), byName: make(map[string]*capHost),
@@ -431,11 +436,21 @@
 	}
 }
 
-// allotterOf returns the host that has the share of a zone, and leaderOf the leader of the pool, once the views have settled.
+// ranking returns the ranking of a workspace in the view of a host of the zone that sees the hosts that have a lease now.
+func (s *capSimulation) ranking(workspace string, zone int) *ranking {
+	r := rankings{self: model.Peer{Name: s.zone(zone)[0].name, Address: s.zone(zone)[0].name}}
+	r.setView(start, HostView{Zone: fmt.Sprint("z", zone), Live: s.live(), Counts: true})
+	return r.of(workspace)
+}
+
+// allotterOf returns the host that has the share of a zone, and leaderOf the leader of the pool.
 func (s *capSimulation) allotterOf(workspace string, zone int) *capHost {
-	return s.host(s.zone(zone)[0].desk.rankings.of(workspace).allotters[0].Name)
+	return s.host(s.ranking(workspace, zone).allotters[0].Name)
 }
 
 func (s *capSimulation) leaderOf(workspace string) *capHost {
-	return s.host(s.hosts[0].desk.rankings.of(workspace).leaders[0])
+	if leaders := s.ranking(workspace, 0).leaders; len(leaders) > 0 {
+		return s.host(leaders[0])
+	}
+	return s.hosts[0]
 }
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -15,6 +15,8 @@
 	maxUnreachablePause = 2 * time.Second
 	// noAllotterPause is the pause of a host that reaches no allotter.
 	noAllotterPause = 200 * time.Millisecond
+	// maxCount bounds the amounts in requests of other hosts.
+	maxCount = 1 << 40
 	// maxPatience bounds the time that the reply to another host waits.
 	maxPatience = 250 * time.Millisecond
 	// maxBooked bounds the times that refused callers are told.
@@ -373,6 +375,9 @@
 }
 
 func (d *Desk) serve(now time.Time, r CapRequest, reply func(CapReply)) {
+	r.Count = min(max(r.Count, 0), maxCount)
+	r.Least = min(max(r.Least, 0), r.Count)
+	r.Owed = min(max(r.Owed, 0), maxCount)
 	switch r.Call {
 	case CapAllowance:
 		d.allot(now, r, reply)
@@ -497,7 +502,7 @@
 	mayUse, isVoid := d.mayUseShare(now, workspace, r)
 	switch {
 	case mayUse:
-		s.Entitle(now, r.firstSince)
+		s.Entitle(now, r.firstSince, r.handoverPause())
 	case isVoid:
 		s.Void()
 	}
@@ -511,12 +516,12 @@
 		return false, true
 	}
 	since := now.Sub(r.firstSince)
-	if len(r.allotters) < 2 {
-		return since >= confirmedPause, false
-	}
-	if since >= allotterPause && d.IsFresh(now) {
+	if since >= r.handoverPause() && (d.IsFresh(now) || r.isOnly()) {
 		return true, false
 	}
+	if r.isOnly() {
+		return false, false
+	}
 	c := d.confirm(now, workspace, r)
 	if !c.isValid(now) {
 		return false, c.no > 0
@@ -726,14 +731,59 @@
 
 // CapState is what gauges show of a Desk.
 type CapState struct {
-	Granted   int64 // tokens
+	Capped    int   // workspaces
+	Granted   int64 // tokens, or requests if the cap counts these
 	Refused   int64
 	OwnShares int // zones on their own share: workspaces for which this host is the allotter and reaches no pool
 }
 
+// ShareState describes the part of this host in dividing the cap of a workspace.
+type ShareState struct {
+	Workspace string
+	Cap       Cap
+	MayUse    bool    // this host may use the share of its zone
+	LentTo    string  // peer address of the leader that has the share, empty if it is not lent
+	Level     float64 // of the share, negative for a debt
+	Amounts   int     // from a pool
+	Alone     bool    // no pool is reached
+	Pooled    int     // zones whose shares this host has as the leader of the pool
+	PoolLevel float64
+	Waiting   int // requests of callers that wait at this host for their tokens
+}
+
+// Shares returns the state of the workspaces that are in use, sorted by name.
+func (d *Desk) Shares(now time.Time) []ShareState {
+	byName := make(map[string]ShareState)
+	for workspace, a := range d.accounts {
+		byName[workspace] = ShareState{Waiting: len(a.waiters)}
+	}
+	for workspace, s := range d.shares {
+		state := byName[workspace]
+		s.refill(now)
+		state.MayUse, state.Level, state.Amounts, state.Alone = s.mayUse, s.own.level, s.amounts.total(now), s.isAlone
+		if s.IsLent(now) {
+			state.LentTo = s.lentTo
+		}
+		byName[workspace] = state
+	}
+	for workspace, p := range d.pools {
+		state := byName[workspace]
+		p.refill(now)
+		state.Pooled, state.PoolLevel = p.Zones(now), p.level
+		byName[workspace] = state
+	}
+	states := make([]ShareState, 0, len(byName))
+	for _, workspace := range slices.Sorted(maps.Keys(byName)) {
+		state := byName[workspace]
+		state.Workspace, state.Cap = workspace, d.caps[workspace]
+		states = append(states, state)
+	}
+	return states
+}
+
 // State returns what gauges show.
 func (d *Desk) State() CapState {
-	s := CapState{Granted: d.granted, Refused: d.refused}
+	s := CapState{Capped: len(d.caps), Granted: d.granted, Refused: d.refused}
 	for _, share := range d.shares {
 		if share.isAlone {
 			s.OwnShares++
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -46,13 +46,13 @@
 }
 
 // Entitle begins to accrue the share of a host that is the allotter since a time. If it was not used before, it has accrued since
-// the handover was over.
-func (s *Share) Entitle(now, since time.Time) {
+// the handover was over, which takes a pause.
+func (s *Share) Entitle(now, since time.Time, pause time.Duration) {
 	if s.entitledSince.Equal(since) {
 		return
 	}
 	s.refill(now)
-	unused := max(0, now.Sub(since)-allotterPause)
+	unused := max(0, now.Sub(since)-pause)
 	if s.isVoid || !s.entitledSince.IsZero() {
 		unused = 0
 	}
--- a/ratelimit/zoneview.go
+++ b/ratelimit/zoneview.go
@@ -11,10 +11,12 @@
 const (
 	// deputies is how many hosts stand in for an allotter, and for a leader.
 	deputies = 3
-	// handoverPause of an allotter: a host that other hosts of the zone still took for the allotter may have an old view for 3.5 s
-	// (two relays, each of which passes changes on for 1.75 s after the store has responded), and lends the share for loanTTL.
+	// allotterPause is the time after which no other host of a zone divides its share that did so before. A host may act on a view
+	// that is 3.5 s old (its own and that of its relay, each of which counts as fresh for 1.75 s), and the pool that it lent the
+	// share to may use it for loanTTL.
 	allotterPause = 4500 * time.Millisecond
-	// confirmedPause is this pause if the hosts that rank next have confirmed that they do not take themselves for the allotter.
+	// confirmedPause is this time if the hosts that rank next have confirmed that they do not take themselves for the allotter, or
+	// if there are no other hosts.
 	confirmedPause = loanTTL + 2*lenderMargin
 	// maxViews bounds the earlier sets of hosts that are remembered.
 	maxViews = 32
@@ -121,6 +123,17 @@
 	return k
 }
 
+// isOnly reports whether no other host of the zone is known.
+func (r *ranking) isOnly() bool { return len(r.allotters) < 2 }
+
+// handoverPause returns how long a host must have been the allotter until no other one can still be.
+func (r *ranking) handoverPause() time.Duration {
+	if r.isOnly() {
+		return confirmedPause
+	}
+	return allotterPause
+}
+
 // precedes reports whether the host with a peer address leads the pool before another one.
 func (r *ranking) precedes(a, b string) bool {
 	i, j := slices.Index(r.leaders, a), slices.Index(r.leaders, b)
