--- a/ratelimit/askers.go
+++ b/ratelimit/askers.go
@@ -118,8 +118,8 @@
 }
 
 // refuse replies to the requests that can't be served in time. missing is what the first one lacks, spacing the expected time
-// in which a further amount of 1 accrues, 0 if that is not known.
-func (l *line) refuse(now time.Time, missing float64, spacing time.Duration, reply Reply) {
+// in which a further amount of 1 accrues, 0 if that is not known. It returns the sum of their least amounts.
+func (l *line) refuse(now time.Time, missing float64, spacing time.Duration, reply Reply) (refused int) {
 	kept := l.held[:0]
 	var late []heldRequest
 	for _, h := range l.held {
@@ -133,11 +133,13 @@
 	}
 	l.held = kept
 	for _, h := range late {
+		refused += h.least()
 		r := reply
 		r.Held = now.Sub(h.at)
 		r.RetryAfter = max(time.Duration(min(missing*float64(spacing), float64(maxBooked))), minCapPause)
 		h.reply(r)
 	}
+	return refused
 }
 
 // firstUntil returns the earliest time at which a held request must be replied to.
--- a/ratelimit/cap_test.go
+++ b/ratelimit/cap_test.go
@@ -189,3 +189,24 @@
 		}
 	}
 }
+
+// TestQueueOfOneHost guards against a host whose requests wait in a long queue and that asks only for the first of them, which is
+// about to be refused, and against a share that is not asked for because no request can wait for the reply.
+func TestQueueOfOneHost(t *testing.T) {
+	const restartAfter, recovered, until = 2 * time.Second, 8 * time.Second, 12 * time.Second
+	c := Cap{PerSecond: 40_000, Burst: 20_000}
+	for seed := range uint64(4) {
+		s := newCapSimulation(t, seed, 1, 1, map[string]Cap{"w": c})
+		from, h := s.now, s.hosts[0]
+		s.offer(until, load{workspace: "w", perSecond: 3 * c.PerSecond, sizes: []int{300}, hosts: s.hosts})
+		s.run(restartAfter)
+		h.kill()
+		h.start()
+		s.run(until - restartAfter)
+		s.checkBound("w", c, 0)
+		got := float64(s.total("w", from+recovered, from+until)) / c.PerSecond / (until - recovered).Seconds()
+		if want := 0.9; got < want {
+			t.Errorf("seed %d: got %.3f of the cap used, want at least %v", seed, got, want)
+		}
+	}
+}
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -154,7 +154,8 @@
 // SetView replaces what is known of the hosts.
 func (d *Desk) SetView(now time.Time, v HostView) {
 	d.rankings.setView(now, v)
-	for workspace, s := range d.shares {
+	for _, workspace := range slices.Sorted(maps.Keys(d.shares)) {
+		s := d.shares[workspace]
 		if c, capped := d.caps[workspace]; capped {
 			s.SetTerms(now, d.termsOf(c))
 			d.settleShare(now, workspace, s)
@@ -168,7 +169,8 @@
 // SetCaps replaces the caps. Requests that wait are decided again.
 func (d *Desk) SetCaps(now time.Time, caps map[string]Cap) {
 	d.caps = caps
-	for workspace, s := range d.shares {
+	for _, workspace := range slices.Sorted(maps.Keys(d.shares)) {
+		s := d.shares[workspace]
 		c, capped := caps[workspace]
 		if !capped {
 			s.grantAll(now)
@@ -178,7 +180,8 @@
 		s.SetTerms(now, d.termsOf(c))
 		d.schedule(now, workspace)
 	}
-	for workspace, a := range d.accounts {
+	for _, workspace := range slices.Sorted(maps.Keys(d.accounts)) {
+		a := d.accounts[workspace]
 		c, capped := caps[workspace]
 		if capped && c.PerSecond == a.PerSecond {
 			continue
@@ -299,16 +302,21 @@
 		a.Failed(now, noAllotterPause)
 		return
 	}
-	first := a.waiters[0]
-	held := a.Sendable(first.until)
-	count := a.AskUntil(now, first.until, a.waiting())
+	until := now
+	for _, w := range a.waiters {
+		if w.until.After(until) {
+			until = w.until
+		}
+	}
+	held := a.Sendable(until)
+	count := a.AskUntil(now, until, a.waiting())
 	if count == 0 {
 		return
 	}
-	least := max(1, first.count-held)
+	least := max(1, a.waiters[0].count-held)
 	d.send(now, to, CapRequest{
 		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least,
-		Patience: max(0, first.until.Sub(now)-replyMargin),
+		Patience: max(0, until.Sub(now)-replyMargin),
 	}, "")
 }
 
@@ -474,10 +482,14 @@
 
 // Tick continues with what is due.
 func (d *Desk) Tick(now time.Time) {
+	var due []string
 	for workspace, at := range d.wake {
-		if now.Before(at) {
-			continue
+		if !now.Before(at) {
+			due = append(due, workspace)
 		}
+	}
+	slices.Sort(due)
+	for _, workspace := range due {
 		if p := d.pools[workspace]; p != nil {
 			d.settlePool(now, workspace, p)
 		}
@@ -573,7 +585,7 @@
 	byZone := d.rankings.of(workspace).byZone
 	isReachable := func(zone string) bool { return !now.Before(d.unreachable[byZone[zone]].until) }
 	owed := p.Owed(now)
-	for _, zone := range p.Due(now, slices.Collect(maps.Keys(byZone)), isReachable) {
+	for _, zone := range p.Due(now, slices.Sorted(maps.Keys(byZone)), isReachable) {
 		d.send(now, byZone[zone], CapRequest{Call: CapLend, Workspace: workspace, Asker: d.Name, Owed: owed}, zone)
 	}
 }
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -26,6 +26,7 @@
 	requestedAt time.Time // when the request to the pool was sent that asking is about
 	askAfter    time.Time
 	roundTrip   time.Duration // of the last request to the pool, without the time that its reply waited there
+	missed      int           // amount of requests that could not wait for the pool's reply, and that the next ones may need
 	spacing     time.Duration // expected time in which the pool gives a further amount of 1, 0 if it has enough or is not known
 	isAlone     bool          // no leader of a pool was reached when one was last needed
 }
@@ -144,7 +145,10 @@
 		}
 		granted := r.wholePart(level, required, len(s.held))
 		if granted == 0 {
-			s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread})
+			missed := s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread})
+			if spacing == 0 && !s.asking {
+				s.missed = missed
+			}
 			return
 		}
 		pooled := min(granted, s.amounts.total(now))
@@ -180,7 +184,7 @@
 	}
 	s.refill(now)
 	usable := mayUse && !s.IsLent(now)
-	count = s.count() + s.used.prefetch(now) - int(s.available(now, usable))
+	count = s.count() + s.missed + s.used.prefetch(now) - int(s.available(now, usable))
 	if count <= 0 {
 		return 0, 0, 0
 	}
@@ -188,7 +192,7 @@
 		least = s.held[0].least()
 		patience = max(0, s.held[0].until.Sub(now)-2*s.roundTrip)
 	}
-	s.asking, s.requestedAt = true, now
+	s.asking, s.requestedAt, s.missed = true, now, 0
 	return max(count, least), least, patience
 }
 
