ratelimit: a share is in one place also around freezes and ended leases

Cause, found by a check of the simulation that each share is in one place at any time: an allotter that was frozen until its lease had ended renewed or registered before it saw the end, and divided the share beside its successor; a view of the hosts counted as new when an old reply was processed after a freeze; and a successor with confirmations began while the allotter that the store turns away still acted on its last view. A registration now begins a new handover, the age of a view counts from the begin of the calls that brought it (FollowReply.Age), and an allotter whose lease is not renewed for 3 s needs confirmations.

Replies are matched with the requests that they belong to, and spans of large amounts no longer overflow.

--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -22,6 +22,9 @@
 	tokenWait       = 100 * time.Millisecond
 	// capCallTimeout is how long the reply to a call about a cap may take beyond the time that it waits for tokens.
 	capCallTimeout = 300 * time.Millisecond
+	// maxCapViewAge is the highest age of this host's view of the other hosts at which it is up to date for dividing caps. Replies of
+	// a relay without news are up to 2.7 s old before the next one arrives: watchWait and watchDelay, and the same for the follower.
+	maxCapViewAge = 3500 * time.Millisecond
 	// capViewInterval is the longest time between two updates of what the desk knows of the other hosts.
 	capViewInterval = time.Second
 	// leftZoneTTL is how long a zone counts among those that share the caps when all of its hosts have left: longer than a host
@@ -54,9 +57,13 @@
 	timer *time.Timer // calls tick, nil before it is first needed
 	dueAt time.Time   // when it does
 
+	completeAt time.Time // as Host.viewCompleteAt, of the view that the desk has
+	renewedAt  time.Time // of this host's lease
+
 	// The fields below are used by the control thread only.
 	live      []model.Peer // as of the last update of the view
 	counts    bool
+	revision  int64 // of this host's registration
 	updatedAt time.Time
 }
 
@@ -67,8 +74,10 @@
 	}
 	c := &capDesk{host: h, desk: &ratelimit.Desk{
 		Name: h.Name, Zone: h.Zone, Address: h.PeerAddress, Tolerance: tolerance, Events: capEvents{host: h}, Random: rand.Float64,
-		IsFresh: func(now time.Time) bool { return !h.history.isOutdated(now) },
 	}}
+	c.desk.IsFresh = func(now time.Time) bool {
+		return now.Sub(c.completeAt) <= maxCapViewAge && now.Sub(c.renewedAt) <= maxLeaderRenewalAge
+	}
 	c.desk.Init()
 	return c
 }
@@ -162,14 +171,21 @@
 
 // updateView passes on which other hosts there are, and removes what is no longer used. It is called by the control thread.
 func (c *capDesk) updateView(now time.Time) {
-	live, counts := c.host.table.Live(), c.host.table.CountsAsLive()
-	isSame := len(live) == len(c.live) && (len(live) == 0 || &live[0] == &c.live[0]) && counts == c.counts
+	table := c.host.table
+	live, counts := table.Live(), c.host.registered && table.CountsAsLive()
+	isSame := len(live) == len(c.live) && (len(live) == 0 || &live[0] == &c.live[0]) && counts == c.counts && table.Revision == c.revision
 	if isSame && now.Sub(c.updatedAt) < capViewInterval {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.completeAt, c.renewedAt = c.host.viewCompleteAt, table.RenewedAt
 		return
 	}
-	c.live, c.counts, c.updatedAt = live, counts, now
-	view := ratelimit.HostView{Name: c.host.Name, Zone: c.host.Zone, Live: live, Zones: len(c.zones(now)), Counts: counts}
+	c.live, c.counts, c.revision, c.updatedAt = live, counts, table.Revision, now
+	view := ratelimit.HostView{
+		Name: c.host.Name, Zone: c.host.Zone, Live: live, Zones: len(c.zones(now)), Counts: counts, Registration: table.Revision,
+	}
 	c.do(func(now time.Time, d *ratelimit.Desk) {
+		c.completeAt, c.renewedAt = c.host.viewCompleteAt, table.RenewedAt
 		d.SetView(now, view)
 		d.Expire(now)
 	})
--- a/gateway/caps_test.go
+++ b/gateway/caps_test.go
@@ -12,7 +12,9 @@
 	"citronspread/attempt"
 	"citronspread/membership"
 	"citronspread/model"
+	"citronspread/peer"
 	"citronspread/ratelimit"
+	"citronspread/store"
 )
 
 func (p fleetPeers) Cap(ctx context.Context, address string, request *ratelimit.CapRequest) (*ratelimit.CapReply, error) {
@@ -163,6 +165,7 @@
 				h.storeCut.Store(true)
 			}
 		}, 0.8},
+		{"store restored", func(f *testFleet) { f.store.restore(fakeKeyCount + 1) }, 0.4},
 		{"allotters turned away", func(f *testFleet) {
 			for _, address := range f.leaders() {
 				f.host(address).storeCut.Store(true)
@@ -208,6 +211,33 @@
 	return addresses
 }
 
+// TestViewOfHostsThatStoodStill guards against a host that takes its view of the other hosts for up to date because it has just
+// processed a reply from before it, or its relay, was frozen.
+func TestViewOfHostsThatStoodStill(t *testing.T) {
+	const wait, frozen = time.Second, 8 * time.Second
+	change := store.Change{Revision: 2, Entries: []store.Entry{{Key: "a"}}}
+	tests := []struct {
+		name  string
+		took  time.Duration
+		reply peer.FollowReply
+		want  time.Duration // from the begin of the call
+	}{
+		{"news", 200 * time.Millisecond, peer.FollowReply{Fresh: true, Change: change, HasAge: true, Age: 100 * time.Millisecond}, -100 * time.Millisecond},
+		{"no news", wait, peer.FollowReply{Fresh: true, HasAge: true, Age: 600 * time.Millisecond}, wait - 600*time.Millisecond},
+		{"frozen follower", wait + frozen, peer.FollowReply{Fresh: true, HasAge: true}, wait},
+		{"frozen relay", wait, peer.FollowReply{Fresh: true, HasAge: true, Age: frozen}, wait - frozen},
+		{"early reply without news", 100 * time.Millisecond, peer.FollowReply{Fresh: true, HasAge: true}, 100 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		if got := followedUpTo(start, start.Add(tt.took), wait, &tt.reply).Sub(start); got != tt.want {
+			t.Errorf("%s: got a view of %v after the begin of the call, want %v", tt.name, got, tt.want)
+		}
+	}
+	if got := followedUpTo(start, start.Add(wait), wait, &peer.FollowReply{Fresh: true}); !got.IsZero() {
+		t.Errorf("got a view of %v from a relay of an earlier build, want none", got)
+	}
+}
+
 // TestCapThatChanges guards against a lowered cap that is not binding one window after it is in force everywhere, against a raised
 // or removed cap that takes effect late, and against requests that wait on by the earlier cap.
 func TestCapThatChanges(t *testing.T) {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -102,14 +102,16 @@
 	endFollow context.CancelFunc // ends the call to a relay that is in progress, nil if there is none
 
 	// The fields below are used by the watch only.
-	suspectsFrom  string // relay that sent the latest suspects
-	suspectsAfter int64  // its sequence number of the last one
-	partsAfter    int64  // its sequence number of the last suspect part
-	limitsAfter   int64  // its sequence number of the last limit
+	suspectsFrom  string    // relay that sent the latest suspects
+	suspectsAfter int64     // its sequence number of the last one
+	partsAfter    int64     // its sequence number of the last suspect part
+	limitsAfter   int64     // its sequence number of the last limit
+	followedUpTo  time.Time // see followedUpTo, of the last reply
 
 	// The fields below are used by the control thread only.
 	view            *view
 	viewChanged     bool
+	viewCompleteAt  time.Time // all changes of the store up to this time have been applied
 	version         int64
 	table           *ownership.Table
 	registered      bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -48,6 +48,7 @@
 	changes      []store.Change // by ascending revision
 	respondedAt  time.Time      // last response of the store itself, not of a relay
 	updatedAt    time.Time      // last response of the store or of a fresh relay
+	completeAt   time.Time      // all changes of the store up to this time are known; no later than the calls that brought them began
 	changed      chan struct{}  // closed and replaced at each change
 
 	suspects sequenced[model.Suspect]      // that this host received
@@ -113,6 +114,15 @@
 	h.notify()
 }
 
+// completeUpTo records that all changes of the store up to a time are known.
+func (h *history) completeUpTo(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.completeAt) {
+		h.completeAt = at
+	}
+}
+
 // addSuspect retains a suspect.
 func (h *history) addSuspect(s model.Suspect) {
 	h.mu.Lock()
@@ -167,6 +177,7 @@
 	defer h.mu.Unlock()
 	reply.Fresh = now.Sub(h.respondedAt) <= maxRelayAge && h.revision > 0 && store.Era(h.revision) >= store.Era(revision)
 	reply.Lost = revision < h.baseRevision
+	reply.HasAge, reply.Age = !h.completeAt.IsZero(), now.Sub(h.completeAt)
 	newer := slices.IndexFunc(h.changes, func(c store.Change) bool { return c.Revision > revision })
 	if newer >= 0 {
 		reply.Change = store.MergeChanges(h.changes[newer:])
@@ -288,6 +299,7 @@
 	if h.suspectsFrom != address {
 		h.suspectsAfter, h.partsAfter, h.limitsAfter = 0, 0, 0
 	}
+	startedAt := h.Now()
 	request := &peer.FollowRequest{After: revision, Wait: s.follow, SuspectsAfter: h.suspectsAfter, PartsAfter: h.partsAfter, LimitsAfter: h.limitsAfter, AcceptsPacked: true, AcceptsLimits: true}
 	reply, err := h.Peers.Follow(ctx, address, request)
 	if err == nil {
@@ -299,6 +311,7 @@
 		var large []store.Entry
 		large, err = unpack(reply.Packed)
 		reply.Change.Entries = append(reply.Change.Entries, large...)
+		h.followedUpTo = followedUpTo(startedAt, h.Now(), s.follow, reply)
 	}
 	h.relayMu.Lock()
 	defer h.relayMu.Unlock()
@@ -314,3 +327,17 @@
 	h.Log.Info("relay lost", zap.String("Relay", address), zap.Bool("Answered", err == nil), zap.Int("InRow", h.relays.inRow), zap.Error(err))
 	return store.Change{}, false
 }
+
+// followedUpTo returns the time up to which the reply of a relay has all changes of the store, zero if it is not known. It counts
+// from when the call began, since this host or the relay may have stood still during the call. A relay that has no news replies
+// at the end of the wait.
+func followedUpTo(startedAt, now time.Time, wait time.Duration, reply *peer.FollowReply) time.Time {
+	if !reply.HasAge {
+		return time.Time{}
+	}
+	at := startedAt
+	if reply.Fresh && reply.Change.IsEmpty() && len(reply.Suspects)+len(reply.Parts)+len(reply.Limits) == 0 {
+		at = earlier(at.Add(wait), now)
+	}
+	return at.Add(-reply.Age)
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -89,9 +89,20 @@
 		return revision, 0, nil
 	}
 	h.applyChange(change, false)
+	h.completeUpTo(h.followedUpTo)
 	return change.Revision, followPause, nil
 }
 
+// completeUpTo records that all changes of the store up to a time have been received. The control thread applies them in order.
+func (h *Host) completeUpTo(at time.Time) {
+	h.history.completeUpTo(at)
+	h.post(func(time.Time) {
+		if at.After(h.viewCompleteAt) {
+			h.viewCompleteAt = at
+		}
+	})
+}
+
 // watchAs watches the store as the relay of the zone, or once for lack of one.
 func (h *Host) watchAs(ctx context.Context, revision int64, s source) (next int64, delay time.Duration, err error) {
 	wait := watchWait
@@ -121,6 +132,7 @@
 		consistency, cause, delay = store.Serializable, "start", startDelay
 	}
 	h.Metrics.CountStoreCall("range", cause)
+	startedAt := h.Now()
 	listing, err := h.Store.List(ctx, "", consistency)
 	if err != nil {
 		return 0, 0, err
@@ -134,6 +146,9 @@
 		h.applyStoreContent(now, listing)
 		h.caughtUp.Store(consistency == store.Linearizable)
 	})
+	if consistency == store.Linearizable {
+		h.completeUpTo(startedAt)
+	}
 	return listing.Revision, delay, nil
 }
 
@@ -144,11 +159,16 @@
 		cause = "catch up"
 	}
 	h.Metrics.CountStoreCall("watch", cause)
+	completeAt := h.Now()
 	change, err := h.Store.Watch(ctx, "", revision, wait)
 	if err != nil {
 		return revision, 0, err
 	}
+	if change.IsEmpty() {
+		completeAt = earlier(completeAt.Add(wait), h.Now()) // without a change the store responds at the end of the wait
+	}
 	h.applyChange(change, true)
+	h.completeUpTo(completeAt)
 	h.post(func(time.Time) { h.caughtUp.Store(true) })
 	return change.Revision, watchDelay, nil
 }
@@ -343,6 +363,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // sleep waits for the duration or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -164,6 +164,9 @@
 	Limits          []model.BackendLimit
 	LimitSequence   int64     // of the relay's last limit
 	SentAt          time.Time // on the clock of the relay, to which the times of suspects, parts and limits refer
+
+	HasAge bool          // Age is set
+	Age    time.Duration // of the relay's content: the store had no later changes this long before the reply
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
--- a/ratelimit/askers.go
+++ b/ratelimit/askers.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -123,7 +124,7 @@
 	kept := l.held[:0]
 	var late []heldRequest
 	for _, h := range l.held {
-		wait := time.Duration(min(missing*float64(spacing), float64(maxBooked)))
+		wait := span(int(math.Ceil(missing)), spacing)
 		if now.Add(wait).After(h.until) || !now.Before(h.until) {
 			late = append(late, h)
 			continue
@@ -136,7 +137,7 @@
 		refused += h.least()
 		r := reply
 		r.Held = now.Sub(h.at)
-		r.RetryAfter = max(time.Duration(min(missing*float64(spacing), float64(maxBooked))), minCapPause)
+		r.RetryAfter = max(span(int(math.Ceil(missing)), spacing), minCapPause)
 		h.reply(r)
 	}
 	return refused
--- a/ratelimit/cap_random_test.go
+++ b/ratelimit/cap_random_test.go
@@ -84,6 +84,7 @@
 		c.Burst = c.PerSecond * rapid.SampledFrom([]float64{0, 0.5, 1, 2}).Draw(t, "burst")
 		sizes := rapid.SampledFrom([][]int{requestSizes, {6000}, {6000, 100}, {300}}).Draw(t, "sizes")
 		s := newCapSimulation(failer{t}, rapid.Uint64().Draw(t, "seed"), hosts, zones, map[string]Cap{"w": c})
+		s.watchPlaces("w")
 		at := s.hosts
 		switch rapid.IntRange(0, 2).Draw(t, "where") {
 		case 0:
--- a/ratelimit/cap_simulation_test.go
+++ b/ratelimit/cap_simulation_test.go
@@ -14,7 +14,9 @@
 const (
 	simRenewal    = 1500 * time.Millisecond // of a host's lease in the store
 	simLease      = 5 * time.Second
-	simFreshFor   = 1750 * time.Millisecond // after which a view of the other hosts counts as outdated
+	simViewDelay  = 1500 * time.Millisecond // longest time that a view of the other hosts takes to arrive
+	simFreshLease = 3 * time.Second         // since the last renewal, after which the lease may have ended
+	simFreshFor   = 3500 * time.Millisecond // age at which it counts as outdated
 	simPatience   = 250 * time.Millisecond
 	simTimeout    = 300 * time.Millisecond // of a call
 	simSettleTime = 12 * time.Second       // before the load starts
@@ -63,6 +65,7 @@
 	storeUp bool
 	leases  map[string]time.Duration // by host: when its lease ends
 
+	places    map[string]string // violations that were found: shares that are in two places
 	liveHosts []model.Peer
 	liveAt    time.Duration
 
@@ -80,20 +83,23 @@
 }
 
 type capHost struct {
-	sim      *capSimulation
-	name     string
-	zone     int
-	offset   time.Duration
-	desk     *Desk
-	epoch    int // increases when the process ends
-	alive    bool
-	frozen   bool
-	thawed   []func()
-	isolated bool
-	noStore  bool // the store turns it away
-	noView   bool // it gets no changes of the store
-	viewedAt time.Duration
-	wakeAt   time.Duration // of the next Tick
+	sim          *capSimulation
+	name         string
+	zone         int
+	offset       time.Duration
+	desk         *Desk
+	epoch        int // increases when the process ends
+	alive        bool
+	frozen       bool
+	thawed       []func()
+	isolated     bool
+	noStore      bool // the store turns it away
+	noView       bool // it gets no changes of the store
+	viewedAt     time.Duration
+	seen         HostView
+	registration int64
+	renewedAt    time.Duration
+	wakeAt       time.Duration // of the next Tick
 }
 
 type simCapEvents struct{}
@@ -123,6 +129,40 @@
 	return s
 }
 
+// watchPlaces checks from now on that each share is in one place: with its zone or in one pool.
+func (s *capSimulation) watchPlaces(workspace string) {
+	const interval = 10 * time.Millisecond
+	s.places = make(map[string]string)
+	var check func()
+	check = func() {
+		places := make(map[string][]string)
+		for _, h := range s.hosts {
+			if !h.alive || h.frozen {
+				continue
+			}
+			now, d := h.clock(), h.desk
+			share := d.shares[workspace]
+			if d.isEntitled(now, workspace, d.rankings.of(workspace)) && (share == nil || !share.IsLent(now)) {
+				places[d.Zone] = append(places[d.Zone], fmt.Sprintf("allotter %s since %v, %+v", h.name, now.Sub(d.rankings.of(workspace).firstSince), d.confirmations[workspace]))
+			}
+			if p := d.pools[workspace]; p != nil {
+				for zone, l := range p.loans {
+					if now.Before(l.until) {
+						places[zone] = append(places[zone], fmt.Sprintf("pool of %s for %v", h.name, l.until.Sub(now)))
+					}
+				}
+			}
+		}
+		for zone, users := range places {
+			if len(users) > 1 && s.places[zone] == "" {
+				s.places[zone] = fmt.Sprintf("%v after %v", users, s.now)
+			}
+		}
+		s.after(interval, check)
+	}
+	check()
+}
+
 // add adds a host that is not started yet.
 func (s *capSimulation) add(name string, zone int, offset time.Duration) *capHost {
 	h := &capHost{sim: s, name: name, zone: zone, offset: offset}
@@ -169,11 +209,14 @@
 	h.alive, h.frozen, h.thawed = true, false, nil
 	h.desk = &Desk{
 		Name: h.name, Zone: fmt.Sprint("z", h.zone), Address: h.name, Tolerance: simTolerance, Events: simCapEvents{}, Random: h.sim.random.Float64,
-		IsFresh: func(time.Time) bool { return h.sim.now-h.viewedAt <= simFreshFor },
+		IsFresh: func(time.Time) bool {
+			return h.sim.now-h.viewedAt <= simFreshFor && h.sim.now-h.renewedAt <= simFreshLease
+		},
 	}
 	h.desk.Init()
 	h.desk.SetCaps(h.clock(), h.sim.caps)
-	h.viewedAt = -time.Hour
+	h.viewedAt, h.renewedAt, h.seen = -time.Hour, -time.Hour, HostView{}
+	h.registration++
 	h.every(h.epoch, simRenewal, h.renew)
 	h.every(h.epoch, 700*time.Millisecond, h.view)
 	h.every(h.epoch, time.Second, func() { h.desk.Expire(h.clock()) })
@@ -191,8 +234,22 @@
 }
 
 func (h *capHost) renew() {
-	if h.sim.storeUp && !h.noStore && !h.isolated && h.sim.group[h.zone] == 0 {
-		h.sim.leases[h.name] = h.sim.now + simLease
+	if !h.sim.storeUp || h.noStore || h.isolated || h.sim.group[h.zone] != 0 {
+		return
+	}
+	if h.sim.leases[h.name] <= h.sim.now {
+		h.register()
+	}
+	h.renewedAt = h.sim.now
+	h.sim.leases[h.name] = h.sim.now + simLease
+}
+
+// register registers the host, with a lease in place of one that has ended. The host may not have seen the end.
+func (h *capHost) register() {
+	h.registration++
+	if h.seen.Name != "" {
+		h.seen.Registration = h.registration
+		h.desk.SetView(h.clock(), h.seen)
 	}
 }
 
@@ -205,12 +262,15 @@
 	if !v.Counts {
 		v.Live = append(slices.Clone(v.Live), model.Peer{Name: h.name, Zone: h.desk.Zone, Address: h.name})
 	}
-	// The view is that of a moment before, and arrives later.
-	epoch := h.epoch
-	h.sim.after(time.Duration(h.sim.random.Float64()*float64(600*time.Millisecond)), func() {
+	epoch, viewedAt := h.epoch, h.sim.now
+	h.sim.after(time.Duration(h.sim.random.Float64()*float64(simViewDelay)), func() {
 		h.do(epoch, func() {
-			h.viewedAt = h.sim.now
-			h.desk.SetView(h.clock(), v)
+			if viewedAt < h.viewedAt {
+				return
+			}
+			h.viewedAt, h.seen = viewedAt, v
+			h.seen.Registration = h.registration
+			h.desk.SetView(h.clock(), h.seen)
 			h.flush()
 		})
 	})
@@ -428,9 +488,12 @@
 	return total
 }
 
-// checkBound fails the test if a window has more than the cap allows.
+// checkBound fails the test if a window has more than the cap allows, or a share was in two places.
 func (s *capSimulation) checkBound(workspace string, c Cap, from time.Duration) {
 	s.t.Helper()
+	for zone, users := range s.places {
+		s.t.Errorf("got the share of %s in two places: %s", zone, users)
+	}
 	if got, at := s.most(workspace, from); float64(got) > simTolerance.Most(c) {
 		s.t.Errorf("got %d tokens of %s in the window until %v, want at most %.0f", got, workspace, at, simTolerance.Most(c))
 	}
--- a/ratelimit/cap_test.go
+++ b/ratelimit/cap_test.go
@@ -167,6 +167,7 @@
 					for seed := range seeds {
 						s := newCapSimulation(t, seed, size.hosts, size.zones, map[string]Cap{"w": c})
 						from := s.now
+						s.watchPlaces("w")
 						s.offer(until, load{workspace: "w", perSecond: 3 * c.PerSecond, sizes: sizes, hosts: s.hosts})
 						s.run(before)
 						f.after(s)
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -61,7 +61,7 @@
 	To      string // peer address
 	Request CapRequest
 	zone    string    // of the receiver, in a CapLend
-	sentAt  time.Time // which confirmation a reply belongs to
+	sentAt  time.Time // tells a reply from that to an earlier request
 }
 
 // CapEvents is told of decisions that concern a whole workspace.
@@ -94,8 +94,10 @@
 	Address   string // peer address
 	Tolerance Tolerance
 	Events    CapEvents
-	Random    func() float64           // below 1
-	IsFresh   func(now time.Time) bool // whether this host's view of the other hosts is up to date
+	Random    func() float64 // below 1
+	// IsFresh reports whether this host knows by itself that the others count it as live: its view of the hosts is at most 3.5 s
+	// old, and it has renewed its lease so recently that this has not ended.
+	IsFresh func(now time.Time) bool
 
 	rankings      rankings
 	caps          map[string]Cap
@@ -246,7 +248,7 @@
 			continue
 		}
 		kept = append(kept, w)
-		ahead += time.Duration(w.count) * a.spacing
+		ahead += span(w.count, a.spacing)
 	}
 	a.waiters = kept
 	for _, w := range late {
@@ -260,7 +262,7 @@
 	if a.asking {
 		return now
 	}
-	turn := a.turnAt.Add(-time.Duration(max(0, a.deniedLeast-count)) * a.spacing)
+	turn := a.turnAt.Add(-span(max(0, a.deniedLeast-count), a.spacing))
 	if turn.Before(a.askAfter) {
 		turn = a.askAfter
 	}
@@ -277,7 +279,11 @@
 	if a.bookedUntil.After(at) {
 		at = a.bookedUntil
 	}
-	a.bookedUntil = minTime(at.Add(time.Duration(w.count)*a.spacing), now.Add(maxBooked))
+	spacing := a.spacing
+	if spacing == 0 {
+		spacing = seconds(1 / a.PerSecond) // not known, at least this
+	}
+	a.bookedUntil = minTime(at.Add(span(w.count, spacing)), now.Add(maxBooked))
 	wait := at.Sub(now)
 	wait += time.Duration(d.Random() * float64(minRetrySpread+wait/4))
 	o := Outcome{RetryAfter: max(wait, minRetryPause)}
@@ -287,6 +293,11 @@
 	w.decide(o)
 }
 
+// span returns the time in which an amount accrues, at most maxBooked.
+func span(count int, spacing time.Duration) time.Duration {
+	return time.Duration(min(float64(count)*float64(spacing), float64(maxBooked)))
+}
+
 func (w *Waiter) decide(o Outcome) {
 	w.isDecided = true
 	w.done(o)
@@ -522,23 +533,32 @@
 }
 
 // mayUseShare reports whether this host is the allotter of its zone for the workspace and no other host can still be, and
-// whether another one may be.
+// whether another one may be. It asks other hosts if this host does not know it by itself.
 func (d *Desk) mayUseShare(now time.Time, workspace string, r *ranking) (mayUse, isVoid bool) {
 	if !r.isFirst {
 		return false, true
 	}
-	since := now.Sub(r.firstSince)
-	if since >= r.handoverPause() && (d.IsFresh(now) || r.isOnly()) {
-		return true, false
+	if !r.isOnly() && (now.Sub(r.firstSince) < allotterPause || !d.IsFresh(now)) {
+		c := d.confirm(now, workspace, r)
+		isVoid = c.no > 0 && !c.isValid(now)
 	}
-	if r.isOnly() {
-		return false, false
-	}
-	c := d.confirm(now, workspace, r)
-	if !c.isValid(now) {
-		return false, c.no > 0
+	return d.isEntitled(now, workspace, r), isVoid
+}
+
+// isEntitled reports whether this host may use the share of its zone, as far as it knows now.
+func (d *Desk) isEntitled(now time.Time, workspace string, r *ranking) bool {
+	since, c := now.Sub(r.firstSince), d.confirmations[workspace]
+	switch {
+	case !r.isFirst:
+		return false
+	case r.isOnly():
+		return since >= r.handoverPause()
+	case since >= allotterPause && d.IsFresh(now):
+		return true
+	case c == nil || !c.isValid(now):
+		return false
 	}
-	return since >= allotterPause || !c.fullSince.IsZero() && now.Sub(c.fullSince) >= confirmedPause, false
+	return since >= allotterPause || !c.fullSince.IsZero() && now.Sub(c.fullSince) >= confirmedPause
 }
 
 // confirm asks the hosts that rank next whether this host is the allotter, unless they have just been asked.
@@ -626,17 +646,17 @@
 	workspace := m.Request.Workspace
 	switch m.Request.Call {
 	case CapAllowance:
-		if a := d.accounts[workspace]; a != nil {
+		if a := d.accounts[workspace]; a != nil && a.askedAt.Equal(m.sentAt) {
 			d.receiveAllowance(now, m, a, reply, replied)
 		}
 	case CapAmount:
-		if s := d.shares[workspace]; s != nil {
+		if s := d.shares[workspace]; s != nil && s.requestedAt.Equal(m.sentAt) {
 			d.receiveAmount(now, workspace, s, reply, replied)
 		}
 	case CapLend:
 		p := d.pools[workspace]
 		switch {
-		case p == nil:
+		case p == nil || !p.awaits(m.zone, m.sentAt):
 			return
 		case replied && reply.Lent:
 			p.Lent(now, m.zone, reply.Loan)
--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -56,6 +56,12 @@
 	return due
 }
 
+// awaits reports whether the reply to the request for a zone's share is due that was sent at a time.
+func (p *Pool) awaits(zone string, sentAt time.Time) bool {
+	l := p.loans[zone]
+	return l != nil && l.asking && l.askedAt.Equal(sentAt)
+}
+
 // Lent adds the share of a zone. It is valid from when it was requested, on the clock of this host.
 func (p *Pool) Lent(now time.Time, zone string, terms Loan) {
 	l := p.loans[zone]
--- a/ratelimit/zoneview.go
+++ b/ratelimit/zoneview.go
@@ -11,13 +11,12 @@
 const (
 	// deputies is how many hosts stand in for an allotter, and for a leader.
 	deputies = 3
-	// allotterPause is the time after which no other host of a zone divides its share that did so before. A host may act on a view
-	// that is 3.5 s old (its own and that of its relay, each of which counts as fresh for 1.75 s), and the pool that it lent the
-	// share to may use it for loanTTL.
-	allotterPause = 4500 * time.Millisecond
+	// allotterPause is the time after which no other host of a zone divides its share that did so before. Such a host may act on a
+	// view of the hosts that is 3.5 s old, and the pool that it has lent the share to may use it for loanTTL.
+	allotterPause = 3500*time.Millisecond + loanTTL + 4*lenderMargin
 	// confirmedPause is this time if the hosts that rank next have confirmed that they do not take themselves for the allotter, or
-	// if there are no other hosts.
-	confirmedPause = loanTTL + 2*lenderMargin
+	// if there are no other hosts. A host whose lease has ended may act on a confirmation of before.
+	confirmedPause = confirmTTL + loanTTL + 2*lenderMargin
 	// maxViews bounds the earlier sets of hosts that are remembered.
 	maxViews = 32
 )
@@ -29,6 +28,9 @@
 	Live   []model.Peer
 	Zones  int  // number of zones that have hosts or had some: those that are cut off use their shares
 	Counts bool // the other hosts count this host as live
+	// Registration changes whenever this host registers: another host may have divided the share before, although this host has
+	// not seen that its lease had ended.
+	Registration int64
 }
 
 // zoneSet is the set of hosts of the own zone from a time on.
@@ -59,6 +61,9 @@
 	if !v.Counts {
 		v.Live = slices.DeleteFunc(slices.Clone(v.Live), func(p model.Peer) bool { return p.Name == v.Name })
 	}
+	if r.view.Registration != v.Registration {
+		r.sets = nil
+	}
 	if len(r.sets) > 0 && r.view.Zones == v.Zones && equalPeers(r.view.Live, v.Live) {
 		return
 	}
@@ -152,8 +157,8 @@
 
 const (
 	// confirmTTL is how long a confirmation counts from when it was requested, and confirmInterval when it is renewed.
-	confirmTTL      = time.Second
-	confirmInterval = 300 * time.Millisecond
+	confirmTTL      = 700 * time.Millisecond
+	confirmInterval = 200 * time.Millisecond
 )
 
 // answered records one reply.
