--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -22,6 +22,7 @@
 	"citronspread/logbuffer"
 	"citronspread/metrics"
 	"citronspread/platform"
+	"citronspread/ratelimit"
 )
 
 const gatewayHelp = `Run an entry host on the users' platform until SIGTERM or SIGINT, then stop gracefully.
@@ -86,6 +87,10 @@
 	host.Metrics.AddGauge("citronspread_full_backends", "Backend servers of models that have refused a request for lack of room and where nothing has changed since.", func() float64 { return float64(host.LoadSummary().Full) })
 	host.Metrics.AddGauge("citronspread_mean_load", "Mean known load of the backend servers of models, as requests per slot.", func() float64 { return host.LoadSummary().Mean })
 	host.Metrics.AddGauge("citronspread_highest_load", "Highest known load of a backend server of models, as requests per slot.", func() float64 { return host.LoadSummary().Highest })
+	host.Metrics.AddGauge("citronspread_capped_workspaces", "Workspaces that have a usage cap.", func() float64 { return float64(host.CapState().Capped) })
+	host.Metrics.AddGauge("citronspread_cap_tokens_granted", "Tokens, or requests, that caps have allowed to requests of this host since the start.", func() float64 { return float64(host.CapState().Granted) })
+	host.Metrics.AddGauge("citronspread_cap_tokens_refused", "Tokens, or requests, that caps have refused to requests of this host since the start.", func() float64 { return float64(host.CapState().Refused) })
+	host.Metrics.AddGauge("citronspread_zones_on_own_share", "Workspaces that this host divides for its zone without reaching a pool.", func() float64 { return float64(host.CapState().OwnShares) })
 	host.Metrics.AddGauge("citronspread_log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(buffer.Dropped()) })
 	logger.Info("started", zap.String("Name", s.Name), zap.String("Zone", s.Zone), zap.String("Version", version()), zap.String("Settings", c.settings))
 	err = c.runHost(ctx, s, host, logger, buffer)
@@ -118,6 +123,7 @@
 		WeightLoadWindow:  s.WeightLoadWindow,
 		WeightLoadOverage: s.WeightLoadOverage,
 		MaxWeightLoads:    parallelLoads,
+		CapTolerance:      ratelimit.Tolerance{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 	}
 	host.Prepare()
 	return host
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -139,11 +139,20 @@
 	if engine := d.engineOf(r.Service); engine != nil && engine.CacheTokens > 0 && r.Tokens > engine.CacheTokens {
 		return nil, &routing.RefusedError{Reason: routing.ReasonMemory, RetryAfter: tooLargeRetryAfter}
 	}
+	if err := d.beginTokens(ctx, r, p); err != nil {
+		return nil, err
+	}
+	stopHold := d.holdTokens(p)
 	grant, err := d.acquirePlace(ctx, request)
+	stopHold()
 	if err != nil {
 		d.logTurnRefused(r, err)
 		return nil, err
 	}
+	if err := d.confirmTokens(ctx, r, p); err != nil {
+		grant.Done(d.host.Now(), routing.OutcomeAbandoned)
+		return nil, err
+	}
 	d.host.Metrics.ObserveGrantWait(grant.Waited)
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", grant.Replica.Backend), zap.String("BackendZone", grant.Replica.Zone), zap.String("Software", grant.Replica.Software),
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
@@ -206,10 +215,19 @@
 
 func (d *Dispatcher) acquireEndpoint(ctx context.Context, r RoutedRequest, p *attempt.Progress) (*Grant, error) {
 	request := routing.Request{ID: r.ID, Service: r.Service, Fingerprint: r.Fingerprint, Deadline: r.Deadline, Avoid: p.Failed}
+	if err := d.beginTokens(ctx, r, p); err != nil {
+		return nil, err
+	}
+	stopHold := d.holdTokens(p)
 	endpoint, err := d.host.router.AcquireEndpoint(ctx, request)
+	stopHold()
 	if err != nil {
 		return nil, err
 	}
+	if err := d.confirmTokens(ctx, r, p); err != nil {
+		endpoint.Done(d.host.Now(), routing.OutcomeAbandoned)
+		return nil, err
+	}
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.Strings("Avoid", p.Failed),
 		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age))
 	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend}, Priority: -1, endpointGrant: endpoint}, nil
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -281,9 +281,10 @@
 	suspectCalls atomic.Int64
 	limitCalls   limitCalls
 	loadCalls    loadCalls
-	suffix       string // of the desired state, which makes it larger
-	workspaces   []model.Workspace
-	servedCalls  atomic.Int64 // calls to relays that report what was served to workspaces
+	servedCalls  atomic.Int64                // calls to relays that report what was served to workspaces
+	suffix       string                      // of the desired state, which makes it larger
+	workspaces   map[int64][]model.Workspace // of versions of the desired state
+	capCalls     atomic.Int64
 }
 
 type fleetHost struct {
@@ -398,7 +399,9 @@
 			ConfigurationKey: "config", ListingPrefix: "servers/",
 			DecodeConfiguration: func(value []byte) (s model.DesiredState, err error) {
 				_, err = fmt.Sscan(string(value), &s.Version)
-				s.Workspaces = f.workspaces
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				s.Workspaces = f.workspaces[s.Version]
 				return s, err
 			},
 			DecodeListing: func(store.Entry) (model.BackendListing, error) { return model.BackendListing{}, errors.New("none") },
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -74,6 +74,8 @@
 	WeightLoadOverage float64       // factor by which a window may exceed that rate
 	MaxWeightLoads    int           // loads that the weight store serves at once at full speed
 
+	CapTolerance ratelimit.Tolerance // of the usage caps of workspaces, zero for the defaults
+
 	Dispatcher *Dispatcher
 
 	router   *routing.Router
@@ -83,6 +85,7 @@
 	// serviceSoftware holds the software versions by service.
 	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
 	streams         *streamRecorder
+	caps            *capDesk
 	stopping        atomic.Bool
 	backendsListed  atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
 	caughtUp        atomic.Bool // the changes since that list have been applied
@@ -105,15 +108,17 @@
 	endFollow context.CancelFunc // ends the call to a relay that is in progress, nil if there is none
 
 	// The fields below are used by the watch only.
-	suspectsFrom  string // relay that sent the latest suspects
-	suspectsAfter int64  // its sequence number of the last one
-	partsAfter    int64  // its sequence number of the last suspect part
-	limitsAfter   int64  // its sequence number of the last limit
+	suspectsFrom  string    // relay that sent the latest suspects
+	suspectsAfter int64     // its sequence number of the last one
+	partsAfter    int64     // its sequence number of the last suspect part
+	limitsAfter   int64     // its sequence number of the last limit
+	followedUpTo  time.Time // see followedUpTo, of the last reply
 	loadExchange  loadExchange
 
 	// The fields below are used by the control thread only.
 	view            *view
 	viewChanged     bool
+	viewCompleteAt  time.Time // all changes of the store up to this time have been applied
 	version         int64
 	table           *ownership.Table
 	registered      bool
@@ -162,6 +167,7 @@
 	h.published = make(map[string]publishedLimit)
 	h.software = newSoftwareTracker()
 	h.streams = &streamRecorder{host: h}
+	h.caps = newCapDesk(h)
 	h.permits.taken = make(map[string]bool)
 	h.registerPause = registerPause
 	h.lastSpread = make(map[model.ModelKey]time.Time)
@@ -316,6 +322,7 @@
 	h.stepUsage(now)
 	h.stepSpread(now)
 	h.expireLimits(now)
+	h.caps.updateView(now)
 	h.publish(now)
 }
 
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -16,12 +16,18 @@
 	state      model.DesiredState
 	byHost     map[string][]model.Route // longest prefix first
 	workspaces *workspace.Directory
+	caps       map[string]model.UsageCap // by workspace, without those that have no limit
 }
 
 func newRouteTable(state model.DesiredState) *routeTable {
 	directory := workspace.NewDirectory(state.Workspaces)
 	state.Workspaces = directory.Workspaces()
-	t := &routeTable{state: state, byHost: make(map[string][]model.Route), workspaces: directory}
+	t := &routeTable{state: state, byHost: make(map[string][]model.Route), workspaces: directory, caps: make(map[string]model.UsageCap)}
+	for _, w := range state.Workspaces {
+		if w.Cap.PerSecond > 0 {
+			t.caps[w.Name] = w.Cap
+		}
+	}
 	for _, route := range state.Routes {
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
 	}
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -61,7 +61,7 @@
 func TestHostsLearnWhatTheZoneServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const hosts = 75
-		f := startTestFleet(t, &testFleet{workspaces: []model.Workspace{{Name: "w"}}}, hosts, 10*time.Second)
+		f := startTestFleet(t, &testFleet{workspaces: map[int64][]model.Workspace{1: {{Name: "w"}}}}, hosts, 10*time.Second)
 		served := 0.0
 		zone := f.hosts["host-0"].Zone
 		for _, h := range f.hosts {
@@ -106,7 +106,7 @@
 // TestCutHostCountsItsOwnService guards against a host without a relay that forgets its counters or waits for them.
 func TestCutHostCountsItsOwnService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startTestFleet(t, &testFleet{workspaces: []model.Workspace{{Name: "w"}}}, fleetZones, 5*time.Second) // one host in each zone
+		f := startTestFleet(t, &testFleet{workspaces: map[int64][]model.Workspace{1: {{Name: "w"}}}}, fleetZones, 5*time.Second) // one host in each zone
 		h := f.hosts["host-0"]
 		h.serve(t, "w", 1000)
 		time.Sleep(2 * time.Second)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -31,6 +31,7 @@
 	allowances prometheus.Counter
 	places     *prometheus.CounterVec
 	badLoads   prometheus.Counter
+	capCalls   *prometheus.CounterVec
 
 	unauthorized prometheus.Counter
 }
@@ -52,7 +53,8 @@
 	m.unauthorized = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_unauthorized_total", Help: "Requests refused with 401 for want of a workspace's key."})
 	m.places = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_places_total", Help: "Places on backend servers that were asked for at their owners, by answer."}, []string{"answer"})
 	m.badLoads = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_invalid_loads_total", Help: "Responses of backend servers with a load that could not be read."})
-	m.registry.MustRegister(m.unauthorized, m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
+	m.capCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_cap_calls_total", Help: "Calls to other entry hosts about the usage caps of workspaces, by kind."}, []string{"kind"})
+	m.registry.MustRegister(m.capCalls, m.unauthorized, m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
 	return m
 }
 
@@ -120,6 +122,9 @@
 // CountInvalidLoad counts a response with a load that could not be read.
 func (m *Metrics) CountInvalidLoad() { m.badLoads.Inc() }
 
+// CountCapCall counts a call to another entry host about the usage cap of a workspace, by kind.
+func (m *Metrics) CountCapCall(kind string) { m.capCalls.WithLabelValues(kind).Inc() }
+
 // StoreCalls returns the numbers of calls to the platform's store as "cause/kind=number", sorted.
 func (m *Metrics) StoreCalls() []string {
 	var counts []string
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -27,6 +27,7 @@
 	RecordStreams(ctx context.Context, request *RecordStreamsRequest) (*Empty, error)
 	FindSoftware(ctx context.Context, request *FindSoftwareRequest) (*FindSoftwareReply, error)
 	DesiredState(ctx context.Context, request *DesiredStateRequest) (*DesiredStateReply, error)
+	Cap(ctx context.Context, request *ratelimit.CapRequest) (*ratelimit.CapReply, error)
 }
 
 var platformMethods = []methodEntry{
@@ -44,6 +45,7 @@
 	unary("/Fleet/RecordStreams", PlatformHandler.RecordStreams),
 	unary("/Fleet/FindSoftware", PlatformHandler.FindSoftware),
 	unary("/Fleet/DesiredState", PlatformHandler.DesiredState),
+	unary("/Fleet/Cap", PlatformHandler.Cap),
 }
 
 // PlaceRequest requests that the leader of a model have it loaded on a backend server.
@@ -176,6 +178,9 @@
 	SentAt          time.Time    // on the clock of the relay, to which the times of suspects, parts and limits refer
 	// Served is the reply to FollowRequest.Served, nil without it.
 	Served *fairshare.Totals `cbor:",omitempty"`
+
+	HasAge bool          // Age is set
+	Age    time.Duration // of the relay's content: the store had no later changes this long before the reply
 }
 
 // PackedEntry is an entry of the store whose value is compressed with DEFLATE (RFC 1951).
@@ -295,3 +300,8 @@
 func (c *Client) DesiredState(ctx context.Context, address string, request *DesiredStateRequest) (*DesiredStateReply, error) {
 	return invoke[DesiredStateReply](ctx, c, address, "/Fleet/DesiredState", request)
 }
+
+// Cap sends a request about the usage cap of a workspace to another entry host.
+func (c *Client) Cap(ctx context.Context, address string, request *ratelimit.CapRequest) (*ratelimit.CapReply, error) {
+	return invoke[ratelimit.CapReply](ctx, c, address, "/Fleet/Cap", request)
+}
