logbuffer: waiting lines are bounded in bytes too

Callers choose a part of a line, such as a path of 16 KB, so 4,096 waiting lines could take 64 MB while the output is blocked. They take 2 MB at most now.

--- a/logbuffer/logbuffer.go
+++ b/logbuffer/logbuffer.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxLines limits the lines waiting to be written; they take about a megabyte.
+	// maxLines limits the lines waiting to be written; of the usual length they take about a megabyte.
 	maxLines = 4096
+	// maxBytes limits their length, since callers choose a part of it.
+	maxBytes = 2 << 20
 	// maxPerSecond is the rate limit of one event, well above the rate that a host's requests cause.
 	maxPerSecond = 400
 	// flushInterval is how long lines are collected for one write.
@@ -28,6 +30,7 @@
 
 	mu      sync.Mutex
 	lines   []line
+	bytes   int            // length of lines
 	dropped map[string]int // by event, since the last summary
 	total   int64          // dropped lines since the start
 	second  int64          // Unix time that counts is for
@@ -90,16 +93,18 @@
 		b.drop(event)
 		return
 	}
-	if len(b.lines) >= maxLines {
+	for len(b.lines) >= maxLines || b.bytes+len(text) > maxBytes {
 		i := slices.IndexFunc(b.lines, func(l line) bool { return !l.warning })
 		if i < 0 {
 			b.drop(event)
 			return
 		}
 		b.drop(b.lines[i].event)
+		b.bytes -= len(b.lines[i].text)
 		b.lines = slices.Delete(b.lines, i, i+1)
 	}
 	b.lines = append(b.lines, line{text: text, event: event, warning: warning})
+	b.bytes += len(text)
 	if len(b.lines) == 1 {
 		select {
 		case b.pending <- struct{}{}:
@@ -139,7 +144,7 @@
 func (b *Buffer) flush() {
 	b.mu.Lock()
 	lines := b.lines
-	b.lines = nil
+	b.lines, b.bytes = nil, 0
 	b.mu.Unlock()
 	var batch []byte
 	for _, l := range lines {
--- a/logbuffer/logbuffer_test.go
+++ b/logbuffer/logbuffer_test.go
@@ -68,6 +68,31 @@
 	}
 }
 
+// TestLongLines guards against a buffer that long lines fill with more memory than is allowed while the output is blocked.
+func TestLongLines(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	buffer, log := newTestLogger(w)
+	long := strings.Repeat("l", 16<<10) // a path or ID that a caller chose
+	for range 2 * maxBytes / len(long) {
+		log.Info("no route", zap.String("Path", long))
+		log.Warn("not served", zap.String("Request", long))
+	}
+	buffer.mu.Lock()
+	held := 0
+	for _, l := range buffer.lines {
+		held += len(l.text)
+	}
+	if held != buffer.bytes || held > maxBytes {
+		t.Errorf("got %d bytes held and %d counted, want the same and at most %d", held, buffer.bytes, maxBytes)
+	}
+	buffer.mu.Unlock()
+	if buffer.Dropped() == 0 {
+		t.Error("got no dropped lines, want some")
+	}
+	close(w.release)
+	buffer.Close(time.Second)
+}
+
 func TestLineFormat(t *testing.T) {
 	w := &blockedWriter{release: make(chan struct{})}
 	close(w.release)
