httponce: hooks for descriptors, bounded socket buffers and idle connections

A client can ask before it opens a connection, report that one is closed, set the sizes of socket buffers, and bound its idle connections to all hosts. Without these fields it behaves as before.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -3,13 +3,17 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -24,6 +28,10 @@
 	IdlePerHost     int
 	FreshConnection bool // open a connection for each request
 	KeepAlive       net.KeepAliveConfig
+	MaxIdle         int          // idle connections to all hosts together, 0 for no limit
+	SocketBuffer    int          // size of the receive and send buffers of connections, 0 for that of the system
+	Admit           func() error // called before a connection is opened, which fails with its error; may be nil
+	Closed          func()       // called once for each admitted connection, when it is closed or could not be opened
 
 	once      sync.Once
 	transport *http.Transport
@@ -75,14 +83,24 @@
 	if dialer.Timeout == 0 {
 		dialer.Timeout = defaultDialTimeout
 	}
+	if c.SocketBuffer > 0 {
+		dialer.Control = c.setBuffers
+	}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if c.Admit != nil {
+				if err := c.Admit(); err != nil {
+					return nil, err
+				}
+			}
 			raw, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
+				c.countClosed()
 				return nil, err
 			}
-			return &conn{Conn: raw}, nil
+			return &conn{Conn: raw, closed: c.countClosed}, nil
 		},
+		MaxIdleConns:           c.MaxIdle,
 		DisableCompression:     true,
 		DisableKeepAlives:      c.FreshConnection,
 		MaxIdleConnsPerHost:    c.IdlePerHost,
@@ -91,6 +109,25 @@
 	}
 }
 
+// countClosed reports that an admitted connection is closed.
+func (c *Client) countClosed() {
+	if c.Closed != nil {
+		c.Closed()
+	}
+}
+
+// setBuffers sets the sizes of the socket buffers of a connection before it is opened.
+func (c *Client) setBuffers(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.SocketBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, c.SocketBuffer),
+		)
+	})
+	return errors.Join(err, optionErr)
+}
+
 // opaqueBody hides from the transport whether the body is empty or missing.
 // The transport would replay some requests without a body.
 type opaqueBody struct{ body io.ReadCloser }
--- a/httponce/conn.go
+++ b/httponce/conn.go
@@ -14,6 +14,8 @@
 // line of the response. net/http reports such a line as malformed, like bytes that are no response.
 type conn struct {
 	net.Conn
+	closed    func() // called by the first close, nil in tests
+	closeOnce sync.Once
 
 	mu           sync.Mutex
 	writeStarted bool
@@ -67,6 +69,15 @@
 	writeStarted := c.writeStarted
 	c.aborted = true
 	c.mu.Unlock()
-	c.Conn.Close()
+	c.Close()
 	return writeStarted
 }
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	if c.closed != nil {
+		c.closeOnce.Do(c.closed)
+	}
+	return err
+}
