gateway: callers can't make a process exceed limits.memoryMb and limits.maxFds

What callers saw: 150 bodies of 1 MB took a process with 64 MB allowed to 223 to 381 MB, 400 heads of short lines to 347 MB, 150 callers that do not read to 554 MB; the platform kills such a process. Cause: bodies, heads, responses and socket buffers had no bound together, and a caller that stopped reading held its request for ever.

Change: if the settings state either limit, connections, heads, bodies, responses and unread bytes are reserved in one account first. Without room, stalled callers are dropped or the newcomer gets 503 with Retry-After. Heads, header and idle timeouts are those of the desired state in force. Sockets have bounded buffers, and the garbage collector a limit. Gauges and two events show it. Without both settings the servers are as before.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -19,7 +20,9 @@
 	"go.uber.org/zap"
 
 	"citronspread/gateway"
+	"citronspread/inbound"
 	"citronspread/logbuffer"
+	"citronspread/memory"
 	"citronspread/metrics"
 	"citronspread/platform"
 )
@@ -40,10 +43,11 @@
 	summaryInterval = 5 * time.Second
 	// logFlushTimeout limits the wait for the last log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
-	// headerTimeout and maxHeaderBytes limit request headers. They are above any limit that the desired state sets.
+	// headerTimeout and maxHeaderBytes limit request headers if the settings limit neither memory nor descriptors. They are
+	// above any limit that the desired state sets.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	// callerIdleTimeout is longer than callers may keep a connection idle.
+	// callerIdleTimeout applies in the same case. It is longer than callers may keep a connection idle.
 	callerIdleTimeout = 90 * time.Second
 )
 
@@ -122,6 +126,10 @@
 func (c *gatewayCommand) runHost(ctx context.Context, s platform.Settings, host *gateway.Host, logger *zap.Logger, buffer *logbuffer.Buffer) error {
 	ingress := &platform.Ingress{Dispatcher: host.Dispatcher, Transport: platform.NewBackendTransport(), Log: logger, Now: host.Now, Metrics: host.Metrics}
 	callers := &http.Server{Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	var accept func(net.Listener) net.Listener
+	if s.MemoryBytes > 0 || s.MaxDescriptors > 0 {
+		accept = accountCallers(s, host, ingress, callers, logger)
+	}
 	readyRouter := chi.NewRouter()
 	readyRouter.Get(platform.ReadyPath, platform.ReadyHandler(host.Ready))
 	ready := &http.Server{Handler: readyRouter, ReadHeaderTimeout: headerTimeout}
@@ -133,17 +141,17 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	if err := addHTTPServer(&group, s.CallerAddress, callers); err != nil {
+	if err := addHTTPServer(&group, s.CallerAddress, callers, accept); err != nil {
 		return err
 	}
-	if err := addHTTPServer(&group, s.ReadyAddress, ready); err != nil {
+	if err := addHTTPServer(&group, s.ReadyAddress, ready, nil); err != nil {
 		return err
 	}
 	metricsAddress, err := hostPort(s.PeerAddress, c.metricsPort)
 	if err != nil {
 		return err
 	}
-	if err := addHTTPServer(&group, metricsAddress, &http.Server{Handler: metricsRouter, ReadHeaderTimeout: headerTimeout}); err != nil {
+	if err := addHTTPServer(&group, metricsAddress, &http.Server{Handler: metricsRouter, ReadHeaderTimeout: headerTimeout}, nil); err != nil {
 		return err
 	}
 	group.Add(func() error { return host.Run(background) }, func(error) { cancel() })
@@ -161,13 +169,52 @@
 	return group.Run()
 }
 
+// accountCallers bounds what callers make the process hold by the limits of the settings. It returns the wrapper of the
+// listener for callers.
+func accountCallers(s platform.Settings, host *gateway.Host, ingress *platform.Ingress, callers *http.Server, logger *zap.Logger) func(net.Listener) net.Listener {
+	plan := memory.NewPlan(s.MemoryBytes, s.MaxDescriptors)
+	if plan.HeapBytes > 0 {
+		debug.SetMemoryLimit(plan.HeapBytes)
+	}
+	account := &memory.Account{MaxBytes: plan.AccountBytes, MaxDescriptors: plan.Descriptors}
+	ingress.Transport = platform.NewAccountedTransport(account, host.Now, plan.MaxIdle)
+	addAccountGauges(host.Metrics, account)
+	logger.Info("memory for callers", zap.Int64("MemoryBytes", s.MemoryBytes), zap.Int64("AccountBytes", plan.AccountBytes), zap.Int64("HeapBytes", plan.HeapBytes),
+		zap.Int("MaxDescriptors", s.MaxDescriptors), zap.Int("Descriptors", plan.Descriptors), zap.Int("MaxIdle", plan.MaxIdle))
+	listener := &inbound.Listener{Account: account, Limits: host.Dispatcher.ConnectionLimits, Log: logger, Now: host.Now}
+	listener.Prepare(callers)
+	return func(l net.Listener) net.Listener {
+		listener.Listener = l
+		return listener
+	}
+}
+
+// addAccountGauges adds gauges of what callers make the process hold.
+func addAccountGauges(m *metrics.Metrics, account *memory.Account) {
+	gauge := func(name, help string, read func(memory.Usage) float64) {
+		m.AddGauge(name, help, func() float64 { return read(account.Usage()) })
+	}
+	for _, kind := range memory.Kinds {
+		name := fmt.Sprintf("citronspread_caller_%s_bytes", strings.ToLower(kind.String()))
+		gauge(name, fmt.Sprintf("Bytes held for callers: %v.", kind), func(u memory.Usage) float64 { return float64(u.Held[kind]) })
+	}
+	m.AddGauge("citronspread_caller_limit_bytes", "Bytes that may be held for callers, 0 for no limit.", func() float64 { return float64(account.MaxBytes) })
+	gauge("citronspread_caller_connections", "Open connections of callers.", func(u memory.Usage) float64 { return float64(u.Connections) })
+	gauge("citronspread_backend_connections", "Open connections to backend servers for callers.", func(u memory.Usage) float64 { return float64(u.Outgoing) })
+	gauge("citronspread_callers_refused", "Connections and requests refused for memory or descriptors since the start.", func(u memory.Usage) float64 { return float64(u.Refused) })
+	gauge("citronspread_callers_dropped", "Connections closed for memory or descriptors since the start.", func(u memory.Usage) float64 { return float64(u.Dropped) })
+}
+
 // addHTTPServer listens on address and adds the server to the group. It listens before the group runs, so that an
-// address that is in use is reported at start.
-func addHTTPServer(group *run.Group, address string, server *http.Server) error {
+// address that is in use is reported at start. accept wraps the listener unless it is nil.
+func addHTTPServer(group *run.Group, address string, server *http.Server, accept func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "cli: listen")
 	}
+	if accept != nil {
+		listener = accept(listener)
+	}
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
