--- a/memory/plan.go
+++ b/memory/plan.go
@@ -5,7 +5,7 @@
 	processBytes = 40_000_000 // for the process without callers
 	// accountShare is the part of the rest that callers may use. The garbage collector lets the heap grow by 40% between two
 	// collections.
-	accountShare = 0.6
+	accountShare = 0.7
 	// minAccountShare is the part of all memory that callers may use at least.
 	minAccountShare = 0.1
 	// codeBytes is the resident memory of a process that the Go runtime does not count, mostly the code of the program.
