--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -134,6 +134,7 @@
 	}
 	c.head.scan(p)
 	if c.head.size > c.listener.headerBytes()+headSlackBytes {
+		c.listener.Log.Info("head over the limit", zap.String("Request", c.head.id), zap.Stringer("Remote", c.RemoteAddr()), zap.Int64("Bytes", c.head.size), zap.Int64("Limit", c.listener.headerBytes()))
 		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
 		return errRefused
 	}
