--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // TestDo guards against a request that is reported as unsent although the server may have received it, and against
@@ -160,3 +161,62 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestAdmittedConnectionsAreCounted guards against connections that are opened without having been admitted, or whose close is
+// not reported exactly once.
+func TestAdmittedConnectionsAreCounted(t *testing.T) {
+	var open atomic.Int64
+	var refuse atomic.Bool
+	errRefused := errors.New("no descriptor")
+	client := &Client{
+		FreshConnection: true, SocketBuffer: 64 << 10,
+		Admit: func() error {
+			if refuse.Load() {
+				return errRefused
+			}
+			open.Add(1)
+			return nil
+		},
+		Closed: func() { open.Add(-1) },
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if got, want := open.Load(), int64(1); got != want {
+			t.Errorf("got %d connections counted during a request, want %d", got, want)
+		}
+		if r.URL.Path == "/lost" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	do := func(url string) error {
+		request, err := http.NewRequest(http.MethodGet, url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err == nil {
+			response.Body.Close()
+		}
+		for end := time.Now().Add(5 * time.Second); open.Load() != 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond) // the transport closes connections in the background
+		}
+		if got := open.Load(); got != 0 {
+			t.Errorf("got %d connections counted after a request, want 0", got)
+		}
+		return err
+	}
+	if err := do(server.URL); err != nil {
+		t.Errorf("got %v, want a response", err)
+	}
+	if err := do(server.URL + "/lost"); err == nil {
+		t.Error("got a response of a lost connection, want an error")
+	}
+	var unsent *UnsentError
+	if err := do("http://127.0.0.1:1"); !errors.As(err, &unsent) {
+		t.Errorf("got %v for a closed port, want an *UnsentError", err)
+	}
+	refuse.Store(true)
+	if err := do(server.URL); !errors.As(err, &unsent) || !errors.Is(err, errRefused) {
+		t.Errorf("got %v, want an *UnsentError with the refusal", err)
+	}
+}
