--- a/ratelimit/cap.go
+++ b/ratelimit/cap.go
@@ -28,8 +28,8 @@
 	// accrualWindow is the least time for which a share accrues, whatever the burst: allotters and pools are asked in steps of
 	// some tens of milliseconds.
 	accrualWindow = 100 * time.Millisecond
-	// largeRequest is the size up to which a request above the burst is served by a pool, as far as the slack allows it.
-	largeRequest = 6000
+	// LargeRequest is the size up to which a request above the burst is served by a pool, as far as the slack allows it.
+	LargeRequest = 6000
 	// minCapPause and maxCapPause bound the pause of a host, and minCapPause and maxPoolPause that of an allotter, that got too
 	// little.
 	minCapPause  = 25 * time.Millisecond
@@ -84,7 +84,7 @@
 func (t Tolerance) shareOf(c Cap, zones int) Loan {
 	n := float64(max(1, zones))
 	headroom := t.headroom(c)
-	pooled := min(headroom, max(headroom/3, largeRequest-c.Burst))
+	pooled := min(headroom, max(headroom/3, LargeRequest-c.Burst))
 	share := Loan{
 		PerSecond: c.PerSecond / n, Capacity: max(c.Burst, c.PerSecond*accrualWindow.Seconds()) / n, ValidFor: loanTTL,
 		Zones: max(1, zones), Debt: (headroom - pooled) / n, PoolDebt: pooled,
