cli: exit code 2 for bad settings of the platform

README.md promises it for bad settings, but gateway ended with 1 because its settings are read by another package than those of serve. TestUsage covers both cases now.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -62,6 +62,8 @@
 		{[]string{"serve"}, ExitUsage, "--settings"},
 		{[]string{"serve", "--settings", "missing.yaml"}, ExitUsage, "missing.yaml"},
 		{[]string{"check", "--settings", writeFile(t, "s.yaml", "Nmae: a\n")}, ExitUsage, "s.yaml:1: Nmae: expected a known key"},
+		{[]string{"gateway", "--settings", "missing.conf"}, ExitUsage, "missing.conf"},
+		{[]string{"gateway", "--settings", writeFile(t, "node.conf", "nodeName=n\n")}, ExitUsage, `zone="": expected a value`},
 		{[]string{"record", "list", "--store", "store.local:1"}, ExitUsage, "expected IP:port"},
 		{[]string{"record"}, ExitUsage, "must select a subcommand"},
 		{[]string{"nothing"}, ExitUsage, "nothing"},
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"citronspread/platform"
 	"citronspread/record"
 	"citronspread/store"
 	"citronspread/yamlfile"
@@ -28,11 +29,12 @@
 		path           *fs.PathError
 		problems       yamlfile.Problems
 		address        *AddressError
+		settings       *platform.SettingsError
 	)
 	switch {
 	case err == nil:
 		return ExitSuccess
-	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address):
+	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address), errors.As(err, &settings):
 		return ExitUsage
 	case errors.As(err, &conflict):
 		return ExitConflict
