--- a/cli/cli.go
+++ b/cli/cli.go
@@ -21,10 +21,11 @@
   citronspread demo
   citronspread check --settings entry.yaml
   citronspread serve --settings entry.yaml
+  citronspread config check next.json --against current.json
   citronspread record put scribe.yaml --store 127.0.0.1:7001
   citronspread dump --address 127.0.0.1:8301
 
-Exit codes: 0 success, 1 failure, 2 invalid arguments, settings or record,
+Exit codes: 0 success, 1 failure, 2 invalid arguments, settings, desired state or record,
 3 conflict with another write, 4 the platform's store is unavailable.`
 
 // command is one command of the command line.
@@ -113,6 +114,8 @@
 	a.add(a.kingpin, &gatewayCommand{})
 	a.add(a.kingpin, &explainCommand{})
 	a.add(a.kingpin, &checkCommand{})
+	configurations := a.kingpin.Command("config", "Work with the desired state of the users' platform.")
+	a.add(configurations, &configCheckCommand{})
 	records := a.kingpin.Command("record", "Read and write operators' records in the platform's store.")
 	a.add(records, &recordPutCommand{})
 	a.add(records, &recordGetCommand{})
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -15,7 +15,7 @@
 const (
 	ExitSuccess     = 0
 	ExitFailure     = 1
-	ExitUsage       = 2 // invalid arguments, settings or record
+	ExitUsage       = 2 // invalid arguments, settings, desired state or record
 	ExitConflict    = 3 // the record was changed by another write
 	ExitUnavailable = 4 // the platform's store is unavailable or limits the rate, or the outcome of a write is unknown
 )
@@ -30,11 +30,13 @@
 		problems       yamlfile.Problems
 		address        *AddressError
 		settings       *platform.SettingsError
+		configuration  *ConfigurationError
 	)
 	switch {
 	case err == nil:
 		return ExitSuccess
-	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address), errors.As(err, &settings):
+	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address),
+		errors.As(err, &settings), errors.As(err, &configuration):
 		return ExitUsage
 	case errors.As(err, &conflict):
 		return ExitConflict
