--- a/cli/exit.go
+++ b/cli/exit.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"citronspread/platform"
 	"citronspread/record"
 	"citronspread/store"
 	"citronspread/yamlfile"
@@ -14,7 +15,7 @@
 const (
 	ExitSuccess     = 0
 	ExitFailure     = 1
-	ExitUsage       = 2 // invalid arguments, settings or record
+	ExitUsage       = 2 // invalid arguments, settings, desired state or record
 	ExitConflict    = 3 // the record was changed by another write
 	ExitUnavailable = 4 // the platform's store is unavailable or limits the rate, or the outcome of a write is unknown
 )
@@ -28,11 +29,14 @@
 		path           *fs.PathError
 		problems       yamlfile.Problems
 		address        *AddressError
+		settings       *platform.SettingsError
+		configuration  *ConfigurationError
 	)
 	switch {
 	case err == nil:
 		return ExitSuccess
-	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address):
+	case errors.As(err, &problems), errors.As(err, &path), errors.As(err, &address),
+		errors.As(err, &settings), errors.As(err, &configuration):
 		return ExitUsage
 	case errors.As(err, &conflict):
 		return ExitConflict
