gateway: a host without a desired state divides no caps

Cause: a host that has just restarted and knows no desired state yet replied that a workspace has no cap. While the store is out of reach the other hosts keep it in their view and keep asking it as their allotter, so all hosts of its zone used any amount.

Evidence: TestCapAtHostWithoutDesiredState got Uncapped from such a host.

Change: the host replies with an error, so that callers ask the next host of the zone. Caps are set before the routes of the first desired state are, so that no request is admitted in between without its cap.

--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -148,8 +149,14 @@
 	c.do(func(now time.Time, d *ratelimit.Desk) { d.Receive(now, m, *reply, err == nil) })
 }
 
+// errNoDesiredState is the reply of a host that does not know which workspaces have caps. Another host is asked.
+var errNoDesiredState = errors.New("gateway: no desired state yet")
+
 // Cap handles a request about the cap of a workspace.
 func (p *platformHandler) Cap(ctx context.Context, request *ratelimit.CapRequest) (*ratelimit.CapReply, error) {
+	if p.host.routes.Load() == nil {
+		return nil, errNoDesiredState
+	}
 	replied := make(chan ratelimit.CapReply, 1)
 	p.host.caps.do(func(now time.Time, d *ratelimit.Desk) {
 		d.Serve(now, *request, func(reply ratelimit.CapReply) { replied <- reply })
--- a/gateway/caps_test.go
+++ b/gateway/caps_test.go
@@ -243,6 +243,29 @@
 	}
 }
 
+// TestCapAtHostWithoutDesiredState guards against an allotter that has restarted, can't reach the store and reports that the workspace
+// has no cap, so that hosts of its zone use any amount.
+func TestCapAtHostWithoutDesiredState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCappedFleet(t, 3)
+		for _, h := range f.all() {
+			h.silent.Store(true)
+		}
+		h := f.start(3)
+		h.storeCut.Store(true)
+		time.Sleep(2 * time.Second)
+		if got := h.version(); got != 0 {
+			t.Fatalf("got version %d of the desired state at a host that reaches nobody, want none", got)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := ratelimit.CapRequest{Call: ratelimit.CapAllowance, Workspace: "w", From: "host-0", Asker: "host-0", Count: 1, Least: 1}
+		if reply, err := (&platformHandler{host: h.Host}).Cap(ctx, &r); err == nil {
+			t.Errorf("got %+v from a host that knows no caps, want an error, so that another host is asked", *reply)
+		}
+	})
+}
+
 // TestCapThatChanges guards against a lowered cap that is not binding one window after it is in force everywhere, against a raised
 // or removed cap that takes effect late, and against requests that wait on by the earlier cap.
 func TestCapThatChanges(t *testing.T) {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -398,8 +398,8 @@
 	}
 	table := newRouteTable(state)
 	h.desired.Store(newDesiredState(state.Version, e))
+	h.caps.setCaps(table.caps) // first, so that no request is taken for one without a cap
 	h.routes.Store(table)
-	h.caps.setCaps(table.caps)
 	h.viewChanged = true
 	h.Log.Info("desired state applied", zap.Int64("Version", state.Version), zap.Int64("Revision", e.Revision), zap.Int("Routes", len(state.Routes)))
 	h.logWorkspaces(current, table)
