ratelimit: unused tokens keep their age

Cause: (1) An amount that was taken from several allowances could be used, when given back, until the last of them ended. Requests that take and return it in turn, such as those that wait for backend servers, kept it for any time. (2) What had expired unused at a host went back to the share of the zone with the host's next request, however late. When backend servers are out of order for some seconds, requests take their tokens at the rate of the cap and don't run; once they run again, all of these came on top of the cap.

Change: what a request has taken is remembered in parts, each of which ends when it did before.

--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -55,15 +55,17 @@
 	a.used.add(now, 1)
 }
 
-// Spend uses an amount that Sendable covers, and returns until when it could have been used.
-func (a *Allowance) Spend(now time.Time, count int) (until time.Time) {
+// Spend uses an amount that Sendable covers, and returns the parts that it consists of.
+func (a *Allowance) Spend(now time.Time, count int) []parcel {
 	a.used.add(now, count)
 	return a.parcels.take(now, count)
 }
 
-// Return gives back an amount that was spent but not used.
-func (a *Allowance) Return(now time.Time, count int, until time.Time) {
-	a.parcels.add(now, count, until)
+// Return gives back an amount that was spent but not used. Each part may be used for as long as before.
+func (a *Allowance) Return(now time.Time, taken []parcel) {
+	for _, p := range taken {
+		a.parcels.add(now, p.count, p.until)
+	}
 }
 
 // MayAsk reports whether the leader may be asked for an allowance now.
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // bucket is a token bucket. Its level is negative while a debt is paid off.
 type bucket struct {
@@ -33,29 +36,31 @@
 	until time.Time
 }
 
+// restoreTTL is how long an amount that has expired unused may go back to the zone's share. What goes back later than maxTokenAge after
+// it was given would add to the cap in a later window.
+const restoreTTL = maxTokenAge - capAllowanceTTL
+
 // parcels holds amounts that may be used for a short time, in the order in which they arrived.
 type parcels struct {
 	held    []parcel
-	expired int // amount that was not used in time
+	expired []parcel // not used in time, for restoreTTL
 }
 
 func (p *parcels) add(now time.Time, count int, until time.Time) {
-	p.expire(now)
-	switch {
-	case count <= 0:
-	case now.Before(until):
+	if count > 0 {
 		p.held = append(p.held, parcel{count: count, until: until})
-	default:
-		p.expired += count
 	}
+	p.expire(now)
 }
 
-// takeExpired returns the amount that was not used in time, once.
-func (p *parcels) takeExpired(now time.Time) int {
+// takeExpired returns the amount that has not been used in time and may go back to the zone's share, once.
+func (p *parcels) takeExpired(now time.Time) (count int) {
 	p.expire(now)
-	expired := p.expired
-	p.expired = 0
-	return expired
+	for _, e := range p.expired {
+		count += e.count
+	}
+	p.expired = nil
+	return count
 }
 
 func (p *parcels) expire(now time.Time) {
@@ -66,10 +71,11 @@
 		case now.Before(h.until):
 			kept = append(kept, h)
 		default:
-			p.expired += h.count
+			p.expired = append(p.expired, h)
 		}
 	}
 	p.held = kept
+	p.expired = slices.DeleteFunc(p.expired, func(e parcel) bool { return now.Sub(e.until) >= restoreTTL })
 }
 
 // total returns the amount that may be used now.
@@ -83,8 +89,8 @@
 	return total
 }
 
-// take uses an amount that total covers, and returns until when the last part of it could have been used.
-func (p *parcels) take(now time.Time, count int) (until time.Time) {
+// take uses an amount that total covers, and returns the parts that it consists of.
+func (p *parcels) take(now time.Time, count int) (taken []parcel) {
 	for i := range p.held {
 		h := &p.held[i]
 		if count == 0 {
@@ -96,8 +102,8 @@
 		used := min(count, h.count)
 		h.count -= used
 		count -= used
-		until = h.until
+		taken = append(taken, parcel{count: used, until: h.until})
 	}
 	p.expire(now)
-	return until
+	return taken
 }
--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,7 +10,7 @@
 	Workspace string
 	Count     int
 	At        time.Time
-	until     time.Time // when it can no longer be given back
+	parts     []parcel // what it was taken from, empty without a cap
 }
 
 // Outcome is what became of a request for tokens. RetryAfter is 0 if it was granted.
@@ -70,9 +71,9 @@
 	for len(a.waiters) > 0 && a.Sendable(now) >= a.waiters[0].count {
 		w := a.waiters[0]
 		a.waiters = a.waiters[1:]
-		until := a.Spend(now, w.count)
+		parts := a.Spend(now, w.count)
 		d.granted += int64(w.count)
-		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now, until: until}})
+		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now, parts: parts}})
 	}
 	if len(a.waiters) > 0 {
 		d.ask(now, workspace, a)
@@ -241,11 +242,11 @@
 // the allotter with the next request to it. It must be called at most once.
 func (d *Desk) Return(now time.Time, t Taken) {
 	a := d.accounts[t.Workspace]
-	if a == nil || t.until.IsZero() {
+	if a == nil || len(t.parts) == 0 {
 		return
 	}
-	a.Return(now, t.Count, t.until)
-	if !now.Before(t.until) {
+	a.Return(now, t.parts)
+	if !slices.ContainsFunc(t.parts, func(p parcel) bool { return now.Before(p.until) }) {
 		return
 	}
 	d.granted -= int64(t.Count)
--- a/ratelimit/cap_random_test.go
+++ b/ratelimit/cap_random_test.go
@@ -134,3 +134,34 @@
 	}
 	s.checkBound("w", c, 0)
 }
+
+// TestTokensOfOutageAreNotSavedUp guards against a fleet whose requests take their tokens and do not run for some seconds, because
+// the backend servers are out of order, and that adds all of these tokens to the cap when they run again.
+func TestTokensOfOutageAreNotSavedUp(t *testing.T) {
+	const outage = 9 * time.Second
+	c := Cap{PerSecond: 27_000, Burst: 27_000}
+	s := newCapSimulation(t, 1, 78, 3, map[string]Cap{"w": c})
+	const size = 2000
+	for i, h := range s.hosts { // each host has one request, which does not run
+		s.after(time.Duration(i)*outage/time.Duration(len(s.hosts)), func() {
+			h.desk.Take(h.clock(), "w", size, simPatience, func(o Outcome) {
+				if o.RetryAfter == 0 {
+					s.after(MaxHold-time.Millisecond, func() { h.desk.Return(h.clock(), o.Taken) })
+				}
+			})
+			h.flush()
+		})
+	}
+	s.run(outage)
+	// Now each host has one in turn again, and they run.
+	const spread = 3 * time.Second
+	for i, h := range s.hosts {
+		s.after(time.Duration(i)*spread/time.Duration(len(s.hosts)), func() { h.request("w", size) })
+	}
+	s.run(spread)
+	s.offer(8*time.Second, load{workspace: "w", perSecond: 3 * c.PerSecond, sizes: []int{size}, hosts: s.hosts})
+	s.run(8 * time.Second)
+	s.checkBound("w", c, 0)
+	most, _ := s.most("w", 0)
+	t.Logf("most %d of %.0f", most, simTolerance.Most(c))
+}
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -20,7 +20,8 @@
 	claimedAt     time.Time
 	owed          float64 // part of this share in a debt of the pool, which falls to the zone when the share is no longer lent
 	amounts       parcels
-	used          usage // what hosts got
+	pooledAt      time.Time // when an amount of the pool was last given to a host
+	used          usage     // what hosts got
 
 	asking      bool
 	requestedAt time.Time // when the request to the pool was sent that asking is about
@@ -118,11 +119,12 @@
 	return terms, true
 }
 
-// Restore puts back an amount of allowances that has expired unused. An amount of a pool is lost, because its time has counted
-// already.
+// Restore puts back an amount of allowances that has expired unused. If it may have come from a pool, it is lost, because its time has
+// counted already.
 func (s *Share) Restore(now time.Time, count int) {
 	s.refill(now)
-	if count > 0 && !s.IsLent(now) && !s.entitledSince.IsZero() {
+	isPooled := now.Sub(s.pooledAt) < maxTokenAge
+	if count > 0 && !isPooled && !s.IsLent(now) && !s.entitledSince.IsZero() {
 		s.own.level = max(s.own.level, min(s.own.level+float64(count), s.own.capacity))
 	}
 }
@@ -161,7 +163,10 @@
 			return
 		}
 		pooled := min(granted, s.amounts.total(now))
-		s.amounts.take(now, pooled)
+		if pooled > 0 {
+			s.amounts.take(now, pooled)
+			s.pooledAt = now
+		}
 		s.own.level -= float64(granted - pooled)
 		s.used.add(now, granted)
 		s.next(now, Reply{Count: granted, ValidFor: capAllowanceTTL, Spacing: spread})
--- a/ratelimit/share_test.go
+++ b/ratelimit/share_test.go
@@ -170,3 +170,24 @@
 		t.Log("served after a debt that a peer has claimed")
 	}
 }
+
+// TestReturnedAmountKeepsItsTime guards against an amount that can be used for longer because it was returned together with one that
+// arrived later: requests that take and return it in turn would keep it for any time, and use it in a later window.
+func TestReturnedAmountKeepsItsTime(t *testing.T) {
+	now := start
+	a := NewAllowance(1000, now)
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 200 * time.Millisecond)
+		a.asking, a.askedAt = true, at
+		count := 1
+		if i == 0 {
+			count = 100
+		}
+		a.Receive(at, Reply{Count: count, ValidFor: capAllowanceTTL})
+		if held := a.Sendable(at); held > 2 && i > 1 {
+			t.Fatalf("got %d that can be used %v after the first 100 were given, want the 2 that were given in the last %v", held, at.Sub(now), capAllowanceTTL)
+		}
+		taken := a.Spend(at, a.Sendable(at))
+		a.Return(at.Add(MaxHold-time.Millisecond), taken)
+	}
+}
