ratelimit: a share keeps its tokens when hosts of the zone change

Cause: only the last 32 sets of hosts of the zone are remembered. From the 33rd change on, with a process that runs for long, each one moved the beginning of the oldest set, so that the allotter took itself for a new one and emptied the share that it had saved up.

Usage was below the cap whenever a host joined or left, such as in a rolling restart.

Change: sets of hosts that are older than a minute are merged and keep their beginning, and a host that has been the allotter for longer than was known keeps its share.

--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -50,7 +50,7 @@
 // Entitle begins to accrue the share of a host that is the allotter since a time. If it was not used before, it has accrued since
 // the handover was over, which takes a pause.
 func (s *Share) Entitle(now, since time.Time, pause time.Duration) {
-	if s.entitledSince.Equal(since) {
+	if !s.entitledSince.IsZero() && !since.After(s.entitledSince) {
 		return
 	}
 	s.refill(now)
--- a/ratelimit/share_test.go
+++ b/ratelimit/share_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
+
+	"citronspread/model"
 )
 
 func testTerms() Loan { return simTolerance.shareOf(Cap{PerSecond: 3000, Burst: 3000}, 3) }
@@ -191,3 +194,30 @@
 		a.Return(at.Add(MaxHold-time.Millisecond), taken)
 	}
 }
+
+// TestShareAfterManyViews guards against a share whose saved-up tokens are lost whenever a host joins or leaves the zone, because the
+// beginning of the oldest set of hosts is no longer known.
+func TestShareAfterManyViews(t *testing.T) {
+	now := start
+	d := benchmarkDesk(now, 8, 1)
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 7000, Burst: 7000}})
+	first := d.rankings.view
+	for i := range 3 * maxViews {
+		now = now.Add(time.Minute)
+		v := first
+		if i%2 == 0 {
+			v.Live = append(slices.Clone(v.Live), model.Peer{Name: "joined", Zone: "other", Address: "joined"})
+		} else {
+			v.Live = append(slices.Clone(v.Live), model.Peer{Name: "new", Zone: "z0", Address: "new"})
+		}
+		d.SetView(now, v)
+		if !d.rankings.of("w").isFirst {
+			t.Fatal("got another allotter, want a workspace whose allotter stays")
+		}
+		granted := 0
+		d.Serve(now, CapRequest{Call: CapAllowance, Workspace: "w", From: "host-7", Asker: "host-7", Count: 900, Least: 900}, func(r CapReply) { granted = r.Allowance.Count })
+		if granted != 900 {
+			t.Fatalf("got %d of a share of 1,000 after %d sets of hosts, want 900", granted, i+1)
+		}
+	}
+}
--- a/ratelimit/zoneview.go
+++ b/ratelimit/zoneview.go
@@ -17,6 +17,8 @@
 	// confirmedPause is this time if the hosts that rank next have confirmed that they do not take themselves for the allotter, or
 	// if there are no other hosts. A host whose lease has ended may act on a confirmation of before.
 	confirmedPause = confirmTTL + loanTTL + 2*lenderMargin
+	// viewMemory is how long earlier sets of hosts are told apart: longer than allotterPause and than a share takes to be full.
+	viewMemory = time.Minute
 	// maxViews bounds the earlier sets of hosts that are remembered.
 	maxViews = 32
 )
@@ -80,6 +82,10 @@
 		return
 	}
 	r.sets = append(r.sets, zoneSet{from: now, hosts: own})
+	for len(r.sets) > 1 && now.Sub(r.sets[1].from) > viewMemory {
+		r.sets[1].from = r.sets[0].from // which host was the allotter so long ago makes no difference
+		r.sets = r.sets[1:]
+	}
 	r.sets = r.sets[max(0, len(r.sets)-maxViews):]
 }
 
