ratelimit: a leader sleeps while it has the share of a zone that is gone

Cause: the pool of a leader keeps the share of a zone that has no live hosts any more until the loan ends, but does not renew it, so the time at which the renewal was due stayed in the past and the leader woke each millisecond, for up to 0.8 s and each workspace.

Evidence: TestPoolOfZoneThatIsGone got 607 wakes in 2 s, at most 100 are expected from the loans of six zones.

Change: such a loan is due when it ends.

--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -51,7 +51,11 @@
 		}
 	}
 	maps.DeleteFunc(p.loans, func(zone string, l *loan) bool {
-		return !l.asking && !now.Before(l.until) && !slices.Contains(zones, zone)
+		if l.asking || slices.Contains(zones, zone) {
+			return false
+		}
+		l.askAfter = l.until
+		return !now.Before(l.until)
 	})
 	return due
 }
--- a/ratelimit/share_test.go
+++ b/ratelimit/share_test.go
@@ -221,3 +221,34 @@
 		}
 	}
 }
+
+// TestPoolOfZoneThatIsGone guards against a leader that wakes each millisecond while its pool has the share of a zone that has no live
+// hosts any more.
+func TestPoolOfZoneThatIsGone(t *testing.T) {
+	const measured, most = 2 * time.Second, 100
+	now := start
+	d := benchmarkDesk(now, 7, 1)
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 7000, Burst: 7000}})
+	lendAll := func() {
+		for _, m := range d.Messages() {
+			d.Receive(now, m, CapReply{Lent: true, Loan: d.termsOf(d.caps["w"])}, m.Request.Call == CapLend)
+		}
+	}
+	d.Serve(now, CapRequest{Call: CapAmount, Workspace: "w", From: "host-1", Asker: "z1", Count: 500, Least: 500}, func(CapReply) {})
+	lendAll()
+	v := d.rankings.view
+	v.Live = slices.DeleteFunc(slices.Clone(v.Live), func(p model.Peer) bool { return p.Zone == "z3" })
+	d.SetView(now, v)
+	ticks := 0
+	for end := now.Add(measured); now.Before(end) && !d.WakeAt().IsZero(); ticks++ {
+		now = now.Add(max(time.Millisecond, d.WakeAt().Sub(now)))
+		d.Tick(now)
+		lendAll()
+	}
+	if ticks > most {
+		t.Errorf("got %d wakes in %v, want at most %d: those for the loans of 6 zones each %v", ticks, measured, most, loanRenewal)
+	}
+	if got := d.pools["w"].Zones(now); got != 6 {
+		t.Errorf("got the shares of %d zones at last, want 6", got)
+	}
+}
