ratelimit: the next allotter takes the share over from the earlier one

Callers: workspaces far below their cap were refused for seconds after each change of the host that divides a zone's share.

Cause: a new allotter waited 1.6 to 4.5 s until no earlier one could still use the share, although the earlier one was mostly alive, and often was the same host with a new registration. Requests to the pool went to the new first host, while the shares stayed lent to the pool of the earlier one until their loans ended.

Change: the request for confirmation asks for the share too. A host that had it within 3 s and may not use it any more gives it up, with its level, debt and loan, and begins a handover of its own if it ranks first again. A host that registers again continues with its share in the same way. While a share is lent, its zone asks the leader that has it.

--- a/ratelimit/cap_division.go
+++ b/ratelimit/cap_division.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"citronspread/model"
 )
 
 // allot gives a host an allowance as the allotter of the zone, or as the deputy of one that does not reply. A deputy gives what
@@ -24,7 +26,7 @@
 	_, mayUse := d.share(now, workspace)
 	s.Settle(now, mayUse)
 	if count, least, patience := s.Wanted(now, mayUse); count > 0 {
-		leader := d.firstReachable(now, d.rankings.of(workspace).leaders)
+		leader := d.poolOf(now, workspace, s)
 		if leader == "" {
 			d.onOwnShare(now, workspace, s)
 			s.Settle(now, mayUse)
@@ -35,6 +37,15 @@
 	d.schedule(now, workspace)
 }
 
+// poolOf returns the peer address of the leader that is asked for an amount: that which has the share of this zone, whose pool goes on
+// when another host ranks first, or else the first one. It is empty if none is reached.
+func (d *Desk) poolOf(now time.Time, workspace string, s *Share) string {
+	if s.IsLent(now) && !now.Before(d.unreachable[s.lentTo].until) {
+		return s.lentTo
+	}
+	return d.firstReachable(now, d.rankings.of(workspace).leaders)
+}
+
 func (d *Desk) onOwnShare(now time.Time, workspace string, s *Share) {
 	if s.Failed(now, maxPoolPause) {
 		d.Events.ZoneOnOwnShare(workspace, s.terms.PerSecond)
@@ -51,7 +62,8 @@
 	mayUse, isVoid := d.mayUseShare(now, workspace, r)
 	switch {
 	case mayUse:
-		s.Entitle(now, r.firstSince, r.handoverPause())
+		s.Entitle(now, d.firstSince(workspace, r), r.handoverPause())
+		s.Hold(now)
 	case isVoid:
 		s.Void()
 	}
@@ -64,7 +76,7 @@
 	if !r.isFirst {
 		return false, true
 	}
-	if !r.isOnly() && (now.Sub(r.firstSince) < allotterPause || !d.IsFresh(now)) {
+	if !r.isOnly() && (now.Sub(d.firstSince(workspace, r)) < allotterPause || !d.IsFresh(now)) {
 		c := d.confirm(now, workspace, r)
 		isVoid = c.no > 0 && !c.isValid(now)
 	}
@@ -73,7 +85,8 @@
 
 // isEntitled reports whether this host may use the share of its zone, as far as it knows now.
 func (d *Desk) isEntitled(now time.Time, workspace string, r *ranking) bool {
-	since, c := now.Sub(r.firstSince), d.confirmations[workspace]
+	firstSince, c := d.firstSince(workspace, r), d.confirmations[workspace]
+	since := now.Sub(firstSince)
 	switch {
 	case !r.isFirst:
 		return false
@@ -84,7 +97,55 @@
 	case c == nil || !c.isValid(now):
 		return false
 	}
-	return since >= allotterPause || !c.fullSince.IsZero() && now.Sub(c.fullSince) >= confirmedPause
+	return since >= allotterPause || c.takenSince.Equal(firstSince) || !c.fullSince.IsZero() && now.Sub(c.fullSince) >= confirmedPause
+}
+
+// firstSince returns since when this host is the allotter, without a gap and without having given the share up.
+func (d *Desk) firstSince(workspace string, r *ranking) time.Time {
+	if s := d.shares[workspace]; s != nil && s.givenAt.After(r.firstSince) {
+		return s.givenAt
+	}
+	return r.firstSince
+}
+
+// confirmFirst replies to a host that asks whether it is the allotter. If it takes the share over and this host has had it, this host
+// gives it up.
+func (d *Desk) confirmFirst(now time.Time, r CapRequest) CapReply {
+	k := d.rankings.of(r.Workspace)
+	reply := CapReply{First: k.allotters[0].Name == r.Asker}
+	s := d.shares[r.Workspace]
+	if !r.Take || s == nil || d.isEntitled(now, r.Workspace, k) {
+		return reply
+	}
+	reply.Given, _ = s.Give(now, r.Asker)
+	return reply
+}
+
+// receiveConfirm handles the reply of a host that was asked whether this one is the allotter.
+func (d *Desk) receiveConfirm(now time.Time, m CapMessage, reply CapReply, replied bool) {
+	workspace := m.Request.Workspace
+	c, s := d.confirmations[workspace], d.shares[workspace]
+	if c == nil || s == nil || !c.askedAt.Equal(m.sentAt) {
+		return
+	}
+	r := d.rankings.of(workspace)
+	if reply.Given != nil && c.given == nil {
+		c.given = reply.Given
+	}
+	if !m.former {
+		c.answered(reply.First, !replied)
+	}
+	since := d.firstSince(workspace, r)
+	if c.isUnanimous() && r.isFirst && c.askedSince.Equal(since) && !c.takenSince.Equal(since) {
+		switch {
+		case c.given != nil:
+			s.TakeOver(now, since, c.given)
+			c.takenSince = since
+		case now.Sub(s.heldAt) <= giveTTL && s.givenTo == "": // this host has had it under its earlier registration
+			c.takenSince = since
+		}
+	}
+	d.settleShare(now, workspace, s)
 }
 
 // confirm asks the hosts that rank next whether this host is the allotter, unless they have just been asked.
@@ -97,10 +158,18 @@
 	if c.pending > 0 || now.Sub(c.askedAt) < confirmInterval {
 		return c
 	}
-	*c = confirmation{askedAt: now, okAt: c.okAt, fullSince: c.fullSince}
+	since := d.firstSince(workspace, r)
+	take := now.Sub(since) < allotterPause && !c.takenSince.Equal(since)
+	*c = confirmation{askedAt: now, askedSince: since, okAt: c.okAt, fullSince: c.fullSince, takenSince: c.takenSince}
+	request := CapRequest{Call: CapConfirm, Workspace: workspace, Asker: d.Name, Take: take}
 	for _, p := range r.allotters[1:] {
 		c.pending++
-		d.send(now, p.Address, CapRequest{Call: CapConfirm, Workspace: workspace, Asker: d.Name}, "")
+		d.send(now, p.Address, request, "")
+	}
+	isAsked := func(p model.Peer) bool { return p.Address == r.former.Address }
+	if take && r.former.Address != "" && !slices.ContainsFunc(r.allotters, isAsked) {
+		d.send(now, r.former.Address, request, "")
+		d.messages[len(d.messages)-1].former = true
 	}
 	return c
 }
--- a/ratelimit/cap_message.go
+++ b/ratelimit/cap_message.go
@@ -11,7 +11,7 @@
 	CapAllowance CapCall = "Allowance" // of an allotter, for the requests of a host
 	CapAmount    CapCall = "Amount"    // of the leader of a pool, for a zone
 	CapLend      CapCall = "Lend"      // of an allotter, the share of its zone for the pool of the sender
-	CapConfirm   CapCall = "Confirm"   // whether the receiver takes the sender for the allotter
+	CapConfirm   CapCall = "Confirm"   // whether the receiver takes the sender for the allotter, and its share with Take
 )
 
 // CapRequest is a request of one host to another one about the cap of a workspace.
@@ -24,6 +24,7 @@
 	Least     int           // see Request
 	Unused    int           // in a CapAllowance: amount of earlier allowances that has expired unused
 	Owed      int           // in a CapLend: part of this share in the debt of the pool
+	Take      bool          // in a CapConfirm: the sender begins to divide the share, and the receiver gives it up if it has had it
 	Patience  time.Duration // how long the reply may wait until there is enough
 }
 
@@ -34,6 +35,15 @@
 	Loan      Loan
 	Lent      bool
 	First     bool // the sender is the allotter in the view of the receiver
+	Given     *GivenShare
+}
+
+// GivenShare is the share of a zone that an allotter gives up, for the next one.
+type GivenShare struct {
+	Level   float64
+	Owed    float64       // see Share.owed
+	LentTo  string        // peer address of the leader whose pool has the share, empty if none has
+	LentFor time.Duration // how long the pool may still use it
 }
 
 // CapMessage is a request that must be sent to another host. Desk.Receive gets the reply.
@@ -41,6 +51,7 @@
 	To      string // peer address
 	Request CapRequest
 	zone    string    // of the receiver, in a CapLend
+	former  bool      // in a CapConfirm: the receiver was the allotter before, and does not count among those that confirm
 	sentAt  time.Time // tells a reply from that to an earlier request
 }
 
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -187,8 +187,7 @@
 	case CapLend:
 		reply(d.lend(now, r))
 	case CapConfirm:
-		allotters := d.rankings.of(r.Workspace).allotters
-		reply(CapReply{First: len(allotters) > 0 && allotters[0].Name == r.Asker})
+		reply(d.confirmFirst(now, r))
 	default:
 		reply(CapReply{})
 	}
@@ -292,12 +291,7 @@
 		}
 		d.settlePool(now, workspace, p)
 	case CapConfirm:
-		if c := d.confirmations[workspace]; c != nil && c.askedAt.Equal(m.sentAt) {
-			c.answered(reply.First, !replied)
-			if s := d.shares[workspace]; s != nil {
-				d.settleShare(now, workspace, s)
-			}
-		}
+		d.receiveConfirm(now, m, reply, replied)
 	}
 }
 
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -14,6 +14,9 @@
 	entitledSince time.Time
 	mayUse        bool // as of the last Settle
 	isVoid        bool // the host has been the allotter, and another one may have used the share since
+	heldAt        time.Time // when this host last was the allotter that may use the share
+	givenTo       string    // host that this one has given the share up for since, and when
+	givenAt       time.Time
 	lentTo        string
 	lentUntil     time.Time
 	claimedBy     string // leader that precedes the one that has the share, and when it asked for it
@@ -62,6 +65,38 @@
 	s.entitledSince, s.isVoid = since, false
 }
 
+// Give gives the share up for another host that takes itself for the allotter. It reports false if this host has not had the share
+// recently, or has given it to a third one. The reply to an earlier call may have been lost.
+func (s *Share) Give(now time.Time, to string) (*GivenShare, bool) {
+	if now.Sub(s.heldAt) > giveTTL || s.givenTo != "" && s.givenTo != to {
+		return nil, false
+	}
+	s.refill(now)
+	if s.givenTo == "" {
+		s.givenTo, s.givenAt = to, now
+	}
+	s.Void()
+	g := &GivenShare{Level: s.own.level, Owed: s.owed}
+	if s.IsLent(now) {
+		g.LentTo, g.LentFor = s.lentTo, s.lentUntil.Sub(now)
+	}
+	return g, true
+}
+
+// TakeOver continues the share of the earlier allotter, as of when this host has become the allotter.
+func (s *Share) TakeOver(now, since time.Time, g *GivenShare) {
+	s.refill(now)
+	s.entitledSince, s.isVoid = since, false
+	s.own.level = min(s.own.level, 0) + min(g.Level, s.own.capacity)
+	s.owed = max(s.owed, g.Owed)
+	if until := now.Add(min(max(0, g.LentFor), loanTTL+lenderMargin)); g.LentTo != "" && until.After(s.lentUntil) {
+		s.lentTo, s.lentUntil = g.LentTo, until
+	}
+}
+
+// Hold records that this host is the allotter that may use the share now.
+func (s *Share) Hold(now time.Time) { s.heldAt, s.givenTo = now, "" }
+
 // Void records that another host may use the share. A debt remains.
 func (s *Share) Void() {
 	s.isVoid = s.isVoid || !s.entitledSince.IsZero()
--- a/ratelimit/zoneview.go
+++ b/ratelimit/zoneview.go
@@ -46,6 +46,7 @@
 	allotters  []model.Peer // of the own zone, in their order
 	isFirst    bool         // this host is the allotter
 	firstSince time.Time
+	former     model.Peer        // allotter before this host
 	leaders    []string          // peer addresses of the allotters of the zones, in the order in which they lead the pool
 	byZone     map[string]string // peer addresses of the allotters
 }
@@ -126,6 +127,7 @@
 	for i := len(r.sets) - 1; i >= 0; i-- {
 		first, found := membership.Leader(r.sets[i].hosts, key)
 		if !found || first.Name != r.view.Name {
+			k.former = first
 			break
 		}
 		k.isFirst, k.firstSince = true, r.sets[i].from
@@ -153,18 +155,24 @@
 
 // confirmation is what the hosts that rank next say of whether this host is the allotter.
 type confirmation struct {
-	askedAt   time.Time
-	pending   int
-	yes, no   int
-	failed    int
-	okAt      time.Time // when the hosts were asked that confirmed it last
-	fullSince time.Time // since when all of them have confirmed it, without a gap
+	askedAt    time.Time
+	askedSince time.Time // Desk.firstSince when they were asked
+	pending    int
+	yes, no    int
+	failed     int
+	given      *GivenShare // by the earlier allotter, in reply to this request
+	takenSince time.Time   // Desk.firstSince for which the share was taken over
+	okAt       time.Time   // when the hosts were asked that confirmed it last
+	fullSince  time.Time   // since when all of them have confirmed it, without a gap
 }
 
 const (
 	// confirmTTL is how long a confirmation counts from when it was requested, and confirmInterval when it is renewed.
 	confirmTTL      = 700 * time.Millisecond
 	confirmInterval = 200 * time.Millisecond
+	// giveTTL is how long after it could last use the share a host can give it up for the next allotter. Another host that has begun
+	// to use it since, without being given it, is one of those that the next allotter asks or has lost the store for longer.
+	giveTTL = 3 * time.Second
 )
 
 // answered records one reply.
@@ -195,6 +203,9 @@
 	}
 }
 
+// isUnanimous reports whether all hosts have replied and confirm it.
+func (c *confirmation) isUnanimous() bool { return c.pending == 0 && c.yes > 0 && c.no == 0 && c.failed == 0 }
+
 func (c *confirmation) isValid(now time.Time) bool {
 	return !c.okAt.IsZero() && now.Sub(c.okAt) < confirmTTL
 }
