ratelimit, gateway: requests that wait for a backend server do not keep the tokens of their workspace

Cause: a request takes its tokens when it arrives and kept them for 180 ms while it waited for a backend server. Then they had expired and were lost, and it took them a second time when it was granted one, behind newly arrived requests.

Change: it gives them back after 10 ms, while other requests of the host can use them. When it takes them again it goes before requests that have not been admitted yet, at its host, at the allotter and at the pool.

--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -21,8 +21,9 @@
 	// their workspace. The start of a stream takes longer anyway.
 	streamTokenWait = 250 * time.Millisecond
 	tokenWait       = 100 * time.Millisecond
-	// returnMargin is how long before they expire the tokens of a request that still waits are given back.
-	returnMargin = 20 * time.Millisecond
+	// holdWait is how long a request that waits for a backend server keeps its tokens. Other requests of this host can use them for
+	// about 0.2 s after that; a request that waits for longer would let them expire.
+	holdWait = 10 * time.Millisecond
 	// capCallTimeout is how long the reply to a call about a cap may take beyond the time that it waits for tokens.
 	capCallTimeout = 300 * time.Millisecond
 	// maxCapViewAge is the highest age of this host's view of the other hosts at which it is up to date for dividing caps. Replies of
@@ -247,6 +248,11 @@
 // takeTokens takes what the request needs of the cap of its workspace, unless it has done so. It returns a *CapError if that is not
 // available in time.
 func (d *Dispatcher) takeTokens(ctx context.Context, r RoutedRequest, p *attempt.Progress) error {
+	return d.takeTokensInTurn(ctx, r, p, false)
+}
+
+// takeTokensInTurn is takeTokens for a request that, if again, has taken them before and given them back.
+func (d *Dispatcher) takeTokensInTurn(ctx context.Context, r RoutedRequest, p *attempt.Progress, again bool) error {
 	if p.Runs > 0 || !p.Tokens.At.IsZero() {
 		return nil
 	}
@@ -261,7 +267,11 @@
 	decided := make(chan ratelimit.Outcome, 1)
 	var waiter *ratelimit.Waiter
 	d.host.caps.do(func(now time.Time, desk *ratelimit.Desk) {
-		waiter = desk.Take(now, r.Workspace, count, patience, func(o ratelimit.Outcome) { decided <- o })
+		take := desk.Take
+		if again {
+			take = desk.TakeAgain
+		}
+		waiter = take(now, r.Workspace, count, patience, func(o ratelimit.Outcome) { decided <- o })
 	})
 	var o ratelimit.Outcome
 	select {
@@ -283,15 +293,14 @@
 	return &CapError{Workspace: r.Workspace, Tokens: count, Cap: l, Version: version, RetryAfter: o.RetryAfter}
 }
 
-// holdTokens gives the tokens of a request back while they are still valid, if it waits for a backend server for so long that it
-// would count in a later window, together with the requests that have taken theirs since. The returned function must be called
-// once the request waits no longer.
+// holdTokens gives the tokens of a request back if it waits for a backend server: it would count in a later window, together with the
+// requests that have taken theirs since. The returned function must be called once the request waits no longer.
 func (d *Dispatcher) holdTokens(p *attempt.Progress) (stop func()) {
 	if p.Runs > 0 || p.Tokens.At.IsZero() {
 		return func() {}
 	}
 	returned := make(chan struct{})
-	timer := time.AfterFunc(ratelimit.MaxHold-returnMargin-d.host.Now().Sub(p.Tokens.At), func() {
+	timer := time.AfterFunc(holdWait, func() {
 		d.ReturnTokens(p)
 		close(returned)
 	})
@@ -309,7 +318,7 @@
 		return nil
 	}
 	d.ReturnTokens(p)
-	return d.takeTokens(ctx, r, p)
+	return d.takeTokensInTurn(ctx, r, p, true)
 }
 
 // beginTokens takes the tokens of a request before it waits for a backend server, so that one beyond the cap is refused at once.
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -39,6 +39,7 @@
 	Count  int  // amount
 	Least  int  // smallest amount that is of use: the cost of the first request that waits, 0 for 1
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
+	First  bool // it goes before others, see Desk.TakeAgain
 }
 
 func (r Request) least() int { return max(1, r.Least) }
--- a/ratelimit/askers.go
+++ b/ratelimit/askers.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -93,7 +94,19 @@
 
 func (l *line) add(now time.Time, r heldRequest) {
 	l.active[r.Host] = now
-	l.held = append(l.held, r)
+	i := len(l.held)
+	if r.First {
+		i = l.first()
+	}
+	l.held = slices.Insert(l.held, i, r)
+}
+
+// first returns how many of the held requests go before others.
+func (l *line) first() int {
+	if i := slices.IndexFunc(l.held, func(h heldRequest) bool { return !h.First }); i >= 0 {
+		return i
+	}
+	return len(l.held)
 }
 
 // sharers returns how many share what accrues.
--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -36,6 +36,7 @@
 type Waiter struct {
 	count     int
 	until     time.Time
+	again     bool // see TakeAgain
 	done      func(Outcome)
 	isDecided bool
 }
@@ -43,9 +44,19 @@
 // Take takes the tokens of a request. done is called at once or, if the request waits for its tokens, later; the request may
 // wait for patience. The result is nil if it does not wait.
 func (d *Desk) Take(now time.Time, workspace string, count int, patience time.Duration, done func(Outcome)) *Waiter {
+	return d.take(now, workspace, &Waiter{count: count, until: now.Add(patience), done: done})
+}
+
+// TakeAgain takes the tokens of a request that has given them back while it waited for a backend server. It has been admitted by the
+// cap and goes before requests that have not.
+func (d *Desk) TakeAgain(now time.Time, workspace string, count int, patience time.Duration, done func(Outcome)) *Waiter {
+	return d.take(now, workspace, &Waiter{count: count, until: now.Add(patience), again: true, done: done})
+}
+
+func (d *Desk) take(now time.Time, workspace string, w *Waiter) *Waiter {
 	c, capped := d.caps[workspace]
 	if !capped {
-		done(Outcome{Taken: Taken{Workspace: workspace, Count: count, At: now}})
+		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now}})
 		return nil
 	}
 	a := d.accounts[workspace]
@@ -55,8 +66,12 @@
 		d.accounts[workspace] = a
 	}
 	a.usedAt = now
-	w := &Waiter{count: count, until: now.Add(patience), done: done}
-	a.waiters = append(a.waiters, w)
+	i := len(a.waiters)
+	if w.again {
+		for i = 0; i < len(a.waiters) && a.waiters[i].again; i++ {
+		}
+	}
+	a.waiters = slices.Insert(a.waiters, i, w)
 	d.settle(now, workspace, a)
 	d.finish(now)
 	if w.isDecided {
@@ -169,7 +184,7 @@
 		unused = 0
 	}
 	d.send(now, to, CapRequest{
-		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused,
+		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused, First: a.waiters[0].again,
 		Patience: max(0, until.Sub(now)-replyMargin),
 	}, "")
 }
--- a/ratelimit/cap_division.go
+++ b/ratelimit/cap_division.go
@@ -31,7 +31,7 @@
 			d.onOwnShare(now, workspace, s)
 			s.Settle(now, mayUse)
 		} else {
-			d.send(now, leader, CapRequest{Call: CapAmount, Workspace: workspace, Asker: d.Zone, Count: count, Least: least, Patience: patience}, "")
+			d.send(now, leader, CapRequest{Call: CapAmount, Workspace: workspace, Asker: d.Zone, Count: count, Least: least, First: len(s.held) > 0 && s.held[0].First, Patience: patience}, "")
 		}
 	}
 	d.schedule(now, workspace)
--- a/ratelimit/cap_message.go
+++ b/ratelimit/cap_message.go
@@ -25,6 +25,7 @@
 	Unused    int           // in a CapAllowance: amount of earlier allowances that has expired unused
 	Owed      int           // in a CapLend: part of this share in the debt of the pool
 	Take      bool          // in a CapConfirm: the sender begins to divide the share, and the receiver gives it up if it has had it
+	First     bool          // in a CapAllowance or CapAmount: see Request
 	Patience  time.Duration // how long the reply may wait until there is enough
 }
 
@@ -56,7 +57,7 @@
 }
 
 func (r CapRequest) request() Request {
-	return Request{Host: r.Asker, Count: r.Count, Least: r.Least, Queued: true}
+	return Request{Host: r.Asker, Count: r.Count, Least: r.Least, Queued: true, First: r.First}
 }
 
 func (r CapRequest) patience() time.Duration { return min(max(0, r.Patience), maxPatience) }
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -12,8 +12,8 @@
 	// entitledSince is the time since which this host is the allotter, as of when the own share began to accrue; zero if it has
 	// not begun or another host may have used the share since.
 	entitledSince time.Time
-	mayUse        bool // as of the last Settle
-	isVoid        bool // the host has been the allotter, and another one may have used the share since
+	mayUse        bool      // as of the last Settle
+	isVoid        bool      // the host has been the allotter, and another one may have used the share since
 	heldAt        time.Time // when this host last was the allotter that may use the share
 	givenTo       string    // host that this one has given the share up for since, and when
 	givenAt       time.Time
--- a/ratelimit/zoneview.go
+++ b/ratelimit/zoneview.go
@@ -204,7 +204,9 @@
 }
 
 // isUnanimous reports whether all hosts have replied and confirm it.
-func (c *confirmation) isUnanimous() bool { return c.pending == 0 && c.yes > 0 && c.no == 0 && c.failed == 0 }
+func (c *confirmation) isUnanimous() bool {
+	return c.pending == 0 && c.yes > 0 && c.no == 0 && c.failed == 0
+}
 
 func (c *confirmation) isValid(now time.Time) bool {
 	return !c.okAt.IsZero() && now.Sub(c.okAt) < confirmTTL
