--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -143,7 +143,7 @@
 		return nil, err
 	}
 	stopHold := d.holdTokens(p)
-	grant, err := d.acquirePlace(ctx, request)
+	grant, err := d.acquirePlace(ctx, r, request)
 	stopHold()
 	if err != nil {
 		d.logTurnRefused(r, err)
@@ -178,13 +178,17 @@
 }
 
 // acquirePlace waits for a grant and, if it needs one, for a place from the owner of the backend server.
-func (d *Dispatcher) acquirePlace(ctx context.Context, request routing.Request) (*routing.Grant, error) {
+func (d *Dispatcher) acquirePlace(ctx context.Context, r RoutedRequest, request routing.Request) (*routing.Grant, error) {
 	for range maxDenials {
 		grant, err := d.host.router.Acquire(ctx, request)
 		if err != nil {
 			return nil, err
 		}
-		if d.takePlace(ctx, request.ID, grant) {
+		if d.takePlace(ctx, r, grant) {
+			if ctx.Err() != nil {
+				grant.Done(d.host.Now(), routing.OutcomeAbandoned)
+				return nil, ctx.Err()
+			}
 			return grant, nil
 		}
 		grant.Done(d.host.Now(), routing.OutcomeNoPlace)
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -23,6 +23,13 @@
 	// ownerPause is how long an owner that did not reply is not asked for a place again, so that not every request waits for
 	// the timeout.
 	ownerPause = time.Second
+	// promptTokensPerMillisecond is how many tokens of a prompt an engine reads in a millisecond, those included that it finds in its
+	// cache.
+	promptTokensPerMillisecond = 25
+	// maxReading bounds the times that another host states of a prompt.
+	maxReading = 10 * time.Second
+	// turnShare is the part of the latency target that a prompt may wait for its turn at a backend server.
+	turnShare = 0.25
 	// maxDenials bounds the places that one request asks for in vain before it is refused.
 	maxDenials = 16
 )
@@ -91,16 +98,26 @@
 	return model.BackendLoad{Backend: id, Held: e.ledger.Sum(now)}
 }
 
-// reserve takes a place on an owned backend server. known is false if this host does not know what is there.
-func (b *loadBook) reserve(now time.Time, backend string, p load.Place) (sum model.BackendLoad, known, placed bool) {
+// reserve takes a place on an owned backend server, and the turn of a prompt there after a wait. known is false if this host does not
+// know what is there.
+func (b *loadBook) reserve(now time.Time, backend string, p load.Place, prompt load.Prompt) (sum model.BackendLoad, known, placed bool, wait time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entries[backend]
 	if e == nil || now.Sub(e.since) < 2*usageInterval {
-		return model.BackendLoad{}, false, false
+		return model.BackendLoad{}, false, false, 0
+	}
+	if !e.ledger.HasRoom(now, p, e.room) {
+		return e.sum(now, backend), true, false, 0
+	}
+	if prompt.Reading > 0 {
+		var taken bool
+		if wait, taken = e.ledger.Pacer.Begin(now, prompt); !taken {
+			return e.sum(now, backend), true, false, wait
+		}
 	}
 	placed = e.ledger.Reserve(now, p, e.room)
-	return e.sum(now, backend), true, placed
+	return e.sum(now, backend), true, placed, wait
 }
 
 // forget empties the ledger of a backend server that was restarted.
@@ -262,29 +279,40 @@
 
 // reserve takes a place on a backend server that this host owns.
 func (h *Host) reserve(now time.Time, request *peer.ReserveRequest) *peer.ReserveReply {
-	sum, known, placed := h.loads.reserve(now, request.Backend, load.Place{Host: request.From, Tokens: request.Tokens})
+	prompt := load.Prompt{Reading: min(max(0, request.Reading), maxReading), Gap: min(max(0, request.Gap), maxReading), MaxWait: request.MaxWait}
+	sum, known, placed, wait := h.loads.reserve(now, request.Backend, load.Place{Host: request.From, Tokens: request.Tokens}, prompt)
 	if !known {
 		return &peer.ReserveReply{}
 	}
-	return &peer.ReserveReply{Known: true, Placed: placed, Loads: peer.NewLoadRecords(now, []model.BackendLoad{sum})}
+	return &peer.ReserveReply{Known: true, Placed: placed, Wait: wait, Loads: peer.NewLoadRecords(now, []model.BackendLoad{sum})}
+}
+
+// promptOf returns what the owner of a backend server must know of the prompt of a request to give it a turn. It is empty if the route
+// states no longest pause of its streams.
+func promptOf(r RoutedRequest) load.Prompt {
+	if r.Route.Kind != model.RouteStream || r.Route.GapTarget <= 0 {
+		return load.Prompt{}
+	}
+	reading := time.Duration(promptTokens(r)) * time.Millisecond / promptTokensPerMillisecond
+	return load.Prompt{Reading: min(reading, maxReading), Gap: r.Route.GapTarget, MaxWait: time.Duration(turnShare * float64(r.Route.LatencyTarget))}
 }
 
-// takePlace asks the owner of the backend server for a place if the grant needs one, and reports whether the request may be
-// sent. If the owner does not reply, what this host knows decides.
-func (d *Dispatcher) takePlace(ctx context.Context, id string, g *routing.Grant) bool {
-	h := d.host
-	if !g.NeedsPlace() {
+// takePlace asks the owner of the backend server for a place if the grant needs one, and for the turn of the request's prompt, for which
+// it waits. It reports whether the request may be sent. If the owner does not reply, what this host knows decides.
+func (d *Dispatcher) takePlace(ctx context.Context, r RoutedRequest, g *routing.Grant) bool {
+	h, id, prompt := d.host, r.ID, promptOf(r)
+	if !g.NeedsPlace() && prompt.Reading == 0 {
 		return true
 	}
 	backend, owner := g.Replica.Backend, ""
 	if owners := h.ownerAddresses.Load(); owners != nil {
 		owner = (*owners)[backend]
 	}
-	request := &peer.ReserveRequest{From: h.Name, Backend: backend, Tokens: g.Tokens()}
+	request := &peer.ReserveRequest{From: h.Name, Backend: backend, Tokens: g.Tokens(), Reading: prompt.Reading, Gap: prompt.Gap, MaxWait: prompt.MaxWait}
 	reply, err := h.askForPlace(ctx, owner, request)
 	now := h.Now()
 	if err != nil || !reply.Known {
-		placed := g.MayGoWithoutPlace(now)
+		placed := !g.NeedsPlace() || g.MayGoWithoutPlace(now)
 		h.Metrics.CountPlace("no reply")
 		h.Log.Info("place not known", zap.String("Request", id), zap.String("Backend", backend), zap.String("Owner", owner), zap.Bool("Sent", placed), zap.Error(err))
 		return placed
@@ -292,13 +320,15 @@
 	h.mergeLoads(reply.Loads, false)
 	if reply.Placed {
 		h.Metrics.CountPlace("placed")
+		h.Metrics.ObserveTurnWait(reply.Wait)
 		g.Placed()
+		sleep(ctx, min(reply.Wait, prompt.MaxWait))
 		return true
 	}
 	h.Metrics.CountPlace("denied")
 	l, _ := h.router.Load(backend)
 	h.Log.Info("no place", zap.String("Request", id), zap.String("Backend", backend), zap.String("Owner", owner), zap.Int("Tokens", request.Tokens),
-		zap.Int("Held", l.Held.Requests), zap.Int("HeldTokens", l.Held.Tokens))
+		zap.Int("Held", l.Held.Requests), zap.Int("HeldTokens", l.Held.Tokens), zap.Duration("TurnWait", reply.Wait))
 	return false
 }
 
--- a/load/ledger.go
+++ b/load/ledger.go
@@ -37,6 +37,7 @@
 	reserved []reservation // places of requests that no report shows yet
 	rate     float64       // requests per second, as of rateAt
 	rateAt   time.Time
+	Pacer    Pacer
 }
 
 type heldByHost struct {
@@ -103,9 +104,8 @@
 	Tokens   int     // 0 for no limit
 }
 
-// Reserve takes a place for a request and reports whether there was one. The reservation counts until the host's next report
-// shows the request, at most for reservationTTL.
-func (l *Ledger) Reserve(now time.Time, p Place, room Room) bool {
+// HasRoom reports whether there is a place for a request.
+func (l *Ledger) HasRoom(now time.Time, p Place, room Room) bool {
 	l.expire(now)
 	requests, tokens := len(l.reserved), 0
 	for _, r := range l.reserved {
@@ -121,7 +121,13 @@
 	if room.Tokens > 0 && tokens+p.Tokens > room.Tokens && tokens > 0 {
 		return false
 	}
-	if len(l.reserved) >= maxReservations {
+	return len(l.reserved) < maxReservations
+}
+
+// Reserve takes a place for a request and reports whether there was one. The reservation counts until the host's next report
+// shows the request, at most for reservationTTL.
+func (l *Ledger) Reserve(now time.Time, p Place, room Room) bool {
+	if !l.HasRoom(now, p, room) {
 		return false
 	}
 	l.reserved = append(l.reserved, reservation{host: p.Host, tokens: min(max(0, p.Tokens), MaxTokens), at: now})
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,7 @@
 	firstEvent prometheus.Histogram
 	longestGap prometheus.Histogram
 	grantWait  prometheus.Histogram
+	turnWait   prometheus.Histogram
 	storeCalls *prometheus.CounterVec
 	allowances prometheus.Counter
 	places     *prometheus.CounterVec
@@ -46,6 +47,7 @@
 		requests:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citronspread_request_seconds", Help: "Time from a request's arrival to the end of its answer, by kind of route.", Buckets: durationBuckets}, []string{"kind"}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_first_event_seconds", Help: "Time from a stream's request to its first event.", Buckets: durationBuckets}),
 		longestGap: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_longest_gap_seconds", Help: "Longest pause between two events of a stream.", Buckets: durationBuckets}),
+		turnWait:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_prompt_turn_wait_seconds", Help: "Wait for the turn of a prompt at its backend server.", Buckets: durationBuckets}),
 		grantWait:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citronspread_place_wait_seconds", Help: "Wait for a place on a backend server.", Buckets: durationBuckets}),
 	}
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_store_calls_total", Help: "Calls to the platform's store by kind and by what caused them. A read of several pages counts once."}, []string{"kind", "cause"})
@@ -54,7 +56,7 @@
 	m.places = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_places_total", Help: "Places on backend servers that were asked for at their owners, by answer."}, []string{"answer"})
 	m.badLoads = prometheus.NewCounter(prometheus.CounterOpts{Name: "citronspread_invalid_loads_total", Help: "Responses of backend servers with a load that could not be read."})
 	m.capCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citronspread_cap_calls_total", Help: "Calls to other entry hosts about the usage caps of workspaces, by kind."}, []string{"kind"})
-	m.registry.MustRegister(m.capCalls, m.unauthorized, m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.storeCalls)
+	m.registry.MustRegister(m.capCalls, m.unauthorized, m.places, m.badLoads, m.allowances, m.sends, m.unserved, m.orders, m.requests, m.firstEvent, m.longestGap, m.grantWait, m.turnWait, m.storeCalls)
 	return m
 }
 
@@ -159,5 +161,8 @@
 	m.longestGap.Observe(longestGap.Seconds())
 }
 
+// ObserveTurnWait observes how long a prompt waits for its turn at a backend server.
+func (m *Metrics) ObserveTurnWait(d time.Duration) { m.turnWait.Observe(d.Seconds()) }
+
 // ObserveGrantWait observes the time that a request waited for a grant, the right to send it to a backend server.
 func (m *Metrics) ObserveGrantWait(d time.Duration) { m.grantWait.Observe(d.Seconds()) }
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"citronspread/gossip"
 	"citronspread/membership"
 	"citronspread/model"
@@ -88,14 +90,18 @@
 type ReserveRequest struct {
 	From    string
 	Backend string
-	Tokens  int // of the prompt and of the longest possible answer
+	Tokens  int           // of the prompt and of the longest possible answer
+	Reading time.Duration `cbor:",omitempty"` // expected time of reading the prompt, 0 if it needs no turn
+	Gap     time.Duration `cbor:",omitempty"` // longest pause that callers accept in streams
+	MaxWait time.Duration `cbor:",omitempty"` // how long the prompt may wait for its turn
 }
 
 // ReserveReply is the reply to a ReserveRequest.
 type ReserveReply struct {
 	Known  bool // the replying host knows what is on the backend server
 	Placed bool
-	Loads  []LoadRecord `cbor:",omitempty"` // of the backend server
+	Wait   time.Duration `cbor:",omitempty"` // until the turn of the prompt
+	Loads  []LoadRecord  `cbor:",omitempty"` // of the backend server
 }
 
 // Empty is the reply to calls that return no data.
