--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -220,18 +220,18 @@
 func TestNewOwnerKnowsNothing(t *testing.T) {
 	b := newLoadBook()
 	b.own(start, map[string]load.Room{"a": {Requests: 20}})
-	if _, known, _ := b.reserve(start.Add(usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a new owner, want it not to know")
 	}
-	if _, known, placed := b.reserve(start.Add(2*usageInterval), "a", load.Place{Host: "x"}); !known || !placed {
+	if _, known, placed, _ := b.reserve(start.Add(2*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); !known || !placed {
 		t.Errorf("got known %v, placed %v after the hosts have reported, want a place", known, placed)
 	}
 	b.own(start.Add(3*usageInterval), nil)
-	if _, known, _ := b.reserve(start.Add(3*usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(3*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a host that is not the owner any more")
 	}
 	b.own(start.Add(4*usageInterval), map[string]load.Room{"a": {Requests: 20}})
-	if _, known, _ := b.reserve(start.Add(4*usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(4*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a host that has just become the owner again")
 	}
 }
