ratelimit: refused callers return behind those of other hosts

Cause: each host told its refused callers times by what it had refused itself, and by the rate of the whole cap while it did not know its own part. Of 78 hosts all told the next tokens to their callers, so most that returned at the stated time were refused again, and tokens stayed unused when the overload had ended.

Evidence: TestRefusedCallersOfHostsReturnInTurn got 1.1 s at a second host behind 4.8 s of refused requests.

Change: the allotter keeps the amount that callers have been told to come back for. Hosts report what they refuse with their next request, and the reply says how long it takes until that has accrued.

--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -49,6 +49,7 @@
 	ValidFor   time.Duration // how long it may use them, from when it sent the request, and Held
 	RetryAfter time.Duration // expected time until the host gets its next allowance, 0 if it got all that it asked for
 	Spacing    time.Duration // expected time in which the host gets a further amount of 1
+	Backlog    time.Duration // time in which the amount that others have been told to come back for accrues
 	Held       time.Duration // from the arrival of the request to the reply, if it waited for the amount
 }
 
--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -29,6 +29,7 @@
 	turnAt      time.Time // when the amount is expected that the allotter has denied
 	deniedLeast int       // that amount
 	allotter    string    // peer address of the host that gave the last allowance
+	unreported  int       // amount that was refused here and that the allotter does not know
 	bookedUntil time.Time // when the tokens are available that refused callers were told of
 }
 
@@ -114,6 +115,7 @@
 // refuse refuses a request. Each caller is told a later time, so that they do not return together.
 func (d *Desk) refuse(now time.Time, a *capAccount, w *Waiter) {
 	d.refused += int64(w.count)
+	a.unreported += w.count
 	at := a.turnOf(now, w.count)
 	if a.bookedUntil.After(at) {
 		at = a.bookedUntil
@@ -168,8 +170,10 @@
 	if to != a.allotter {
 		unused = 0
 	}
+	refused := max(0, a.unreported)
+	a.unreported = 0
 	d.send(now, to, CapRequest{
-		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused,
+		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused, Refused: refused,
 		Patience: max(0, until.Sub(now)-replyMargin),
 	}, "")
 }
@@ -201,7 +205,7 @@
 		if reply.Allowance.Count > 0 {
 			a.allotter = m.To
 		}
-		a.denied(now, m.Request.Least, reply.Allowance.RetryAfter)
+		a.denied(now, m.Request.Least, reply.Allowance)
 	default:
 		a.Failed(now, 0) // another allotter is asked
 	}
@@ -210,11 +214,16 @@
 
 // denied records when an amount is expected that the allotter has not given, 0 if it has. Smaller amounts may be there earlier, so
 // the allotter may be asked for them.
-func (a *capAccount) denied(now time.Time, least int, wait time.Duration) {
+func (a *capAccount) denied(now time.Time, least int, reply Reply) {
 	a.turnAt, a.deniedLeast = time.Time{}, 0
+	if reply.Backlog > 0 { // 0 from an allotter of an earlier build, too
+		a.bookedUntil = now.Add(min(reply.Backlog, maxBooked))
+	}
+	wait := reply.RetryAfter
 	if wait == 0 {
 		return
 	}
+	a.unreported -= least // the allotter has counted it
 	a.deniedLeast = least
 	a.turnAt = now.Add(min(wait, maxCapPause))
 	a.askAfter = now.Add(minCapPause)
--- a/ratelimit/cap_division.go
+++ b/ratelimit/cap_division.go
@@ -15,6 +15,7 @@
 	}
 	s, _ := d.share(now, r.Workspace)
 	s.Restore(now, r.Unused)
+	s.refused.add(now, r.Refused, s.pace())
 	s.Take(now, r.request(), now.Add(r.patience()), func(a Reply) { reply(CapReply{Allowance: a}) })
 	d.settleShare(now, r.Workspace, s)
 }
--- a/ratelimit/cap_message.go
+++ b/ratelimit/cap_message.go
@@ -23,6 +23,7 @@
 	Count     int
 	Least     int           // see Request
 	Unused    int           // in a CapAllowance: amount of earlier allowances that has expired unused
+	Refused   int           // in a CapAllowance: amount that the host has refused by itself since its last request
 	Owed      int           // in a CapLend: part of this share in the debt of the pool
 	Patience  time.Duration // how long the reply may wait until there is enough
 }
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -179,6 +179,7 @@
 	r.Least = min(max(r.Least, 0), r.Count)
 	r.Owed = min(max(r.Owed, 0), maxCount)
 	r.Unused = min(max(r.Unused, 0), maxCount)
+	r.Refused = min(max(r.Refused, 0), maxCount)
 	switch r.Call {
 	case CapAllowance:
 		d.allot(now, r, reply)
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -22,6 +22,7 @@
 	amounts       parcels
 	pooledAt      time.Time // when an amount of the pool was last given to a host
 	used          usage     // what hosts got
+	refused       backlog
 
 	asking      bool
 	requestedAt time.Time // when the request to the pool was sent that asking is about
@@ -29,6 +30,7 @@
 	roundTrip   time.Duration // of the last request to the pool, without the time that its reply waited there
 	missed      int           // amount of requests that could not wait for the pool's reply, and that the next ones may need
 	spacing     time.Duration // expected time in which the pool gives a further amount of 1, 0 if it has enough or is not known
+	lastSpacing time.Duration // the last spacing that the pool has told, 0 if there was none
 	isAlone     bool          // no leader of a pool was reached when one was last needed
 }
 
@@ -148,6 +150,7 @@
 		spacing = 0 // the leader will tell
 	}
 	spread := time.Duration(s.sharers(now)) * spacing
+	wait := s.refused.wait(now, s.pace())
 	for len(s.held) > 0 {
 		r := s.held[0].Request
 		level, required := s.available(now, usable), float64(r.least())
@@ -156,7 +159,8 @@
 		}
 		granted := r.wholePart(level, required, len(s.held))
 		if granted == 0 {
-			missed := s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread})
+			missed := s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread, Backlog: wait})
+			s.refused.add(now, missed, s.pace())
 			if spacing == 0 && !s.asking {
 				s.missed = missed
 			}
@@ -169,10 +173,18 @@
 		}
 		s.own.level -= float64(granted - pooled)
 		s.used.add(now, granted)
-		s.next(now, Reply{Count: granted, ValidFor: capAllowanceTTL, Spacing: spread})
+		s.next(now, Reply{Count: granted, ValidFor: capAllowanceTTL, Spacing: spread, Backlog: wait})
 	}
 }
 
+// pace returns the time in which the zone is expected to get an amount of 1.
+func (s *Share) pace() time.Duration {
+	if s.lastSpacing > 0 && !s.isAlone {
+		return s.lastSpacing
+	}
+	return max(1, seconds(1/s.terms.PerSecond))
+}
+
 // grantAll replies to all requests that wait, because the workspace has no cap any more.
 func (s *Share) grantAll(now time.Time) {
 	for len(s.held) > 0 {
@@ -216,6 +228,9 @@
 	s.roundTrip = max(0, now.Sub(s.requestedAt)-reply.Held)
 	s.asking, s.isAlone, s.spacing = false, false, 0
 	s.askAfter = now.Add(minCapPause)
+	if reply.Spacing > 0 {
+		s.lastSpacing = reply.Spacing
+	}
 	if reply.RetryAfter > 0 {
 		s.spacing = reply.Spacing
 		s.askAfter = now.Add(min(reply.RetryAfter, maxPoolPause))
