ratelimit: a cancelled request lets the next one pass

Cause: a request whose caller disconnected while it waited for its tokens was removed, but the requests behind it were decided only with the next reply of the allotter, or when they could wait no longer, although their tokens were there.

Evidence: TestCancelledRequestLetsNextPass got the second request waiting beside the 50 tokens that it needed.

Change: the queue is decided again when a request is cancelled.

--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -268,7 +268,7 @@
 	case o = <-decided:
 	case <-ctx.Done():
 		isCancelled := false
-		d.host.caps.do(func(_ time.Time, desk *ratelimit.Desk) { isCancelled = desk.Cancel(r.Workspace, waiter) })
+		d.host.caps.do(func(now time.Time, desk *ratelimit.Desk) { isCancelled = desk.Cancel(now, r.Workspace, waiter) })
 		if isCancelled {
 			return ctx.Err()
 		}
--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -232,8 +232,8 @@
 	}
 }
 
-// Cancel removes a request that no longer waits. It reports false if the request has been decided.
-func (d *Desk) Cancel(workspace string, w *Waiter) bool {
+// Cancel removes a request that no longer waits, so that those behind it pass. It reports false if the request has been decided.
+func (d *Desk) Cancel(now time.Time, workspace string, w *Waiter) bool {
 	a := d.accounts[workspace]
 	if a == nil {
 		return false
@@ -241,6 +241,8 @@
 	for i, waiting := range a.waiters {
 		if waiting == w {
 			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			d.settle(now, workspace, a)
+			d.finish(now)
 			return true
 		}
 	}
--- a/ratelimit/share_test.go
+++ b/ratelimit/share_test.go
@@ -252,3 +252,27 @@
 		t.Errorf("got the shares of %d zones at last, want 6", got)
 	}
 }
+
+// TestCancelledRequestLetsNextPass guards against a request that waits although its tokens are there, because a larger one that waited
+// before it was cancelled.
+func TestCancelledRequestLetsNextPass(t *testing.T) {
+	now := start
+	d := &Desk{
+		Name: "host-0", Zone: "z0", Address: "host-0", Tolerance: simTolerance, Events: simCapEvents{}, Random: func() float64 { return 0.5 },
+		IsFresh: func(time.Time) bool { return false },
+	}
+	d.Init()
+	d.SetView(now, HostView{Name: d.Name, Zone: d.Zone, Zones: 1, Live: []model.Peer{{Name: "host-1", Zone: "z0", Address: "host-1"}}})
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 1000, Burst: 1000}})
+	d.Take(now, "w", 100, simPatience, func(Outcome) {})
+	d.Receive(now, d.Messages()[0], CapReply{Allowance: Reply{Count: 150, ValidFor: capAllowanceTTL}}, true)
+	first := d.Take(now, "w", 500, simPatience, func(Outcome) {})
+	served := false
+	d.Take(now, "w", 50, simPatience, func(o Outcome) { served = o.RetryAfter == 0 })
+	if first == nil || served {
+		t.Fatal("got the requests served at once, want both to wait")
+	}
+	if !d.Cancel(now, "w", first) || !served {
+		t.Errorf("got %d waiting when the first one is cancelled, want the second one served from the 50 tokens that are left", len(d.accounts["w"].waiters))
+	}
+}
