--- a/ratelimit/cap_message.go
+++ b/ratelimit/cap_message.go
@@ -23,6 +23,7 @@
 	Count     int
 	Least     int           // see Request
 	Unused    int           // in a CapAllowance: amount of earlier allowances that has expired unused
+	Refused   int           // in a CapAllowance: amount that the host has refused by itself since its last request
 	Owed      int           // in a CapLend: part of this share in the debt of the pool
 	Take      bool          // in a CapConfirm: the sender begins to divide the share, and the receiver gives it up if it has had it
 	First     bool          // in a CapAllowance or CapAmount: see Request
