--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -170,8 +171,9 @@
 		const memory, tokens = 30_000, 1_800
 		f := newLoadFleet(t, 1, memory)
 		var granted atomic.Int64
+		var requests sync.WaitGroup
 		for _, h := range f.hosts {
-			go func() {
+			requests.Go(func() {
 				grant, err := f.acquire(hostNumber(h.Name), tokens)
 				if err != nil {
 					return
@@ -179,13 +181,13 @@
 				granted.Add(1)
 				time.Sleep(20 * time.Second)
 				grant.Done(h.Now(), routing.OutcomeComplete)
-			}()
+			})
 		}
 		time.Sleep(5 * time.Second)
 		if got, limit := int(granted.Load()), memory/tokens; got > limit || got < limit/2 {
 			t.Errorf("got %d requests of %d tokens on a backend server that holds %d, want %d to %d", got, tokens, memory, limit/2, limit)
 		}
-		time.Sleep(time.Minute)
+		requests.Wait()
 	})
 }
 
@@ -220,18 +222,18 @@
 func TestNewOwnerKnowsNothing(t *testing.T) {
 	b := newLoadBook()
 	b.own(start, map[string]load.Room{"a": {Requests: 20}})
-	if _, known, _ := b.reserve(start.Add(usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a new owner, want it not to know")
 	}
-	if _, known, placed := b.reserve(start.Add(2*usageInterval), "a", load.Place{Host: "x"}); !known || !placed {
+	if _, known, placed, _ := b.reserve(start.Add(2*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); !known || !placed {
 		t.Errorf("got known %v, placed %v after the hosts have reported, want a place", known, placed)
 	}
 	b.own(start.Add(3*usageInterval), nil)
-	if _, known, _ := b.reserve(start.Add(3*usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(3*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a host that is not the owner any more")
 	}
 	b.own(start.Add(4*usageInterval), map[string]load.Room{"a": {Requests: 20}})
-	if _, known, _ := b.reserve(start.Add(4*usageInterval), "a", load.Place{Host: "x"}); known {
+	if _, known, _, _ := b.reserve(start.Add(4*usageInterval), "a", load.Place{Host: "x"}, load.Prompt{}); known {
 		t.Error("got a reply of a host that has just become the owner again")
 	}
 }
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -39,6 +39,7 @@
 	Count  int  // amount
 	Least  int  // smallest amount that is of use: the cost of the first request that waits, 0 for 1
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
+	First  bool // it goes before others, see Desk.TakeAgain
 }
 
 func (r Request) least() int { return max(1, r.Least) }
@@ -49,6 +50,7 @@
 	ValidFor   time.Duration // how long it may use them, from when it sent the request, and Held
 	RetryAfter time.Duration // expected time until the host gets its next allowance, 0 if it got all that it asked for
 	Spacing    time.Duration // expected time in which the host gets a further amount of 1
+	Backlog    time.Duration // time in which the amount that others have been told to come back for accrues
 	Held       time.Duration // from the arrival of the request to the reply, if it waited for the amount
 }
 
--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,7 +10,7 @@
 	Workspace string
 	Count     int
 	At        time.Time
-	until     time.Time // when it can no longer be given back
+	parts     []parcel // what it was taken from, empty without a cap
 }
 
 // Outcome is what became of a request for tokens. RetryAfter is 0 if it was granted.
@@ -28,6 +29,7 @@
 	turnAt      time.Time // when the amount is expected that the allotter has denied
 	deniedLeast int       // that amount
 	allotter    string    // peer address of the host that gave the last allowance
+	unreported  int       // amount that was refused here and that the allotter does not know
 	bookedUntil time.Time // when the tokens are available that refused callers were told of
 }
 
@@ -35,6 +37,7 @@
 type Waiter struct {
 	count     int
 	until     time.Time
+	again     bool // see TakeAgain
 	done      func(Outcome)
 	isDecided bool
 }
@@ -42,9 +45,19 @@
 // Take takes the tokens of a request. done is called at once or, if the request waits for its tokens, later; the request may
 // wait for patience. The result is nil if it does not wait.
 func (d *Desk) Take(now time.Time, workspace string, count int, patience time.Duration, done func(Outcome)) *Waiter {
+	return d.take(now, workspace, &Waiter{count: count, until: now.Add(patience), done: done})
+}
+
+// TakeAgain takes the tokens of a request that has given them back while it waited for a backend server. It has been admitted by the
+// cap and goes before requests that have not.
+func (d *Desk) TakeAgain(now time.Time, workspace string, count int, patience time.Duration, done func(Outcome)) *Waiter {
+	return d.take(now, workspace, &Waiter{count: count, until: now.Add(patience), again: true, done: done})
+}
+
+func (d *Desk) take(now time.Time, workspace string, w *Waiter) *Waiter {
 	c, capped := d.caps[workspace]
 	if !capped {
-		done(Outcome{Taken: Taken{Workspace: workspace, Count: count, At: now}})
+		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now}})
 		return nil
 	}
 	a := d.accounts[workspace]
@@ -54,8 +67,12 @@
 		d.accounts[workspace] = a
 	}
 	a.usedAt = now
-	w := &Waiter{count: count, until: now.Add(patience), done: done}
-	a.waiters = append(a.waiters, w)
+	i := len(a.waiters)
+	if w.again {
+		for i = 0; i < len(a.waiters) && a.waiters[i].again; i++ {
+		}
+	}
+	a.waiters = slices.Insert(a.waiters, i, w)
 	d.settle(now, workspace, a)
 	d.finish(now)
 	if w.isDecided {
@@ -70,9 +87,9 @@
 	for len(a.waiters) > 0 && a.Sendable(now) >= a.waiters[0].count {
 		w := a.waiters[0]
 		a.waiters = a.waiters[1:]
-		until := a.Spend(now, w.count)
+		parts := a.Spend(now, w.count)
 		d.granted += int64(w.count)
-		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now, until: until}})
+		w.decide(Outcome{Taken: Taken{Workspace: workspace, Count: w.count, At: now, parts: parts}})
 	}
 	if len(a.waiters) > 0 {
 		d.ask(now, workspace, a)
@@ -113,6 +130,7 @@
 // refuse refuses a request. Each caller is told a later time, so that they do not return together.
 func (d *Desk) refuse(now time.Time, a *capAccount, w *Waiter) {
 	d.refused += int64(w.count)
+	a.unreported += w.count
 	at := a.turnOf(now, w.count)
 	if a.bookedUntil.After(at) {
 		at = a.bookedUntil
@@ -167,8 +185,11 @@
 	if to != a.allotter {
 		unused = 0
 	}
+	refused := max(0, a.unreported)
+	a.unreported = 0
 	d.send(now, to, CapRequest{
-		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused,
+		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused, Refused: refused,
+		First: a.waiters[0].again,
 		Patience: max(0, until.Sub(now)-replyMargin),
 	}, "")
 }
@@ -200,7 +221,7 @@
 		if reply.Allowance.Count > 0 {
 			a.allotter = m.To
 		}
-		a.denied(now, m.Request.Least, reply.Allowance.RetryAfter)
+		a.denied(now, m.Request.Least, reply.Allowance)
 	default:
 		a.Failed(now, 0) // another allotter is asked
 	}
@@ -209,11 +230,16 @@
 
 // denied records when an amount is expected that the allotter has not given, 0 if it has. Smaller amounts may be there earlier, so
 // the allotter may be asked for them.
-func (a *capAccount) denied(now time.Time, least int, wait time.Duration) {
+func (a *capAccount) denied(now time.Time, least int, reply Reply) {
 	a.turnAt, a.deniedLeast = time.Time{}, 0
+	if reply.Backlog > 0 { // 0 from an allotter of an earlier build, too
+		a.bookedUntil = now.Add(min(reply.Backlog, maxBooked))
+	}
+	wait := reply.RetryAfter
 	if wait == 0 {
 		return
 	}
+	a.unreported -= least // the allotter has counted it
 	a.deniedLeast = least
 	a.turnAt = now.Add(min(wait, maxCapPause))
 	a.askAfter = now.Add(minCapPause)
@@ -222,8 +248,8 @@
 	}
 }
 
-// Cancel removes a request that no longer waits. It reports false if the request has been decided.
-func (d *Desk) Cancel(workspace string, w *Waiter) bool {
+// Cancel removes a request that no longer waits, so that those behind it pass. It reports false if the request has been decided.
+func (d *Desk) Cancel(now time.Time, workspace string, w *Waiter) bool {
 	a := d.accounts[workspace]
 	if a == nil {
 		return false
@@ -231,6 +257,8 @@
 	for i, waiting := range a.waiters {
 		if waiting == w {
 			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			d.settle(now, workspace, a)
+			d.finish(now)
 			return true
 		}
 	}
@@ -241,11 +269,11 @@
 // the allotter with the next request to it. It must be called at most once.
 func (d *Desk) Return(now time.Time, t Taken) {
 	a := d.accounts[t.Workspace]
-	if a == nil || t.until.IsZero() {
+	if a == nil || len(t.parts) == 0 {
 		return
 	}
-	a.Return(now, t.Count, t.until)
-	if !now.Before(t.until) {
+	a.Return(now, t.parts)
+	if !slices.ContainsFunc(t.parts, func(p parcel) bool { return now.Before(p.until) }) {
 		return
 	}
 	d.granted -= int64(t.Count)
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -179,6 +179,7 @@
 	r.Least = min(max(r.Least, 0), r.Count)
 	r.Owed = min(max(r.Owed, 0), maxCount)
 	r.Unused = min(max(r.Unused, 0), maxCount)
+	r.Refused = min(max(r.Refused, 0), maxCount)
 	switch r.Call {
 	case CapAllowance:
 		d.allot(now, r, reply)
@@ -187,8 +188,7 @@
 	case CapLend:
 		reply(d.lend(now, r))
 	case CapConfirm:
-		allotters := d.rankings.of(r.Workspace).allotters
-		reply(CapReply{First: len(allotters) > 0 && allotters[0].Name == r.Asker})
+		reply(d.confirmFirst(now, r))
 	default:
 		reply(CapReply{})
 	}
@@ -292,12 +292,7 @@
 		}
 		d.settlePool(now, workspace, p)
 	case CapConfirm:
-		if c := d.confirmations[workspace]; c != nil && c.askedAt.Equal(m.sentAt) {
-			c.answered(reply.First, !replied)
-			if s := d.shares[workspace]; s != nil {
-				d.settleShare(now, workspace, s)
-			}
-		}
+		d.receiveConfirm(now, m, reply, replied)
 	}
 }
 
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -12,15 +12,20 @@
 	// entitledSince is the time since which this host is the allotter, as of when the own share began to accrue; zero if it has
 	// not begun or another host may have used the share since.
 	entitledSince time.Time
-	mayUse        bool // as of the last Settle
-	isVoid        bool // the host has been the allotter, and another one may have used the share since
+	mayUse        bool      // as of the last Settle
+	isVoid        bool      // the host has been the allotter, and another one may have used the share since
+	heldAt        time.Time // when this host last was the allotter that may use the share
+	givenTo       string    // host that this one has given the share up for since, and when
+	givenAt       time.Time
 	lentTo        string
 	lentUntil     time.Time
 	claimedBy     string // leader that precedes the one that has the share, and when it asked for it
 	claimedAt     time.Time
 	owed          float64 // part of this share in a debt of the pool, which falls to the zone when the share is no longer lent
 	amounts       parcels
-	used          usage // what hosts got
+	pooledAt      time.Time // when an amount of the pool was last given to a host
+	used          usage     // what hosts got
+	refused       backlog
 
 	asking      bool
 	requestedAt time.Time // when the request to the pool was sent that asking is about
@@ -28,6 +33,7 @@
 	roundTrip   time.Duration // of the last request to the pool, without the time that its reply waited there
 	missed      int           // amount of requests that could not wait for the pool's reply, and that the next ones may need
 	spacing     time.Duration // expected time in which the pool gives a further amount of 1, 0 if it has enough or is not known
+	lastSpacing time.Duration // the last spacing that the pool has told, 0 if there was none
 	isAlone     bool          // no leader of a pool was reached when one was last needed
 }
 
@@ -49,7 +55,7 @@
 // Entitle begins to accrue the share of a host that is the allotter since a time. If it was not used before, it has accrued since
 // the handover was over, which takes a pause.
 func (s *Share) Entitle(now, since time.Time, pause time.Duration) {
-	if s.entitledSince.Equal(since) {
+	if !s.entitledSince.IsZero() && !since.After(s.entitledSince) {
 		return
 	}
 	s.refill(now)
@@ -61,6 +67,38 @@
 	s.entitledSince, s.isVoid = since, false
 }
 
+// Give gives the share up for another host that takes itself for the allotter. It reports false if this host has not had the share
+// recently, or has given it to a third one. The reply to an earlier call may have been lost.
+func (s *Share) Give(now time.Time, to string) (*GivenShare, bool) {
+	if now.Sub(s.heldAt) > giveTTL || s.givenTo != "" && s.givenTo != to {
+		return nil, false
+	}
+	s.refill(now)
+	if s.givenTo == "" {
+		s.givenTo, s.givenAt = to, now
+	}
+	s.Void()
+	g := &GivenShare{Level: s.own.level, Owed: s.owed}
+	if s.IsLent(now) {
+		g.LentTo, g.LentFor = s.lentTo, s.lentUntil.Sub(now)
+	}
+	return g, true
+}
+
+// TakeOver continues the share of the earlier allotter, as of when this host has become the allotter.
+func (s *Share) TakeOver(now, since time.Time, g *GivenShare) {
+	s.refill(now)
+	s.entitledSince, s.isVoid = since, false
+	s.own.level = min(s.own.level, 0) + min(g.Level, s.own.capacity)
+	s.owed = max(s.owed, g.Owed)
+	if until := now.Add(min(max(0, g.LentFor), loanTTL+lenderMargin)); g.LentTo != "" && until.After(s.lentUntil) {
+		s.lentTo, s.lentUntil = g.LentTo, until
+	}
+}
+
+// Hold records that this host is the allotter that may use the share now.
+func (s *Share) Hold(now time.Time) { s.heldAt, s.givenTo = now, "" }
+
 // Void records that another host may use the share. A debt remains.
 func (s *Share) Void() {
 	s.isVoid = s.isVoid || !s.entitledSince.IsZero()
@@ -118,11 +156,12 @@
 	return terms, true
 }
 
-// Restore puts back an amount of allowances that has expired unused. An amount of a pool is lost, because its time has counted
-// already.
+// Restore puts back an amount of allowances that has expired unused. If it may have come from a pool, it is lost, because its time has
+// counted already.
 func (s *Share) Restore(now time.Time, count int) {
 	s.refill(now)
-	if count > 0 && !s.IsLent(now) && !s.entitledSince.IsZero() {
+	isPooled := now.Sub(s.pooledAt) < maxTokenAge
+	if count > 0 && !isPooled && !s.IsLent(now) && !s.entitledSince.IsZero() {
 		s.own.level = max(s.own.level, min(s.own.level+float64(count), s.own.capacity))
 	}
 }
@@ -146,6 +185,7 @@
 		spacing = 0 // the leader will tell
 	}
 	spread := time.Duration(s.sharers(now)) * spacing
+	wait := s.refused.wait(now, s.pace())
 	for len(s.held) > 0 {
 		r := s.held[0].Request
 		level, required := s.available(now, usable), float64(r.least())
@@ -154,20 +194,32 @@
 		}
 		granted := r.wholePart(level, required, len(s.held))
 		if granted == 0 {
-			missed := s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread})
+			missed := s.refuse(now, required-level, spacing, Reply{ValidFor: capAllowanceTTL, Spacing: spread, Backlog: wait})
+			s.refused.add(now, missed, s.pace())
 			if spacing == 0 && !s.asking {
 				s.missed = missed
 			}
 			return
 		}
 		pooled := min(granted, s.amounts.total(now))
-		s.amounts.take(now, pooled)
+		if pooled > 0 {
+			s.amounts.take(now, pooled)
+			s.pooledAt = now
+		}
 		s.own.level -= float64(granted - pooled)
 		s.used.add(now, granted)
-		s.next(now, Reply{Count: granted, ValidFor: capAllowanceTTL, Spacing: spread})
+		s.next(now, Reply{Count: granted, ValidFor: capAllowanceTTL, Spacing: spread, Backlog: wait})
 	}
 }
 
+// pace returns the time in which the zone is expected to get an amount of 1.
+func (s *Share) pace() time.Duration {
+	if s.lastSpacing > 0 && !s.isAlone {
+		return s.lastSpacing
+	}
+	return max(1, seconds(1/s.terms.PerSecond))
+}
+
 // grantAll replies to all requests that wait, because the workspace has no cap any more.
 func (s *Share) grantAll(now time.Time) {
 	for len(s.held) > 0 {
@@ -211,6 +263,9 @@
 	s.roundTrip = max(0, now.Sub(s.requestedAt)-reply.Held)
 	s.asking, s.isAlone, s.spacing = false, false, 0
 	s.askAfter = now.Add(minCapPause)
+	if reply.Spacing > 0 {
+		s.lastSpacing = reply.Spacing
+	}
 	if reply.RetryAfter > 0 {
 		s.spacing = reply.Spacing
 		s.askAfter = now.Add(min(reply.RetryAfter, maxPoolPause))
--- a/ratelimit/share_test.go
+++ b/ratelimit/share_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
+
+	"citronspread/model"
 )
 
 func testTerms() Loan { return simTolerance.shareOf(Cap{PerSecond: 3000, Burst: 3000}, 3) }
@@ -170,3 +173,106 @@
 		t.Log("served after a debt that a peer has claimed")
 	}
 }
+
+// TestReturnedAmountKeepsItsTime guards against an amount that can be used for longer because it was returned together with one that
+// arrived later: requests that take and return it in turn would keep it for any time, and use it in a later window.
+func TestReturnedAmountKeepsItsTime(t *testing.T) {
+	now := start
+	a := NewAllowance(1000, now)
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 200 * time.Millisecond)
+		a.asking, a.askedAt = true, at
+		count := 1
+		if i == 0 {
+			count = 100
+		}
+		a.Receive(at, Reply{Count: count, ValidFor: capAllowanceTTL})
+		if held := a.Sendable(at); held > 2 && i > 1 {
+			t.Fatalf("got %d that can be used %v after the first 100 were given, want the 2 that were given in the last %v", held, at.Sub(now), capAllowanceTTL)
+		}
+		taken := a.Spend(at, a.Sendable(at))
+		a.Return(at.Add(MaxHold-time.Millisecond), taken)
+	}
+}
+
+// TestShareAfterManyViews guards against a share whose saved-up tokens are lost whenever a host joins or leaves the zone, because the
+// beginning of the oldest set of hosts is no longer known.
+func TestShareAfterManyViews(t *testing.T) {
+	now := start
+	d := benchmarkDesk(now, 8, 1)
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 7000, Burst: 7000}})
+	first := d.rankings.view
+	for i := range 3 * maxViews {
+		now = now.Add(time.Minute)
+		v := first
+		if i%2 == 0 {
+			v.Live = append(slices.Clone(v.Live), model.Peer{Name: "joined", Zone: "other", Address: "joined"})
+		} else {
+			v.Live = append(slices.Clone(v.Live), model.Peer{Name: "new", Zone: "z0", Address: "new"})
+		}
+		d.SetView(now, v)
+		if !d.rankings.of("w").isFirst {
+			t.Fatal("got another allotter, want a workspace whose allotter stays")
+		}
+		granted := 0
+		d.Serve(now, CapRequest{Call: CapAllowance, Workspace: "w", From: "host-7", Asker: "host-7", Count: 900, Least: 900}, func(r CapReply) { granted = r.Allowance.Count })
+		if granted != 900 {
+			t.Fatalf("got %d of a share of 1,000 after %d sets of hosts, want 900", granted, i+1)
+		}
+	}
+}
+
+// TestPoolOfZoneThatIsGone guards against a leader that wakes each millisecond while its pool has the share of a zone that has no live
+// hosts any more.
+func TestPoolOfZoneThatIsGone(t *testing.T) {
+	const measured, most = 2 * time.Second, 100
+	now := start
+	d := benchmarkDesk(now, 7, 1)
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 7000, Burst: 7000}})
+	lendAll := func() {
+		for _, m := range d.Messages() {
+			d.Receive(now, m, CapReply{Lent: true, Loan: d.termsOf(d.caps["w"])}, m.Request.Call == CapLend)
+		}
+	}
+	d.Serve(now, CapRequest{Call: CapAmount, Workspace: "w", From: "host-1", Asker: "z1", Count: 500, Least: 500}, func(CapReply) {})
+	lendAll()
+	v := d.rankings.view
+	v.Live = slices.DeleteFunc(slices.Clone(v.Live), func(p model.Peer) bool { return p.Zone == "z3" })
+	d.SetView(now, v)
+	ticks := 0
+	for end := now.Add(measured); now.Before(end) && !d.WakeAt().IsZero(); ticks++ {
+		now = now.Add(max(time.Millisecond, d.WakeAt().Sub(now)))
+		d.Tick(now)
+		lendAll()
+	}
+	if ticks > most {
+		t.Errorf("got %d wakes in %v, want at most %d: those for the loans of 6 zones each %v", ticks, measured, most, loanRenewal)
+	}
+	if got := d.pools["w"].Zones(now); got != 6 {
+		t.Errorf("got the shares of %d zones at last, want 6", got)
+	}
+}
+
+// TestCancelledRequestLetsNextPass guards against a request that waits although its tokens are there, because a larger one that waited
+// before it was cancelled.
+func TestCancelledRequestLetsNextPass(t *testing.T) {
+	now := start
+	d := &Desk{
+		Name: "host-0", Zone: "z0", Address: "host-0", Tolerance: simTolerance, Events: simCapEvents{}, Random: func() float64 { return 0.5 },
+		IsFresh: func(time.Time) bool { return false },
+	}
+	d.Init()
+	d.SetView(now, HostView{Name: d.Name, Zone: d.Zone, Zones: 1, Live: []model.Peer{{Name: "host-1", Zone: "z0", Address: "host-1"}}})
+	d.SetCaps(now, map[string]Cap{"w": {PerSecond: 1000, Burst: 1000}})
+	d.Take(now, "w", 100, simPatience, func(Outcome) {})
+	d.Receive(now, d.Messages()[0], CapReply{Allowance: Reply{Count: 150, ValidFor: capAllowanceTTL}}, true)
+	first := d.Take(now, "w", 500, simPatience, func(Outcome) {})
+	served := false
+	d.Take(now, "w", 50, simPatience, func(o Outcome) { served = o.RetryAfter == 0 })
+	if first == nil || served {
+		t.Fatal("got the requests served at once, want both to wait")
+	}
+	if !d.Cancel(now, "w", first) || !served {
+		t.Errorf("got %d waiting when the first one is cancelled, want the second one served from the 50 tokens that are left", len(d.accounts["w"].waiters))
+	}
+}
