--- a/ratelimit/cap_account.go
+++ b/ratelimit/cap_account.go
@@ -189,7 +189,7 @@
 	a.unreported = 0
 	d.send(now, to, CapRequest{
 		Call: CapAllowance, Workspace: workspace, Asker: d.Name, Count: max(count, least), Least: least, Unused: unused, Refused: refused,
-		First: a.waiters[0].again,
+		First:    a.waiters[0].again,
 		Patience: max(0, until.Sub(now)-replyMargin),
 	}, "")
 }
