model: BackendLimit is renamed BackendStatement

Cause: the type that hosts exchange about the limits of backend servers is to carry what else a backend server states. Its name on the wire does not change, since only its fields are encoded.

Change: the type is renamed; the router's field limits is renamed stated.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -38,7 +38,7 @@
 // RecordLimit records the limit that a backend server stated in its response to a request, in requests per second, or that
 // it stated none.
 func (d *Dispatcher) RecordLimit(now time.Time, backend, id string, perSecond float64, stated bool) {
-	if !d.host.router.RecordLimit(model.BackendLimit{Backend: backend, PerSecond: perSecond, Stated: stated, At: now}) {
+	if !d.host.router.RecordLimit(model.BackendStatement{Backend: backend, PerSecond: perSecond, Stated: stated, At: now}) {
 		return
 	}
 	if !stated {
@@ -97,7 +97,7 @@
 	if r.Count == 0 {
 		return
 	}
-	known := limitsOnOwnClock(now, reply.SentAt, []model.BackendLimit{reply.Limit})[0]
+	known := limitsOnOwnClock(now, reply.SentAt, []model.BackendStatement{reply.Limit})[0]
 	h.Log.Info("allowance", zap.String("Backend", backend), zap.String("Leader", address), zap.Int("Count", reply.Allowance.Count), zap.Int("Of", r.Count),
 		zap.Float64("PerSecond", known.PerSecond), zap.Duration("StatedFor", now.Sub(known.At)), zap.Duration("RetryAfter", reply.Allowance.RetryAfter))
 	h.router.ApplyAllowance(now, known, reply.Allowance)
@@ -185,7 +185,7 @@
 // allot gives an allowance as the leader of a limit.
 func (h *Host) allot(now time.Time, request *peer.AllowanceRequest) *peer.AllowanceReply {
 	backend := request.Limit.Backend
-	h.router.MergeLimits([]model.BackendLimit{request.Limit})
+	h.router.MergeLimits([]model.BackendStatement{request.Limit})
 	known := h.router.Statement(backend)
 	h.publishLimit(now, known)
 	a := h.allocators[backend]
@@ -204,7 +204,7 @@
 
 // publishLimit tells the hosts of all zones that may be relays, which pass it on to the hosts that follow them, of a limit
 // that was stated, changed or withdrawn. Without it each host of a large fleet would first send a request.
-func (h *Host) publishLimit(now time.Time, l model.BackendLimit) {
+func (h *Host) publishLimit(now time.Time, l model.BackendStatement) {
 	last, known := h.published[l.Backend]
 	switch {
 	case last.stated == l.Stated && last.perSecond == l.PerSecond:
@@ -217,7 +217,7 @@
 	addresses := h.allRelays()
 	h.spawn(func(ctx context.Context) {
 		failed := h.sendToAll(ctx, addresses, func(ctx context.Context, address string) error {
-			return h.Peers.Limits(ctx, address, &peer.LimitsRequest{Limits: []model.BackendLimit{l}, SentAt: h.Now()})
+			return h.Peers.Limits(ctx, address, &peer.LimitsRequest{Limits: []model.BackendStatement{l}, SentAt: h.Now()})
 		})
 		if failed > 0 {
 			h.Log.Info("limit not told", zap.String("Backend", l.Backend), zap.Int64("Peers", failed), zap.Int("Of", len(addresses)))
@@ -232,15 +232,15 @@
 }
 
 // mergeLimits merges limits and retains the changes for the hosts that follow this one.
-func (h *Host) mergeLimits(statements []model.BackendLimit) {
+func (h *Host) mergeLimits(statements []model.BackendStatement) {
 	for _, l := range h.router.MergeLimits(statements) {
 		h.history.addLimit(l)
 	}
 }
 
 // limitsOnOwnClock returns the limits of another host with their times on the clock of this host, see onOwnClock.
-func limitsOnOwnClock(now, sentAt time.Time, statements []model.BackendLimit) []model.BackendLimit {
-	shifted := make([]model.BackendLimit, len(statements))
+func limitsOnOwnClock(now, sentAt time.Time, statements []model.BackendStatement) []model.BackendStatement {
+	shifted := make([]model.BackendStatement, len(statements))
 	for i, l := range statements {
 		l.At = l.At.Add(now.Sub(sentAt))
 		shifted[i] = l
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -59,7 +59,7 @@
 		f.store.takeCalls()
 		for i := range statements {
 			h := f.hosts[fmt.Sprintf("host-%d", i)]
-			h.router.RecordLimit(model.BackendLimit{Backend: fmt.Sprintf("i-%d", i), PerSecond: perSecond, Stated: true, At: h.Now()})
+			h.router.RecordLimit(model.BackendStatement{Backend: fmt.Sprintf("i-%d", i), PerSecond: perSecond, Stated: true, At: h.Now()})
 			time.Sleep(time.Second / statements)
 		}
 		time.Sleep(suspectClaimPropagationDelay)
@@ -81,7 +81,7 @@
 			t.Error("got a started host that doesn't know a limit after 3 s, want it to know")
 		}
 		h := f.hosts["host-7"]
-		h.router.RecordLimit(model.BackendLimit{Backend: "i-7", At: h.Now()})
+		h.router.RecordLimit(model.BackendStatement{Backend: "i-7", At: h.Now()})
 		time.Sleep(suspectClaimPropagationDelay)
 		if got := f.knowing("i-7", perSecond); got > 0 {
 			t.Errorf("got %d hosts that keep a limit that was withdrawn, want 0", got)
@@ -101,7 +101,7 @@
 			})
 		}
 		first := f.hosts["host-0"]
-		first.router.RecordLimit(model.BackendLimit{Backend: "i-0", PerSecond: perSecond, Stated: true, At: first.Now()})
+		first.router.RecordLimit(model.BackendStatement{Backend: "i-0", PerSecond: perSecond, Stated: true, At: first.Now()})
 		time.Sleep(suspectClaimPropagationDelay)
 		for _, h := range f.hosts {
 			h.snapshot.Store(&model.Snapshot{Complete: true, Zone: h.Zone, Services: []model.ServiceEndpoint{{Service: "desk", Backend: "i-0", Address: "a"}}})
@@ -124,7 +124,7 @@
 				}()
 			}
 			time.Sleep(100 * time.Millisecond)
-			first.router.RecordLimit(model.BackendLimit{Backend: "i-0", PerSecond: perSecond, Stated: true, At: first.Now()})
+			first.router.RecordLimit(model.BackendStatement{Backend: "i-0", PerSecond: perSecond, Stated: true, At: first.Now()})
 		}
 		time.Sleep(2 * time.Second)
 		most, from := 0, 0
@@ -168,7 +168,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const perSecond, hosts, cutFor, perHost = 20.0, 6, 12 * time.Second, 25
 				f := newTestFleet(t, hosts, 10*time.Second)
-				limit := model.BackendLimit{Backend: "i-0", PerSecond: perSecond, Stated: true}
+				limit := model.BackendStatement{Backend: "i-0", PerSecond: perSecond, Stated: true}
 				allowed := make(map[int]int) // by second
 				var leader *fleetHost
 				for _, h := range f.hosts {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -53,7 +53,7 @@
 
 	suspects sequenced[model.Suspect]      // that this host received
 	parts    sequenced[model.SuspectPart]  // that this host received
-	limits   sequenced[model.BackendLimit] // that this host received
+	limits   sequenced[model.BackendStatement] // that this host received
 
 	packer packer
 }
@@ -140,7 +140,7 @@
 }
 
 // addLimit retains a limit of a backend server.
-func (h *history) addLimit(l model.BackendLimit) {
+func (h *history) addLimit(l model.BackendStatement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limits.add(l)
--- a/model/backend_limit.go
+++ b/model/backend_statement.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// BackendLimit is what a backend server has stated of the requests that it takes from all entry hosts together.
-type BackendLimit struct {
+// BackendStatement is what a backend server has stated of the requests that it takes from all entry hosts together.
+type BackendStatement struct {
 	Backend   string
 	PerSecond float64
 	Stated    bool      // false if it states no limit
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -116,7 +116,7 @@
 type RefusedReply struct {
 	Suspects []model.Suspect
 	Parts    []model.SuspectPart
-	Limits   []model.BackendLimit
+	Limits   []model.BackendStatement
 	SentAt   time.Time // as in SuspectRequest
 }
 
@@ -126,7 +126,7 @@
 	Count  int  // 0 to report the limit only
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
 	Deputy bool // the sender leads the limit unless the receiver has learned that the sender's lease has ended
-	Limit  model.BackendLimit
+	Limit  model.BackendStatement
 	SentAt time.Time // on the clock of the sender, to which the time of the limit refers
 }
 
@@ -134,13 +134,13 @@
 type AllowanceReply struct {
 	NotLeader bool // of a request to a deputy: the sender leads the limit, and the other fields are not set
 	Allowance ratelimit.Reply
-	Limit     model.BackendLimit
+	Limit     model.BackendStatement
 	SentAt    time.Time // as in AllowanceRequest
 }
 
 // LimitsRequest reports limits that backend servers have stated or withdrawn.
 type LimitsRequest struct {
-	Limits []model.BackendLimit
+	Limits []model.BackendStatement
 	SentAt time.Time // as in AllowanceRequest
 }
 
@@ -171,7 +171,7 @@
 	SuspectSequence int64 // of the relay's last suspect
 	Parts           []model.SuspectPart
 	PartSequence    int64 // of the relay's last suspect part
-	Limits          []model.BackendLimit
+	Limits          []model.BackendStatement
 	LimitSequence   int64        // of the relay's last limit
 	Loads           []LoadRecord `cbor:",omitempty"`
 	LoadSequence    int64        `cbor:",omitempty"` // of the relay's last change of a load
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -94,7 +94,7 @@
 // fewer of them there than their guaranteed share, at most Policy.MaxShortStreak short requests in a row go first.
 func (r *Router) mayGrant(now time.Time, t *Ticket, replica *model.Replica, longWaiting map[string]int) bool {
 	b := r.fleet.get(replica.Backend)
-	if !r.hasCapacity(now, t, replica) || !r.limits.allows(now, replica.Backend) || !r.trialAllows(t, b) || !r.pinAllows(t, replica.Backend) {
+	if !r.hasCapacity(now, t, replica) || !r.stated.allows(now, replica.Backend) || !r.trialAllows(t, b) || !r.pinAllows(t, replica.Backend) {
 		return false
 	}
 	if t.Class == Long {
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -114,7 +114,7 @@
 	if r.queue.Len() == 0 || r.wasFrozen(now) || now.Before(r.noGrantsBefore) {
 		return
 	}
-	r.limits.clearWanted()
+	r.stated.clearWanted()
 	cursors := r.queue.cursors()
 	longWaiting := r.countLongWaiting(now)
 	for len(cursors) > 0 {
@@ -181,7 +181,7 @@
 		b.observed.recordStart(now)
 	}
 	input := r.recordGrantedLoad(now, b, t, replica)
-	r.limits.use(now, replica.Backend)
+	r.stated.use(now, replica.Backend)
 	switch {
 	case t.Class == Long:
 		b.ownLongRequests++
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -116,27 +116,27 @@
 			continue
 		}
 		usable = append(usable, e)
-		if r.limits.allowances[backendOf(e)] != nil {
+		if r.stated.allowances[backendOf(e)] != nil {
 			limited = append(limited, backendOf(e))
 		}
 	}
 	if len(usable) == 0 && len(full) > 0 {
 		wait := min(roomAt.Sub(now), fullPause)
-		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.limits.changed, backends: full, full: true}
+		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.stated.changed, backends: full, full: true}
 	}
 	if len(usable) == 0 {
 		return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: minRetryAfter}
 	}
-	if ahead := r.limits.ahead(request); len(limited) == len(usable) && r.limits.sendable(now, limited) <= ahead {
-		return nil, r.limits.wait(now, request, limited, ahead)
+	if ahead := r.stated.ahead(request); len(limited) == len(usable) && r.stated.sendable(now, limited) <= ahead {
+		return nil, r.stated.wait(now, request, limited, ahead)
 	}
-	if len(limited) > 0 && r.limits.sendable(now, limited) == 0 && r.limits.askFor(now, request, limited) && now.Sub(request.askedAt) < maxReplyWait {
-		return nil, &allowanceWaitError{next: maxReplyWait, changed: r.limits.changed}
+	if len(limited) > 0 && r.stated.sendable(now, limited) == 0 && r.stated.askFor(now, request, limited) && now.Sub(request.askedAt) < maxReplyWait {
+		return nil, &allowanceWaitError{next: maxReplyWait, changed: r.stated.changed}
 	}
 	best := r.chooseEndpoint(now, usable, trial)
 	input := r.loadInput(now, backendOf(best))
 	r.endpointCalls.fullOf(best.Address).granted(now, r.random)
-	r.limits.use(now, backendOf(best))
+	r.stated.use(now, backendOf(best))
 	r.endpointCalls.running[best.Address]++
 	r.endpointCalls.byBackend[backendOf(best)]++
 	if trial {
@@ -156,7 +156,7 @@
 		delete(r.endpointCalls.full, g.Endpoint.Address)
 	}
 	if r.endpointCalls.awaitingRoom > 0 {
-		r.limits.notify()
+		r.stated.notify()
 	}
 	var survived []loss
 	if possibleCause {
@@ -228,7 +228,7 @@
 // trial of those without another trial, then of those in the router's zone unless Policy.AnyZone is set, then of those that
 // are expected to have room. Among the rest the router's picker decides.
 func (r *Router) chooseEndpoint(now time.Time, usable []model.ServiceEndpoint, trial bool) model.ServiceEndpoint {
-	left := slices.DeleteFunc(usable, func(e model.ServiceEndpoint) bool { return !r.limits.allows(now, backendOf(e)) })
+	left := slices.DeleteFunc(usable, func(e model.ServiceEndpoint) bool { return !r.stated.allows(now, backendOf(e)) })
 	left = preferred(left, func(e model.ServiceEndpoint) bool { return !now.Before(r.endpointCalls.pausedUntil[e.Address]) })
 	if trial {
 		left = preferred(left, func(e model.ServiceEndpoint) bool { return r.endpointCalls.trials[e.Address] == 0 })
--- a/routing/full.go
+++ b/routing/full.go
@@ -78,7 +78,7 @@
 	random := r.random
 	switch outcome {
 	case OutcomeOverloaded:
-		if r.limits.allowances[backend] != nil {
+		if r.stated.allowances[backend] != nil {
 			f.deny(now, random)
 			return
 		}
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -31,7 +31,7 @@
 
 // AllowanceRequest requests that this host may send further requests to a backend server, or reports what it has stated.
 type AllowanceRequest struct {
-	Limit  model.BackendLimit
+	Limit  model.BackendStatement
 	Count  int  // requests, 0 to report only
 	Queued bool // requests wait; else they are sent elsewhere if the allowance is refused
 }
@@ -81,7 +81,7 @@
 }
 
 // merge applies a statement unless a later one is known. It reports whether that changes the limit.
-func (l *limits) merge(s model.BackendLimit) (changed bool) {
+func (l *limits) merge(s model.BackendStatement) (changed bool) {
 	a := l.allowances[s.Backend]
 	if a != nil && s.At.Before(a.StatedAt) || s.At.Before(l.withdrawn[s.Backend]) {
 		return false
@@ -110,11 +110,11 @@
 }
 
 // statement returns what is known of a backend server's limit.
-func (l *limits) statement(backend string) model.BackendLimit {
+func (l *limits) statement(backend string) model.BackendStatement {
 	if a := l.allowances[backend]; a != nil {
-		return model.BackendLimit{Backend: backend, PerSecond: a.PerSecond, Stated: true, At: a.StatedAt}
+		return model.BackendStatement{Backend: backend, PerSecond: a.PerSecond, Stated: true, At: a.StatedAt}
 	}
-	return model.BackendLimit{Backend: backend, At: l.withdrawn[backend]}
+	return model.BackendStatement{Backend: backend, At: l.withdrawn[backend]}
 }
 
 // take returns the requests for allowances that are due.
@@ -173,36 +173,36 @@
 
 // RecordLimit records what a backend server has stated in a response. It reports whether that is news, of which the leader of
 // the limit is told: a change, at most one in reportInterval.
-func (r *Router) RecordLimit(s model.BackendLimit) (news bool) {
+func (r *Router) RecordLimit(s model.BackendStatement) (news bool) {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	if r.limits.merge(s) {
-		r.limits.notify()
-		at, known := r.limits.reported[s.Backend]
+	if r.stated.merge(s) {
+		r.stated.notify()
+		at, known := r.stated.reported[s.Backend]
 		news = !known || s.At.Sub(at) >= reportInterval
 	}
 	if news {
-		r.limits.reported[s.Backend] = s.At
-		r.limits.reports = append(r.limits.reports, AllowanceRequest{Limit: s})
+		r.stated.reported[s.Backend] = s.At
+		r.stated.reports = append(r.stated.reports, AllowanceRequest{Limit: s})
 	}
-	requests := r.limits.take(s.At)
+	requests := r.stated.take(s.At)
 	r.mu.Unlock()
 	r.requestAllowances(requests)
 	return news
 }
 
 // MergeLimits merges what other entry hosts have been told by backend servers, and returns the changes.
-func (r *Router) MergeLimits(statements []model.BackendLimit) (changes []model.BackendLimit) {
+func (r *Router) MergeLimits(statements []model.BackendStatement) (changes []model.BackendStatement) {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range statements {
-		if r.limits.merge(s) {
+		if r.stated.merge(s) {
 			changes = append(changes, s)
 		}
 	}
 	if len(changes) > 0 {
-		r.limits.notify()
+		r.stated.notify()
 	}
 	return changes
 }
@@ -212,8 +212,8 @@
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limits.forget(backend)
-	r.limits.notify()
+	r.stated.forget(backend)
+	r.stated.notify()
 }
 
 // RetainLimits removes the limits of the backend servers that are gone. Statements are kept for limitGrace, since they may
@@ -222,36 +222,36 @@
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for backend, a := range r.limits.allowances {
+	for backend, a := range r.stated.allowances {
 		if now.Sub(a.StatedAt) > limitGrace && !exists(backend) {
-			r.limits.forget(backend)
+			r.stated.forget(backend)
 		}
 	}
-	for backend, at := range r.limits.withdrawn {
+	for backend, at := range r.stated.withdrawn {
 		if now.Sub(at) > limitGrace && !exists(backend) {
-			r.limits.forget(backend)
+			r.stated.forget(backend)
 		}
 	}
 }
 
 // Limits returns the limits that backend servers state now.
-func (r *Router) Limits() []model.BackendLimit {
+func (r *Router) Limits() []model.BackendStatement {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	statements := make([]model.BackendLimit, 0, len(r.limits.allowances))
-	for backend := range r.limits.allowances {
-		statements = append(statements, r.limits.statement(backend))
+	statements := make([]model.BackendStatement, 0, len(r.stated.allowances))
+	for backend := range r.stated.allowances {
+		statements = append(statements, r.stated.statement(backend))
 	}
 	return statements
 }
 
 // Statement returns what is known of a backend server's limit.
-func (r *Router) Statement(backend string) model.BackendLimit {
+func (r *Router) Statement(backend string) model.BackendStatement {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.limits.statement(backend)
+	return r.stated.statement(backend)
 }
 
 // Limit returns the requests per second that a backend server takes from all hosts together, if it has stated a limit.
@@ -259,17 +259,17 @@
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a := r.limits.allowances[backend]; a != nil {
+	if a := r.stated.allowances[backend]; a != nil {
 		return a.PerSecond, true
 	}
 	return 0, false
 }
 
 // ApplyAllowance applies the reply of a limit's leader, which includes what it knows of the limit.
-func (r *Router) ApplyAllowance(now time.Time, known model.BackendLimit, reply ratelimit.Reply) {
+func (r *Router) ApplyAllowance(now time.Time, known model.BackendStatement, reply ratelimit.Reply) {
 	r.mu.Lock()
-	r.limits.merge(known)
-	if a := r.limits.allowances[known.Backend]; a != nil {
+	r.stated.merge(known)
+	if a := r.stated.allowances[known.Backend]; a != nil {
 		a.Receive(now, reply)
 	}
 	requests := r.dispatchAllowance(now)
@@ -281,7 +281,7 @@
 // the limit.
 func (r *Router) AllowanceFailed(now time.Time, backend string, hosts int) {
 	r.mu.Lock()
-	if a := r.limits.allowances[backend]; a != nil {
+	if a := r.stated.allowances[backend]; a != nil {
 		a.Unreachable(now, hosts, r.random.Float64())
 	}
 	requests := r.dispatchAllowance(now)
@@ -293,8 +293,8 @@
 func (r *Router) dispatchAllowance(now time.Time) []AllowanceRequest {
 	r.dispatch(now)
 	r.refuseUnsendable(now)
-	r.limits.notify()
-	return r.limits.take(now)
+	r.stated.notify()
+	return r.stated.take(now)
 }
 
 // refuseUnsendable refuses the new requests that were queued before it was known when their backend servers take them.
@@ -328,14 +328,14 @@
 // awaitsAllowance reports whether the request should wait for the reply of a limit's leader, although it may be sent to a
 // backend server without a limit: the reply takes milliseconds, and the backend servers with limits would be unused without.
 func (r *Router) awaitsAllowance(now time.Time, t *Ticket) bool {
-	if len(r.limits.allowances) == 0 || !t.askedAt.IsZero() && now.Sub(t.askedAt) >= maxReplyWait {
+	if len(r.stated.allowances) == 0 || !t.askedAt.IsZero() && now.Sub(t.askedAt) >= maxReplyWait {
 		return false
 	}
 	unlimited, limited := r.splitLimited(now, t.Target)
-	if !unlimited || len(limited) == 0 || r.limits.sendable(now, limited) > 0 {
+	if !unlimited || len(limited) == 0 || r.stated.sendable(now, limited) > 0 {
 		return false
 	}
-	return r.limits.askFor(now, &t.Request, limited)
+	return r.stated.askFor(now, &t.Request, limited)
 }
 
 // askFor requests an allowance for the request, unless it has done so. It reports whether a reply is due.
@@ -353,11 +353,11 @@
 
 // wantAllowance records that requests for the target could be sent to backend servers that have stated limits.
 func (r *Router) wantAllowance(now time.Time, target Target, count int) {
-	if len(r.limits.allowances) == 0 {
+	if len(r.stated.allowances) == 0 {
 		return
 	}
 	_, limited := r.splitLimited(now, target)
-	r.limits.want(now, limited, count, true)
+	r.stated.want(now, limited, count, true)
 }
 
 // splitLimited returns whether a usable replica of the target is on a backend server without a limit, and the backend
@@ -365,7 +365,7 @@
 func (r *Router) splitLimited(now time.Time, target Target) (unlimited bool, limited []string) {
 	for _, replicas := range r.usableReplicas(now, target) {
 		for _, replica := range replicas {
-			if r.limits.allowances[replica.Backend] == nil {
+			if r.stated.allowances[replica.Backend] == nil {
 				unlimited = true
 			} else {
 				limited = append(limited, replica.Backend)
@@ -377,7 +377,7 @@
 
 // isLimited reports whether all usable replicas of the target are on backend servers that have stated a limit.
 func (r *Router) isLimited(now time.Time, target Target) bool {
-	if len(r.limits.allowances) == 0 {
+	if len(r.stated.allowances) == 0 {
 		return false
 	}
 	unlimited, limited := r.splitLimited(now, target)
@@ -386,14 +386,14 @@
 
 // limitedForecast predicts the waits for an allowance if all usable replicas of the target need one.
 func (r *Router) limitedForecast(now time.Time, target Target) (Forecast, bool) {
-	if len(r.limits.allowances) == 0 {
+	if len(r.stated.allowances) == 0 {
 		return Forecast{}, false
 	}
 	unlimited, limited := r.splitLimited(now, target)
 	if unlimited || len(limited) == 0 {
 		return Forecast{}, false
 	}
-	wait, spacing := r.limits.next(now, limited)
+	wait, spacing := r.stated.next(now, limited)
 	return Forecast{Start: wait, Each: spacing}, true
 }
 
@@ -401,7 +401,7 @@
 func (r *Router) takeAllowanceRequests(now time.Time) []AllowanceRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.limits.take(now)
+	return r.stated.take(now)
 }
 
 // allowanceWaitError reports that a call to a plain service must wait for an allowance.
@@ -457,16 +457,16 @@
 func (r *Router) isWaiting(request *Request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Contains(r.limits.waiting[request.Service], request)
+	return slices.Contains(r.stated.waiting[request.Service], request)
 }
 
 // endWaiting records that a call to a plain service no longer waits for an allowance.
 func (r *Router) endWaiting(request *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limits.waiting[request.Service] = slices.DeleteFunc(r.limits.waiting[request.Service], func(w *Request) bool { return w == request })
-	if len(r.limits.waiting[request.Service]) == 0 {
-		delete(r.limits.waiting, request.Service)
+	r.stated.waiting[request.Service] = slices.DeleteFunc(r.stated.waiting[request.Service], func(w *Request) bool { return w == request })
+	if len(r.stated.waiting[request.Service]) == 0 {
+		delete(r.stated.waiting, request.Service)
 	}
 }
 
--- a/routing/limits_test.go
+++ b/routing/limits_test.go
@@ -29,8 +29,8 @@
 	return asked
 }
 
-func limitOf(backend string, perSecond float64) model.BackendLimit {
-	return model.BackendLimit{Backend: backend, PerSecond: perSecond, Stated: true, At: testTime}
+func limitOf(backend string, perSecond float64) model.BackendStatement {
+	return model.BackendStatement{Backend: backend, PerSecond: perSecond, Stated: true, At: testTime}
 }
 
 // submit queues a ticket and sends the requests for allowances that are due.
@@ -114,14 +114,14 @@
 		end  func(r *Router)
 	}{
 		{name: "withdrawn", end: func(r *Router) {
-			r.RecordLimit(model.BackendLimit{Backend: "a", At: testTime.Add(2 * time.Second)})
-			r.MergeLimits([]model.BackendLimit{limitOf("a", 2)})
+			r.RecordLimit(model.BackendStatement{Backend: "a", At: testTime.Add(2 * time.Second)})
+			r.MergeLimits([]model.BackendStatement{limitOf("a", 2)})
 		}},
 		{name: "withdrawn elsewhere", end: func(r *Router) {
-			r.MergeLimits([]model.BackendLimit{{Backend: "a", At: testTime.Add(time.Second)}})
+			r.MergeLimits([]model.BackendStatement{{Backend: "a", At: testTime.Add(time.Second)}})
 		}},
 		{name: "withdrawn at the leader", end: func(r *Router) {
-			r.ApplyAllowance(testTime.Add(time.Second), model.BackendLimit{Backend: "a", At: testTime.Add(time.Second)}, ratelimit.Reply{})
+			r.ApplyAllowance(testTime.Add(time.Second), model.BackendStatement{Backend: "a", At: testTime.Add(time.Second)}, ratelimit.Reply{})
 		}},
 		{name: "restarted", end: func(r *Router) { r.ForgetLimit("a") }},
 	}
@@ -212,7 +212,7 @@
 		r := newRouter(DefaultPolicy(), replica("a", 16))
 		r.AllowanceRequester = held
 		for i := range 200 {
-			s := model.BackendLimit{Backend: "a", PerSecond: float64(i + 1), Stated: true, At: testTime.Add(time.Duration(i) * 10 * time.Millisecond)}
+			s := model.BackendStatement{Backend: "a", PerSecond: float64(i + 1), Stated: true, At: testTime.Add(time.Duration(i) * 10 * time.Millisecond)}
 			if alternating && i%2 > 0 {
 				s.PerSecond, s.Stated = 0, false
 			}
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -90,7 +90,7 @@
 	if k == nil {
 		return
 	}
-	if s.Full && r.limits.allowances[backend] == nil {
+	if s.Full && r.stated.allowances[backend] == nil {
 		k.FullAt = now
 		k.resetLevels()
 	}
@@ -139,7 +139,7 @@
 func (r *Router) loadChanged(now time.Time) {
 	r.dispatch(now)
 	if r.endpointCalls.awaitingRoom > 0 {
-		r.limits.notify()
+		r.stated.notify()
 	}
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -66,7 +66,7 @@
 	losses        losses
 	endpointCalls endpointCalls
 	usages        usages
-	limits        limits
+	stated        limits
 	loads         loads
 	tokenMean     mean // of the tokens that requests state
 }
@@ -185,7 +185,7 @@
 		r.refuseLate(now)
 	}
 	demands := r.dueDemands(now)
-	requests := r.limits.take(now)
+	requests := r.stated.take(now)
 	r.mu.Unlock()
 	r.sendDemands(demands)
 	r.requestAllowances(requests)
@@ -212,7 +212,7 @@
 	r.pins = make(map[model.Fingerprint]pin)
 	r.unbegun = make(map[*Grant]bool)
 	r.endpointCalls = newEndpointCalls()
-	r.limits = newLimits()
+	r.stated = newLimits()
 	r.loads = newLoads()
 	if r.Now == nil {
 		r.Now = time.Now
--- a/routing/state.go
+++ b/routing/state.go
@@ -81,8 +81,8 @@
 		s.Full = r.isFull(now, &r.fleet.backends[name].full, name, r.fleet.backends[name].capacity)
 		state.Backends = append(state.Backends, s)
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.limits.allowances)) {
-		a := r.limits.allowances[name]
+	for _, name := range slices.Sorted(maps.Keys(r.stated.allowances)) {
+		a := r.stated.allowances[name]
 		at, _ := a.NextAt(now)
 		state.Limits = append(state.Limits, LimitState{
 			Backend: name, PerSecond: a.PerSecond, StatedFor: now.Sub(a.StatedAt), Sendable: a.Sendable(now), NextIn: max(0, at.Sub(now)),
