Backend servers that state in responses that they are leaving get no requests

Cause: Server-Leaving was not read. A host learned only from the store that a backend server was leaving, so one that is cut off from the store went on sending requests to it.

The control thread applies it to the view as if the list reported draining, so placement and ownership follow.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -49,6 +49,8 @@
 
 	invalidLimits sync.Map // backend servers with a limit that could not be read, to log it once
 	invalidLoads  sync.Map // the same for loads
+	// invalidStatements holds the backend servers, with the name of the header, that made another statement that could not be read.
+	invalidStatements sync.Map
 }
 
 // ConnectionLimits returns the connection limits of the current desired state.
@@ -161,7 +163,7 @@
 		turnFields(grant.Turn))
 	return &Grant{
 		Address:     grant.Replica.Address,
-		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend},
+		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend, Born: grant.Replica.Born},
 		Software:    grant.Replica.Software,
 		Priority:    enginePriority,
 		grant:       grant,
@@ -230,5 +232,5 @@
 	}
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.Strings("Avoid", p.Failed),
 		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age))
-	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend}, Priority: -1, endpointGrant: endpoint}, nil
+	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend, Born: endpoint.Endpoint.Born}, Priority: -1, endpointGrant: endpoint}, nil
 }
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -127,7 +127,7 @@
 	demands         map[routing.Target]*demand
 	leader          *leader
 	allocators      map[string]*ratelimit.Allocator // by backend server of whose limit this host is the leader
-	published       map[string]publishedLimit       // by such a backend server: what other hosts were told last
+	published       map[string]published            // by such a backend server: what other hosts were told last
 	limitsCheckedAt time.Time
 	permits         permits
 	software        *softwareTracker
@@ -164,7 +164,7 @@
 	h.demands = make(map[routing.Target]*demand)
 	h.leader = newLeader()
 	h.allocators = make(map[string]*ratelimit.Allocator)
-	h.published = make(map[string]publishedLimit)
+	h.published = make(map[string]published)
 	h.software = newSoftwareTracker()
 	h.streams = &streamRecorder{host: h}
 	h.caps = newCapDesk(h)
@@ -310,6 +310,7 @@
 		h.Log.Info("entries did not come back", zap.Strings("Backends", expired))
 	}
 	h.view.expireObservations(now)
+	h.applyDepartures(now)
 	if h.table.EndCarrying(now) {
 		h.updateHostCount(now)
 		h.updateRelays()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -28,10 +28,12 @@
 	maxLeaderRenewalAge = 2 * ownership.RenewInterval
 )
 
-// publishedLimit is what the leader of a limit has told other hosts last.
-type publishedLimit struct {
+// published is what the leader of a limit has told other hosts last of its backend server.
+type published struct {
 	stated    bool
 	perSecond float64
+	leaving   bool
+	born      int64 // of the incarnation that is leaving
 	at        time.Time
 }
 
@@ -55,15 +57,12 @@
 	}
 }
 
-// LimitedBackends returns the number of backend servers that have stated a limit.
-func (h *Host) LimitedBackends() int { return len(h.router.Limits()) }
-
 // RequestAllowances sends requests for allowances to the leaders of the limits, and retains the statements of backend servers
 // for the hosts that follow this one. It implements routing.AllowanceRequester.
 func (h *Host) RequestAllowances(requests []routing.AllowanceRequest) {
 	for _, r := range requests {
 		if r.Count == 0 {
-			h.history.addLimit(r.Limit)
+			h.history.addStatement(r.Limit)
 		}
 		h.spawn(func(ctx context.Context) { h.requestAllowances(ctx, r) })
 	}
@@ -97,7 +96,7 @@
 	if r.Count == 0 {
 		return
 	}
-	known := limitsOnOwnClock(now, reply.SentAt, []model.BackendStatement{reply.Limit})[0]
+	known := statementsOnOwnClock(now, reply.SentAt, []model.BackendStatement{reply.Limit})[0]
 	h.Log.Info("allowance", zap.String("Backend", backend), zap.String("Leader", address), zap.Int("Count", reply.Allowance.Count), zap.Int("Of", r.Count),
 		zap.Float64("PerSecond", known.PerSecond), zap.Duration("StatedFor", now.Sub(known.At)), zap.Duration("RetryAfter", reply.Allowance.RetryAfter))
 	h.router.ApplyAllowance(now, known, reply.Allowance)
@@ -173,7 +172,7 @@
 // Allowance gives an allowance. This host is the leader of the backend server's limit.
 func (p *platformHandler) Allowance(ctx context.Context, request *peer.AllowanceRequest) (*peer.AllowanceReply, error) {
 	received := *request
-	received.Limit.At = received.Limit.At.Add(p.host.Now().Sub(request.SentAt))
+	received.Limit = statementsOnOwnClock(p.host.Now(), request.SentAt, []model.BackendStatement{request.Limit})[0]
 	return query(ctx, p.host, func(now time.Time) *peer.AllowanceReply {
 		if request.Deputy && p.host.limitLeader(request.Limit.Backend, p.host.table.Live()) != p.host.PeerAddress {
 			return &peer.AllowanceReply{NotLeader: true}
@@ -185,9 +184,9 @@
 // allot gives an allowance as the leader of a limit.
 func (h *Host) allot(now time.Time, request *peer.AllowanceRequest) *peer.AllowanceReply {
 	backend := request.Limit.Backend
-	h.router.MergeLimits([]model.BackendStatement{request.Limit})
+	h.router.MergeStatements(now, []model.BackendStatement{request.Limit})
 	known := h.router.Statement(backend)
-	h.publishLimit(now, known)
+	h.publishStatement(now, known)
 	a := h.allocators[backend]
 	if !known.Stated {
 		delete(h.allocators, backend)
@@ -202,18 +201,21 @@
 	return &peer.AllowanceReply{Limit: known, Allowance: a.Take(now, ratelimit.Request{Host: request.From, Count: request.Count, Queued: request.Queued}), SentAt: now}
 }
 
-// publishLimit tells the hosts of all zones that may be relays, which pass it on to the hosts that follow them, of a limit
-// that was stated, changed or withdrawn. Without it each host of a large fleet would first send a request.
-func (h *Host) publishLimit(now time.Time, l model.BackendStatement) {
+// publishStatement tells the hosts of all zones that may be relays, which pass it on to the hosts that follow them, of a limit
+// that was stated, changed or withdrawn, and of a backend server that is leaving. Without it each host of a large fleet would
+// first send a request.
+func (h *Host) publishStatement(now time.Time, l model.BackendStatement) {
 	last, known := h.published[l.Backend]
+	isLeaving := !l.LeavingAt.IsZero() && (!last.leaving || last.born < l.Born)
 	switch {
+	case isLeaving: // stated once by each incarnation
 	case last.stated == l.Stated && last.perSecond == l.PerSecond:
 		return
 	case known && now.Sub(last.at) < minPublishInterval, known && last.stated == l.Stated && now.Sub(last.at) < publishInterval:
 		return
 	}
-	h.published[l.Backend] = publishedLimit{stated: l.Stated, perSecond: l.PerSecond, at: now}
-	h.history.addLimit(l)
+	h.published[l.Backend] = published{stated: l.Stated, perSecond: l.PerSecond, leaving: !l.LeavingAt.IsZero(), born: l.Born, at: now}
+	h.history.addStatement(l)
 	addresses := h.allRelays()
 	h.spawn(func(ctx context.Context) {
 		failed := h.sendToAll(ctx, addresses, func(ctx context.Context, address string) error {
@@ -225,29 +227,12 @@
 	})
 }
 
-// Limits merges limits that their leaders have published.
+// Limits merges statements that the leaders of the backend servers' limits have published.
 func (p *platformHandler) Limits(_ context.Context, request *peer.LimitsRequest) (*peer.Empty, error) {
-	p.host.mergeLimits(limitsOnOwnClock(p.host.Now(), request.SentAt, request.Limits))
+	p.host.mergeStatements(request.SentAt, request.Limits)
 	return &peer.Empty{}, nil
 }
 
-// mergeLimits merges limits and retains the changes for the hosts that follow this one.
-func (h *Host) mergeLimits(statements []model.BackendStatement) {
-	for _, l := range h.router.MergeLimits(statements) {
-		h.history.addLimit(l)
-	}
-}
-
-// limitsOnOwnClock returns the limits of another host with their times on the clock of this host, see onOwnClock.
-func limitsOnOwnClock(now, sentAt time.Time, statements []model.BackendStatement) []model.BackendStatement {
-	shifted := make([]model.BackendStatement, len(statements))
-	for i, l := range statements {
-		l.At = l.At.Add(now.Sub(sentAt))
-		shifted[i] = l
-	}
-	return shifted
-}
-
 // expireLimits removes the allocators that no host uses any more and the limits of backend servers that are gone.
 func (h *Host) expireLimits(now time.Time) {
 	if now.Sub(h.limitsCheckedAt) < limitCheckInterval {
@@ -264,5 +249,5 @@
 			delete(h.published, backend)
 		}
 	}
-	h.router.RetainLimits(now, func(backend string) bool { return h.view.backends[backend] != nil })
+	h.router.RetainStatements(now, func(backend string) bool { return h.view.backends[backend] != nil })
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,8 +51,8 @@
 	completeAt   time.Time      // all changes of the store up to this time are known; no later than the calls that brought them began
 	changed      chan struct{}  // closed and replaced at each change
 
-	suspects sequenced[model.Suspect]      // that this host received
-	parts    sequenced[model.SuspectPart]  // that this host received
+	suspects sequenced[model.Suspect]          // that this host received
+	parts    sequenced[model.SuspectPart]      // that this host received
 	limits   sequenced[model.BackendStatement] // that this host received
 
 	packer packer
@@ -139,8 +139,8 @@
 	h.notify()
 }
 
-// addLimit retains a limit of a backend server.
-func (h *history) addLimit(l model.BackendStatement) {
+// addStatement retains a statement of a backend server.
+func (h *history) addStatement(l model.BackendStatement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limits.add(l)
@@ -154,7 +154,7 @@
 	reply.Packed = h.packer.pack(&reply.Change)
 }
 
-// addNews adds the suspects, suspect parts and limits after the sequence numbers of a request to a reply.
+// addNews adds the suspects, suspect parts and statements of backend servers after the sequence numbers of a request to a reply.
 func (h *history) addNews(reply *peer.FollowReply, request *peer.FollowRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -311,7 +311,7 @@
 		now := h.Now()
 		h.router.MergeSuspects(now, onOwnClock(now, reply.SentAt, reply.Suspects))
 		h.router.MergeSuspectParts(now, partsOnOwnClock(now, reply.SentAt, reply.Parts))
-		h.router.MergeLimits(limitsOnOwnClock(now, reply.SentAt, reply.Limits))
+		h.router.MergeStatements(now, statementsOnOwnClock(now, reply.SentAt, reply.Limits))
 		h.servedReported(request.Served, reply.Served)
 		if request.AcceptsLoads {
 			h.receiveLoads(told, reply)
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -57,7 +57,7 @@
 		}
 		if c.services[b.listing.Service].Engine == nil {
 			c.endpoints[id] = model.ServiceEndpoint{
-				Service: b.listing.Service, Backend: id, Zone: b.listing.Zone, Address: b.listing.Address, Leaving: b.listing.Draining,
+				Service: b.listing.Service, Backend: id, Born: b.listing.Life.Born, Zone: b.listing.Zone, Address: b.listing.Address, Leaving: b.listing.Draining,
 			}
 			continue
 		}
@@ -114,6 +114,7 @@
 	return model.Replica{
 		Key:         modelKey(b.listing.Service, name),
 		Backend:     b.listing.Life.ID,
+		Born:        b.listing.Life.Born,
 		Zone:        b.listing.Zone,
 		Address:     b.listing.Address,
 		Service:     b.listing.Service,
--- /dev/null
+++ b/gateway/statements.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"citronspread/model"
+)
+
+// StatementCounts counts the backend servers by what they state.
+type StatementCounts struct {
+	Limited int // they take a number of requests per second
+	Leaving int
+}
+
+// Statements counts the backend servers by what they state.
+func (h *Host) Statements() (counts StatementCounts) {
+	for _, s := range h.router.Statements() {
+		if s.Stated {
+			counts.Limited++
+		}
+		if !s.LeavingAt.IsZero() {
+			counts.Leaving++
+		}
+	}
+	return counts
+}
+
+// RecordLeaving records that a backend server stated in its response to a request that it is leaving.
+func (d *Dispatcher) RecordLeaving(now time.Time, incarnation model.BackendIncarnation, id string) {
+	if !d.host.router.RecordLeaving(now, incarnation.ID, incarnation.Born) {
+		return
+	}
+	d.host.Log.Info("leaving stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", id))
+	d.host.post(func(time.Time) {}) // the next step applies it to the view
+}
+
+// RecordInvalidStatement logs, once for each backend server and header, a statement that could not be read.
+func (d *Dispatcher) RecordInvalidStatement(_ time.Time, backend, header, id string, err error) {
+	if _, logged := d.invalidStatements.LoadOrStore(backend+" "+header, true); !logged {
+		d.host.Log.Warn("statement not read", zap.String("Backend", backend), zap.String("Header", header), zap.String("Request", id), zap.Error(err))
+	}
+}
+
+// applyDepartures applies to the view that backend servers have stated that they are leaving. From then on they count as if the
+// platform's list reported them as draining.
+func (h *Host) applyDepartures(now time.Time) {
+	for _, s := range h.router.Departures() {
+		if !h.view.recordLeaving(now, s.Backend, s.Born) {
+			continue
+		}
+		h.viewChanged = true
+		h.Log.Info("backend server leaving", zap.String("Backend", s.Backend), zap.Int64("Born", s.Born), zap.String("StatedTo", s.StatedTo), zap.Duration("StatedFor", now.Sub(s.LeavingAt)))
+	}
+}
+
+// mergeStatements merges what other hosts have been told by backend servers, and retains the changes for the hosts that follow
+// this one.
+func (h *Host) mergeStatements(sentAt time.Time, statements []model.BackendStatement) {
+	now := h.Now()
+	for _, s := range h.router.MergeStatements(now, statementsOnOwnClock(now, sentAt, statements)) {
+		h.history.addStatement(s)
+	}
+}
+
+// statementsOnOwnClock returns the statements of another host with their times on the clock of this host, see onOwnClock.
+func statementsOnOwnClock(now, sentAt time.Time, statements []model.BackendStatement) []model.BackendStatement {
+	shifted := make([]model.BackendStatement, len(statements))
+	for i, s := range statements {
+		if !s.At.IsZero() {
+			s.At = s.At.Add(now.Sub(sentAt))
+		}
+		if !s.LeavingAt.IsZero() {
+			s.LeavingAt = s.LeavingAt.Add(now.Sub(sentAt))
+		}
+		shifted[i] = s
+	}
+	return shifted
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -30,10 +30,11 @@
 	return &peer.Empty{}, nil
 }
 
-// ListRefused returns the suspects that this host refuses, the parts of prompts that it blocks and the limits that it keeps.
+// ListRefused returns the suspects that this host refuses, the parts of prompts that it blocks and what it knows of the
+// statements of backend servers.
 func (p *platformHandler) ListRefused(context.Context, *peer.Empty) (*peer.RefusedReply, error) {
 	now, router := p.host.Now(), p.host.router
-	return &peer.RefusedReply{Suspects: router.Suspects.Refused(now, maxSuspects), Parts: router.PromptParts.Blocked(now), Limits: router.Limits(), SentAt: now}, nil
+	return &peer.RefusedReply{Suspects: router.Suspects.Refused(now, maxSuspects), Parts: router.PromptParts.Blocked(now), Limits: router.Statements(), SentAt: now}, nil
 }
 
 // publishSuspect merges an own suspect, which revokes other grants of its request, and sends it to the hosts of each zone
@@ -130,7 +131,7 @@
 	}
 }
 
-// learnSuspects asks the relays of all zones what they refuse and which limits they keep, if this host is one of them. A host that starts
+// learnSuspects asks the relays of all zones what they refuse and what backend servers have stated, if this host is one of them. A host that starts
 // knows none, and as the first relay of its zone it follows no host that would pass them on.
 func (h *Host) learnSuspects() {
 	addresses := h.allRelays()
@@ -153,7 +154,7 @@
 			now := h.Now()
 			h.mergeSuspects(onOwnClock(now, reply.SentAt, reply.Suspects))
 			h.mergeSuspectParts(partsOnOwnClock(now, reply.SentAt, reply.Parts))
-			h.mergeLimits(limitsOnOwnClock(now, reply.SentAt, reply.Limits))
+			h.mergeStatements(reply.SentAt, reply.Limits)
 		})
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -76,6 +76,17 @@
 	return true, restarted
 }
 
+// recordLeaving records that an incarnation of a backend server has stated that it is leaving. It reports whether that is news.
+func (v *view) recordLeaving(now time.Time, id string, born int64) bool {
+	b := v.backends[id]
+	if b == nil || b.listing.Draining || born < b.listing.Life.Born {
+		return false
+	}
+	b.listing.Draining, b.changedAt = true, now
+	v.changed[id] = true
+	return true
+}
+
 // remove removes a backend server.
 func (v *view) remove(now time.Time, id string) {
 	if b := v.backends[id]; b != nil {
--- a/model/replica.go
+++ b/model/replica.go
@@ -6,6 +6,7 @@
 type Replica struct {
 	Key         ModelKey
 	Backend     string
+	Born        int64 // start time of the backend server, 0 if unknown
 	Zone        string
 	Address     string // IP:port of the engine
 	Service     string
@@ -24,6 +25,7 @@
 type ServiceEndpoint struct {
 	Service string
 	Backend string // ID on the platform, empty if the host has none
+	Born    int64  // start time of the backend server, 0 if unknown
 	Zone    string
 	Address string
 	Leaving bool
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -111,8 +111,8 @@
 	SentAt time.Time // as in SuspectRequest
 }
 
-// RefusedReply lists the suspects that an entry host refuses, the parts of prompts that it blocks and the limits that it
-// keeps.
+// RefusedReply lists the suspects that an entry host refuses, the parts of prompts that it blocks and what it knows of the
+// statements of backend servers.
 type RefusedReply struct {
 	Suspects []model.Suspect
 	Parts    []model.SuspectPart
@@ -127,7 +127,7 @@
 	Queued bool // requests wait; else they are sent to other backend servers if the allowance is refused
 	Deputy bool // the sender leads the limit unless the receiver has learned that the sender's lease has ended
 	Limit  model.BackendStatement
-	SentAt time.Time // on the clock of the sender, to which the time of the limit refers
+	SentAt time.Time // on the clock of the sender, to which the times of the statement refer
 }
 
 // AllowanceReply contains the allowance and what the leader knows of the limit.
@@ -138,7 +138,7 @@
 	SentAt    time.Time // as in AllowanceRequest
 }
 
-// LimitsRequest reports limits that backend servers have stated or withdrawn.
+// LimitsRequest reports what backend servers have stated: limits, withdrawn limits and that they are leaving.
 type LimitsRequest struct {
 	Limits []model.BackendStatement
 	SentAt time.Time // as in AllowanceRequest
@@ -150,7 +150,7 @@
 	Wait          time.Duration // maximum time to wait for a change
 	SuspectsAfter int64         // sequence number after which suspects are returned, 0 for all that the relay retains
 	PartsAfter    int64         // the same for suspect parts
-	LimitsAfter   int64         // the same for limits of backend servers
+	LimitsAfter   int64         // the same for statements of backend servers
 	AcceptsPacked bool          // the follower reads FollowReply.Packed
 	AcceptsLimits bool          // the follower reads FollowReply.Limits
 	// Served is what the follower has served to workspaces, nil if the deployment has none.
@@ -172,10 +172,10 @@
 	Parts           []model.SuspectPart
 	PartSequence    int64 // of the relay's last suspect part
 	Limits          []model.BackendStatement
-	LimitSequence   int64        // of the relay's last limit
+	LimitSequence   int64        // of the relay's last statement of a backend server
 	Loads           []LoadRecord `cbor:",omitempty"`
 	LoadSequence    int64        `cbor:",omitempty"` // of the relay's last change of a load
-	SentAt          time.Time    // on the clock of the relay, to which the times of suspects, parts and limits refer
+	SentAt          time.Time    // on the clock of the relay, to which the times of suspects, parts and statements refer
 	// Served is the reply to FollowRequest.Served, nil without it.
 	Served *fairshare.Totals `cbor:",omitempty"`
 
@@ -274,7 +274,7 @@
 	return invoke[AllowanceReply](ctx, c, address, "/Fleet/Allowance", request)
 }
 
-// Limits sends limits of backend servers to another entry host.
+// Limits sends statements of backend servers to another entry host.
 func (c *Client) Limits(ctx context.Context, address string, request *LimitsRequest) error {
 	_, err := invoke[Empty](ctx, c, address, "/Fleet/Limits", request)
 	return err
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -27,7 +27,7 @@
 	}
 	for i := range routed.Replicas {
 		replica := &routed.Replicas[i]
-		if replica.Draining || !supports(replica, target) {
+		if replica.Draining || r.stated.isLeaving(now, replica.Backend, replica.Born) || !supports(replica, target) {
 			continue
 		}
 		if r.fleet.get(replica.Backend).isNotLoaded(now, target, replica) {
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -105,7 +105,7 @@
 	var limited, full []string
 	roomAt := now.Add(maxFullPause)
 	for _, e := range r.index.endpoints[request.Service] {
-		if e.Leaving || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+		if e.Leaving || r.stated.isLeaving(now, backendOf(e), e.Born) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
 			continue
 		}
 		if f := r.endpointCalls.fullOf(e.Address); r.isFull(now, f, backendOf(e), r.loadView(now, backendOf(e)).slots) {
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -48,7 +48,7 @@
 	withdrawn  map[string]time.Time            // when backend servers were last known to state no limit
 	wanted     map[string]int                  // requests that an allowance is wanted for, by backend server
 	queued     map[string]bool                 // whether these can't be sent elsewhere
-	reports    []AllowanceRequest              // statements that the leaders have not been told
+	reports    []AllowanceRequest              // statements of all kinds that the leaders have not been told
 	reported   map[string]time.Time            // when the leader was last told of a backend server
 	waiting    map[string][]*Request           // calls to plain services that wait for an allowance, by service, in their order
 	changed    chan struct{}                   // closed when an allowance has arrived or a limit has changed
@@ -176,14 +176,14 @@
 func (r *Router) RecordLimit(s model.BackendStatement) (news bool) {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	if r.stated.merge(s) {
+	if r.stated.limits.merge(s) {
 		r.stated.notify()
 		at, known := r.stated.reported[s.Backend]
 		news = !known || s.At.Sub(at) >= reportInterval
 	}
 	if news {
 		r.stated.reported[s.Backend] = s.At
-		r.stated.reports = append(r.stated.reports, AllowanceRequest{Limit: s})
+		r.stated.reports = append(r.stated.reports, AllowanceRequest{Limit: r.stated.statement(s.Backend)})
 	}
 	requests := r.stated.take(s.At)
 	r.mu.Unlock()
@@ -191,22 +191,6 @@
 	return news
 }
 
-// MergeLimits merges what other entry hosts have been told by backend servers, and returns the changes.
-func (r *Router) MergeLimits(statements []model.BackendStatement) (changes []model.BackendStatement) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range statements {
-		if r.stated.merge(s) {
-			changes = append(changes, s)
-		}
-	}
-	if len(changes) > 0 {
-		r.stated.notify()
-	}
-	return changes
-}
-
 // ForgetLimit removes the limit of a backend server that was restarted or is gone.
 func (r *Router) ForgetLimit(backend string) {
 	r.once.Do(r.init)
@@ -216,44 +200,21 @@
 	r.stated.notify()
 }
 
-// RetainLimits removes the limits of the backend servers that are gone. Statements are kept for limitGrace, since they may
-// arrive before the list of backend servers.
-func (r *Router) RetainLimits(now time.Time, exists func(backend string) bool) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for backend, a := range r.stated.allowances {
+// retain removes the limits of the backend servers that are gone. Limits are kept for limitGrace, since they may arrive before the
+// list of backend servers.
+func (l *limits) retain(now time.Time, exists func(backend string) bool) {
+	for backend, a := range l.allowances {
 		if now.Sub(a.StatedAt) > limitGrace && !exists(backend) {
-			r.stated.forget(backend)
+			l.forget(backend)
 		}
 	}
-	for backend, at := range r.stated.withdrawn {
+	for backend, at := range l.withdrawn {
 		if now.Sub(at) > limitGrace && !exists(backend) {
-			r.stated.forget(backend)
+			l.forget(backend)
 		}
 	}
 }
 
-// Limits returns the limits that backend servers state now.
-func (r *Router) Limits() []model.BackendStatement {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	statements := make([]model.BackendStatement, 0, len(r.stated.allowances))
-	for backend := range r.stated.allowances {
-		statements = append(statements, r.stated.statement(backend))
-	}
-	return statements
-}
-
-// Statement returns what is known of a backend server's limit.
-func (r *Router) Statement(backend string) model.BackendStatement {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stated.statement(backend)
-}
-
 // Limit returns the requests per second that a backend server takes from all hosts together, if it has stated a limit.
 func (r *Router) Limit(backend string) (perSecond float64, stated bool) {
 	r.once.Do(r.init)
@@ -268,7 +229,7 @@
 // ApplyAllowance applies the reply of a limit's leader, which includes what it knows of the limit.
 func (r *Router) ApplyAllowance(now time.Time, known model.BackendStatement, reply ratelimit.Reply) {
 	r.mu.Lock()
-	r.stated.merge(known)
+	r.stated.merge(now, known)
 	if a := r.stated.allowances[known.Backend]; a != nil {
 		a.Receive(now, reply)
 	}
--- a/routing/limits_test.go
+++ b/routing/limits_test.go
@@ -115,10 +115,10 @@
 	}{
 		{name: "withdrawn", end: func(r *Router) {
 			r.RecordLimit(model.BackendStatement{Backend: "a", At: testTime.Add(2 * time.Second)})
-			r.MergeLimits([]model.BackendStatement{limitOf("a", 2)})
+			r.MergeStatements(testTime, []model.BackendStatement{limitOf("a", 2)})
 		}},
 		{name: "withdrawn elsewhere", end: func(r *Router) {
-			r.MergeLimits([]model.BackendStatement{{Backend: "a", At: testTime.Add(time.Second)}})
+			r.MergeStatements(testTime, []model.BackendStatement{{Backend: "a", At: testTime.Add(time.Second)}})
 		}},
 		{name: "withdrawn at the leader", end: func(r *Router) {
 			r.ApplyAllowance(testTime.Add(time.Second), model.BackendStatement{Backend: "a", At: testTime.Add(time.Second)}, ratelimit.Reply{})
--- a/routing/router.go
+++ b/routing/router.go
@@ -66,7 +66,7 @@
 	losses        losses
 	endpointCalls endpointCalls
 	usages        usages
-	stated        limits
+	stated        statements
 	loads         loads
 	tokenMean     mean // of the tokens that requests state
 }
@@ -212,7 +212,7 @@
 	r.pins = make(map[model.Fingerprint]pin)
 	r.unbegun = make(map[*Grant]bool)
 	r.endpointCalls = newEndpointCalls()
-	r.stated = newLimits()
+	r.stated = newStatements()
 	r.loads = newLoads()
 	if r.Now == nil {
 		r.Now = time.Now
--- /dev/null
+++ b/routing/statements.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"maps"
+	"time"
+
+	"citronspread/model"
+)
+
+const (
+	// unknownIncarnationTTL is how long a backend server without a known start time counts as leaving. Another incarnation at
+	// the same address can't be told from it. It is longer than a backend server takes to leave.
+	unknownIncarnationTTL = 10 * time.Minute
+	// departureRetention is how long it is kept that a backend server is leaving which is not listed. A restored store may list
+	// it again.
+	departureRetention = 2 * time.Minute
+)
+
+// statements holds what backend servers have stated about themselves, by the names of the backend servers: their limits and that
+// they are leaving.
+type statements struct {
+	limits
+	departures map[string]departure
+}
+
+// departure records that an incarnation of a backend server is leaving.
+type departure struct {
+	born     int64     // start time of the incarnation, 0 if unknown
+	statedAt time.Time // when an entry host first learned of it
+	statedTo string    // name of that entry host
+}
+
+func newStatements() statements {
+	return statements{limits: newLimits(), departures: make(map[string]departure)}
+}
+
+// isValid reports whether the statement applies to an incarnation that started at the given time. It also applies to an earlier
+// one, whose entry in the list is older than the statement.
+func (d departure) isValid(now time.Time, born int64) bool {
+	if d.statedAt.IsZero() || d.born < born {
+		return false
+	}
+	return d.born != 0 || now.Sub(d.statedAt) < unknownIncarnationTTL
+}
+
+// isLeaving reports whether the incarnation of a backend server has stated that it is leaving.
+func (s *statements) isLeaving(now time.Time, backend string, born int64) bool {
+	return s.departures[backend].isValid(now, born)
+}
+
+// mergeDeparture merges a statement that a backend server is leaving, and reports whether it is news. The first statement of an
+// incarnation counts; those of earlier incarnations are ignored.
+func (s *statements) mergeDeparture(now time.Time, backend string, d departure) (news bool) {
+	known, found := s.departures[backend]
+	if d.statedAt.IsZero() || found && d.born <= known.born && known.isValid(now, known.born) {
+		return false
+	}
+	s.departures[backend] = d
+	return true
+}
+
+// merge merges a statement of another entry host and reports whether it changes anything.
+func (s *statements) merge(now time.Time, stated model.BackendStatement) (changed bool) {
+	if !stated.At.IsZero() {
+		changed = s.limits.merge(stated)
+	}
+	leaving := departure{born: stated.Born, statedAt: stated.LeavingAt, statedTo: stated.StatedTo}
+	return s.mergeDeparture(now, stated.Backend, leaving) || changed
+}
+
+// statement returns what is known of a backend server.
+func (s *statements) statement(backend string) model.BackendStatement {
+	stated := s.limits.statement(backend)
+	if d, found := s.departures[backend]; found {
+		stated.Born, stated.LeavingAt, stated.StatedTo = d.born, d.statedAt, d.statedTo
+	}
+	return stated
+}
+
+// retain removes the statements of the backend servers that are gone.
+func (s *statements) retain(now time.Time, exists func(backend string) bool) {
+	s.limits.retain(now, exists)
+	maps.DeleteFunc(s.departures, func(backend string, d departure) bool {
+		return !d.isValid(now, d.born) || now.Sub(d.statedAt) > departureRetention && !exists(backend)
+	})
+}
+
+// RecordLeaving records that an incarnation of a backend server has stated in a response that it is leaving. It reports whether
+// that is news, of which the other entry hosts are told.
+func (r *Router) RecordLeaving(now time.Time, backend string, born int64) (news bool) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	news = r.stated.mergeDeparture(now, backend, departure{born: born, statedAt: now, statedTo: r.Name})
+	if news {
+		r.stated.reports = append(r.stated.reports, AllowanceRequest{Limit: r.stated.statement(backend)})
+		r.stated.notify()
+	}
+	requests := r.stated.take(now)
+	r.mu.Unlock()
+	r.requestAllowances(requests)
+	return news
+}
+
+// IsLeaving reports whether the incarnation of a backend server has stated that it is leaving.
+func (r *Router) IsLeaving(now time.Time, backend string, born int64) bool {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stated.isLeaving(now, backend, born)
+}
+
+// Departures returns the statements of the backend servers that are leaving.
+func (r *Router) Departures() []model.BackendStatement {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var leaving []model.BackendStatement
+	for backend := range r.stated.departures {
+		leaving = append(leaving, r.stated.statement(backend))
+	}
+	return leaving
+}
+
+// MergeStatements merges what other entry hosts have been told by backend servers, and returns the changes.
+func (r *Router) MergeStatements(now time.Time, stated []model.BackendStatement) (changes []model.BackendStatement) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range stated {
+		if r.stated.merge(now, s) {
+			changes = append(changes, s)
+		}
+	}
+	if len(changes) > 0 {
+		r.stated.notify()
+	}
+	return changes
+}
+
+// RetainStatements removes the statements of the backend servers that are gone.
+func (r *Router) RetainStatements(now time.Time, exists func(backend string) bool) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stated.retain(now, exists)
+}
+
+// Statements returns what backend servers state now.
+func (r *Router) Statements() []model.BackendStatement {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stated := make([]model.BackendStatement, 0, len(r.stated.allowances)+len(r.stated.departures))
+	for backend := range r.stated.allowances {
+		stated = append(stated, r.stated.statement(backend))
+	}
+	for backend := range r.stated.departures {
+		if r.stated.allowances[backend] == nil {
+			stated = append(stated, r.stated.statement(backend))
+		}
+	}
+	return stated
+}
+
+// Statement returns what is known of a backend server.
+func (r *Router) Statement(backend string) model.BackendStatement {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stated.statement(backend)
+}
