Backend servers in back-off get no requests

Cause: Retry-After of a 503 was not read. A backend server that had turned a request away was tried again after a second or two, by each host.

With the checks in usableReplicas and mayGrant removed, TestBackendInBackOffGetsNothing and TestWaitingRequestsFollowBackOffAtIntervals fail.

Change: routing keeps the back-off by incarnation, for at most five minutes, and sends nothing until it ends, neither for callers nor as owner. A request whose backend servers are all in back-off is refused with the earliest end. After the end requests follow each other at intervals for a second. Values that can't be read are ignored and logged once for each backend server and header; decoding is fuzz-tested.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -86,6 +86,7 @@
 	host.Metrics.AddGauge("citronspread_store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(store.Calls.Load()) })
 	host.Metrics.AddGauge("citronspread_limited_backends", "Backend servers that have stated a limit.", func() float64 { return float64(host.Statements().Limited) })
 	host.Metrics.AddGauge("citronspread_leaving_backends", "Backend servers that have stated that they are leaving.", func() float64 { return float64(host.Statements().Leaving) })
+	host.Metrics.AddGauge("citronspread_backends_in_back_off", "Backend servers that want no requests of this host for some time.", func() float64 { return float64(host.Statements().InBackOff) })
 	host.AddWorkspaceGauges()
 	host.Metrics.AddLabelledGauge("citronspread_workspace_counter", "Counters of the workspaces that were served most in the zone, see docs/design/fair-shares.md.", "workspace", host.WorkspaceCounters)
 	host.Metrics.AddGauge("citronspread_known_loads", "Backend servers of models whose load is known.", func() float64 { return float64(host.LoadSummary().Known) })
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -83,9 +83,13 @@
 	}
 }
 
-// stepBackend requests a report and sends an order, each if due. The order carries the fencing token term.
+// stepBackend requests a report and sends an order, each if due. The order carries the fencing token term. A backend server in
+// back-off gets neither.
 func (h *Host) stepBackend(now time.Time, id string, b *ownedBackend, listing model.BackendListing, term int64) {
 	a := b.account
+	if _, inBackOff := h.router.BackOffEnd(now, id, listing.Life.Born); inBackOff {
+		return
+	}
 	if !b.reportInFlight && a.ReportDue(now) {
 		h.requestReport(now, id, b, listing)
 	}
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -6,12 +6,14 @@
 	"go.uber.org/zap"
 
 	"citronspread/model"
+	"citronspread/routing"
 )
 
 // StatementCounts counts the backend servers by what they state.
 type StatementCounts struct {
-	Limited int // they take a number of requests per second
-	Leaving int
+	Limited   int // they take a number of requests per second
+	Leaving   int
+	InBackOff int // they want no requests of this host for some time
 }
 
 // Statements counts the backend servers by what they state.
@@ -24,6 +26,7 @@
 			counts.Leaving++
 		}
 	}
+	counts.InBackOff = h.router.InBackOff(h.Now())
 	return counts
 }
 
@@ -36,6 +39,38 @@
 	d.host.post(func(time.Time) {}) // the next step applies it to the view
 }
 
+// RecordBackOff records that a backend server stated in its response to a request that it wants no requests of this host for some
+// time.
+func (d *Dispatcher) RecordBackOff(now time.Time, incarnation model.BackendIncarnation, id string, wait time.Duration) {
+	until, news := d.host.router.RecordBackOff(now, incarnation.ID, incarnation.Born, wait)
+	if news {
+		d.host.Log.Info("back-off stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", id),
+			zap.Duration("Stated", wait), zap.Duration("For", until.Sub(now)))
+	}
+}
+
+// BackOffWait returns the time until the first of the backend servers that could serve a request wants requests of this host again,
+// 0 if one of them wants requests now.
+func (d *Dispatcher) BackOffWait(now time.Time, r RoutedRequest) time.Duration {
+	return d.host.router.BackOffWait(now, modelTargetOf(r), r.Service)
+}
+
+// Withheld names the backend servers from which their own statements keep a request now, with the statements and their ages.
+func (d *Dispatcher) Withheld(now time.Time, r RoutedRequest) (withheld []string) {
+	for _, s := range d.host.router.Withheld(now, modelTargetOf(r), r.Service) {
+		withheld = append(withheld, s.String())
+	}
+	return withheld
+}
+
+// modelTargetOf returns the target of a request, an empty one if it is for a plain service.
+func modelTargetOf(r RoutedRequest) routing.Target {
+	if r.Model == "" {
+		return routing.Target{}
+	}
+	return targetOf(r)
+}
+
 // RecordInvalidStatement logs, once for each backend server and header, a statement that could not be read.
 func (d *Dispatcher) RecordInvalidStatement(_ time.Time, backend, header, id string, err error) {
 	if _, logged := d.invalidStatements.LoadOrStore(backend+" "+header, true); !logged {
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -27,10 +27,10 @@
 	}
 	for i := range routed.Replicas {
 		replica := &routed.Replicas[i]
-		if replica.Draining || r.stated.isLeaving(now, replica.Backend, replica.Born) || !supports(replica, target) {
+		if !r.mayServe(now, target, replica) {
 			continue
 		}
-		if r.fleet.get(replica.Backend).isNotLoaded(now, target, replica) {
+		if _, inBackOff := r.stated.backOffEnd(now, replica.Backend, replica.Born); inBackOff {
 			continue
 		}
 		t := r.tierOf(now, replica)
@@ -42,6 +42,14 @@
 	return found
 }
 
+// mayServe reports whether the replica can serve the target, apart from a back-off of its backend server.
+func (r *Router) mayServe(now time.Time, target Target, replica *model.Replica) bool {
+	if replica.Draining || r.stated.isLeaving(now, replica.Backend, replica.Born) || !supports(replica, target) {
+		return false
+	}
+	return !r.fleet.get(replica.Backend).isNotLoaded(now, target, replica)
+}
+
 func (r *Router) tierOf(now time.Time, replica *model.Replica) tier {
 	local := replica.Zone == r.Zone || r.Policy.AnyZone
 	stale := now.Sub(replica.UpdatedAt) > r.Policy.StaleAfter
@@ -94,6 +102,9 @@
 // fewer of them there than their guaranteed share, at most Policy.MaxShortStreak short requests in a row go first.
 func (r *Router) mayGrant(now time.Time, t *Ticket, replica *model.Replica, longWaiting map[string]int) bool {
 	b := r.fleet.get(replica.Backend)
+	if !r.stated.rampNextAt(now, replica.Backend, replica.Born).IsZero() {
+		return false
+	}
 	if !r.hasCapacity(now, t, replica) || !r.stated.allows(now, replica.Backend) || !r.trialAllows(t, b) || !r.pinAllows(t, replica.Backend) {
 		return false
 	}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -126,6 +126,9 @@
 		} else if !t.trial && r.Suspects.IsSuspect(t.Fingerprint) || r.PromptParts.IsBlocked(now, t.PromptParts) {
 			r.returnSuspect(now, t)
 			cursors[best].current = -1
+		} else if backends, end := r.allInBackOff(now, t.Target); len(backends) > 0 {
+			r.refuseInBackOff(now, t, backends, end)
+			cursors[best].current = -1
 		} else if r.awaitsAllowance(now, t) {
 			cursors[best].pass()
 		} else if replica := r.chooseReplica(now, t, longWaiting); replica != nil {
@@ -182,6 +185,7 @@
 	}
 	input := r.recordGrantedLoad(now, b, t, replica)
 	r.stated.use(now, replica.Backend)
+	r.stated.recordSent(now, replica.Backend)
 	switch {
 	case t.Class == Long:
 		b.ownLongRequests++
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -95,17 +95,27 @@
 }
 
 // grantEndpoint chooses an endpoint and counts a call to it. It skips leaving endpoints, endpoints with MaxEndpointCalls
-// calls, those whose address is in Avoid and full ones. If all others have stated a limit that allows no call now, or are full,
-// it returns a *allowanceWaitError. In the first case it remembers that the request waits.
+// calls, those whose address is in Avoid, those in back-off and full ones. If all others have stated a limit that allows no call
+// now, or are full, it returns a *allowanceWaitError. In the first case it remembers that the request waits. If all are in
+// back-off it refuses the call.
 func (r *Router) grantEndpoint(now time.Time, request *Request, trial bool) (*EndpointGrant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reindex(now)
 	var usable []model.ServiceEndpoint
-	var limited, full []string
+	var limited, full, inBackOff []string
+	var backOffEnd time.Time
 	roomAt := now.Add(maxFullPause)
 	for _, e := range r.index.endpoints[request.Service] {
-		if e.Leaving || r.stated.isLeaving(now, backendOf(e), e.Born) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+		if !r.mayCall(now, e) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+			continue
+		}
+		if until, wantsNone := r.stated.backOffEnd(now, backendOf(e), e.Born); wantsNone {
+			inBackOff, backOffEnd = append(inBackOff, backendOf(e)), earliest(backOffEnd, until)
+			continue
+		}
+		if at := r.stated.rampNextAt(now, backendOf(e), e.Born); !at.IsZero() {
+			full, roomAt = append(full, backendOf(e)), earliest(roomAt, at)
 			continue
 		}
 		if f := r.endpointCalls.fullOf(e.Address); r.isFull(now, f, backendOf(e), r.loadView(now, backendOf(e)).slots) {
@@ -124,6 +134,9 @@
 		wait := min(roomAt.Sub(now), fullPause)
 		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.stated.changed, backends: full, full: true}
 	}
+	if len(usable) == 0 && len(inBackOff) > 0 {
+		return nil, &RefusedError{Reason: ReasonBackOff, RetryAfter: backOffEnd.Sub(now), Backends: inBackOff}
+	}
 	if len(usable) == 0 {
 		return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: minRetryAfter}
 	}
@@ -137,6 +150,7 @@
 	input := r.loadInput(now, backendOf(best))
 	r.endpointCalls.fullOf(best.Address).granted(now, r.random)
 	r.stated.use(now, backendOf(best))
+	r.stated.recordSent(now, backendOf(best))
 	r.endpointCalls.running[best.Address]++
 	r.endpointCalls.byBackend[backendOf(best)]++
 	if trial {
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -17,10 +17,11 @@
 	ReasonUnknown    Reason = "model_not_found"
 	ReasonAbandoned  Reason = "abandoned"
 	ReasonNoEndpoint Reason = "no_endpoint"
-	ReasonSoftware   Reason = "software_version" // the stream may go on at one software version only, which is not known or not in service
-	ReasonLimited    Reason = "backend_limit"    // the backend servers that could serve it have stated limits that are used up
-	ReasonFull       Reason = "backends_full"    // the backend servers that could serve it have refused requests for lack of room
-	ReasonMemory     Reason = "backend_memory"   // it has more tokens than the memory of a backend server holds
+	ReasonSoftware   Reason = "software_version"  // the stream may go on at one software version only, which is not known or not in service
+	ReasonLimited    Reason = "backend_limit"     // the backend servers that could serve it have stated limits that are used up
+	ReasonFull       Reason = "backends_full"     // the backend servers that could serve it have refused requests for lack of room
+	ReasonBackOff    Reason = "backends_back_off" // the backend servers that could serve it want no requests of this host for some time
+	ReasonMemory     Reason = "backend_memory"    // it has more tokens than the memory of a backend server holds
 )
 
 // RefusedError is returned for a request that was not run.
@@ -28,7 +29,7 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Part       string   // the blocked part of the prompt, for ReasonPromptPart
-	Backends   []string // the backend servers whose limits are used up, for ReasonLimited, or that are full, for ReasonFull
+	Backends   []string // the backend servers whose limits are used up, for ReasonLimited, that are full, for ReasonFull, or in back-off, for ReasonBackOff
 	Turn       *Turn    // of a request with a workspace that was queued
 }
 
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"citronspread/model"
@@ -16,11 +17,12 @@
 	departureRetention = 2 * time.Minute
 )
 
-// statements holds what backend servers have stated about themselves, by the names of the backend servers: their limits and that
-// they are leaving.
+// statements holds what backend servers have stated about themselves, by the names of the backend servers: their limits, that
+// they are leaving and their back-off.
 type statements struct {
 	limits
 	departures map[string]departure
+	backOffs   map[string]*backOff
 }
 
 // departure records that an incarnation of a backend server is leaving.
@@ -31,7 +33,7 @@
 }
 
 func newStatements() statements {
-	return statements{limits: newLimits(), departures: make(map[string]departure)}
+	return statements{limits: newLimits(), departures: make(map[string]departure), backOffs: make(map[string]*backOff)}
 }
 
 // isValid reports whether the statement applies to an incarnation that started at the given time. It also applies to an earlier
@@ -85,6 +87,89 @@
 	})
 }
 
+// Names of statements in logs and in the state dump.
+const (
+	statementLimit   = "limit"
+	statementLeaving = "leaving"
+	statementBackOff = "back-off"
+)
+
+// StatementState describes a statement that keeps requests from a backend server now.
+type StatementState struct {
+	Backend   string
+	Statement string        // limit, leaving or back-off
+	StatedTo  string        // entry host that got the statement first
+	StatedFor time.Duration // its age
+	Left      time.Duration // until it ends, 0 if that is not known
+}
+
+// String returns the backend server, the statement and its age, as in logs.
+func (s StatementState) String() string {
+	return s.Backend + ":" + s.Statement + ":" + s.StatedFor.Round(time.Millisecond).String()
+}
+
+// withholding returns the statement that keeps requests from an incarnation of a backend server now, false if none does.
+func (r *Router) withholding(now time.Time, backend string, born int64) (StatementState, bool) {
+	if d := r.stated.departures[backend]; d.isValid(now, born) {
+		return StatementState{Backend: backend, Statement: statementLeaving, StatedTo: d.statedTo, StatedFor: now.Sub(d.statedAt)}, true
+	}
+	if until, inBackOff := r.stated.backOffEnd(now, backend, born); inBackOff {
+		return StatementState{Backend: backend, Statement: statementBackOff, StatedTo: r.Name, StatedFor: now.Sub(r.stated.backOffs[backend].statedAt), Left: until.Sub(now)}, true
+	}
+	if a := r.stated.allowances[backend]; a != nil && a.Sendable(now) == 0 {
+		at, _ := a.NextAt(now)
+		return StatementState{Backend: backend, Statement: statementLimit, StatedFor: now.Sub(a.StatedAt), Left: max(0, at.Sub(now))}, true
+	}
+	return StatementState{}, false
+}
+
+// Withheld returns the statements that keep a request for the target, or for a plain service, from backend servers now.
+func (r *Router) Withheld(now time.Time, target Target, service string) (withheld []StatementState) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stated.isEmpty() {
+		return nil
+	}
+	add := func(backend string, born int64) {
+		if s, found := r.withholding(now, backend, born); found {
+			withheld = append(withheld, s)
+		}
+	}
+	if target.Key.Model == "" {
+		for _, e := range r.index.endpoints[service] {
+			add(backendOf(e), e.Born)
+		}
+		return withheld
+	}
+	if routed := r.index.find(target.Key); routed != nil {
+		for i := range routed.Replicas {
+			add(routed.Replicas[i].Backend, routed.Replicas[i].Born)
+		}
+	}
+	return withheld
+}
+
+// isEmpty reports whether no backend server states anything.
+func (s *statements) isEmpty() bool {
+	return len(s.allowances)+len(s.departures)+len(s.backOffs) == 0
+}
+
+// statementStates returns the departures and back-offs for the state dump, by the names of the backend servers.
+func (r *Router) statementStates(now time.Time) (states []StatementState) {
+	for _, backend := range slices.Sorted(maps.Keys(r.stated.departures)) {
+		if s, found := r.withholding(now, backend, r.stated.departures[backend].born); found {
+			states = append(states, s)
+		}
+	}
+	for _, backend := range slices.Sorted(maps.Keys(r.stated.backOffs)) {
+		if s, found := r.withholding(now, backend, r.stated.backOffs[backend].born); found && s.Statement == statementBackOff {
+			states = append(states, s)
+		}
+	}
+	return states
+}
+
 // RecordLeaving records that an incarnation of a backend server has stated in a response that it is leaving. It reports whether
 // that is news, of which the other entry hosts are told.
 func (r *Router) RecordLeaving(now time.Time, backend string, born int64) (news bool) {
