The log of a request names the statements that kept it from backend servers

Cause: a line granted or not served did not say that a backend server was left out because it is leaving or in back-off.

Evidence: TestExplainStatements; explain printed the grant alone.

Change: both lines have Withheld, a list of backend server, statement and age. citronspread explain prints the statements of the backend servers that it names. The state dump lists them as Stated.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -31,14 +31,16 @@
 	// turnWindow is how long before a request that was refused for its turn grants of other workspaces are included.
 	turnWindow   = 2 * time.Second
 	maxLineBytes = 1 << 20
+	// withheldFields is the number of fields after the backend server in an entry of Withheld.
+	withheldFields = 2
 )
 
 // relatedEvents are the events of backend servers, models, workspaces and hosts that can explain what happened to a request. The
 // texts must match the log messages, including those of earlier builds.
 var relatedEvents = []string{
-	"allowance", "backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "desired state not valid, the last one stays in force", "entries did not come back", "entry hosts changed",
-	"invariant violated", "lead does not answer, deciding here", "limit stated", "limit withdrawn", "no allowance", "no offer", "no report", "not placed", "not renewed", "order", "owner does not answer",
-	"ownership lost", "ownership regained", "placed", "prompt part blocked", "prompt part no longer blocked", "spread", "store lost", "store regained",
+	"allowance", "back-off stated", "backend server leaving", "backend server listed", "backend server gone", "claimed", "deposed", "desired state applied", "desired state not valid, the last one stays in force", "entries did not come back", "entry hosts changed",
+	"invariant violated", "lead does not answer, deciding here", "leaving stated", "limit stated", "limit withdrawn", "no allowance", "no offer", "no report", "not placed", "not renewed", "order", "owner does not answer",
+	"ownership lost", "ownership regained", "placed", "prompt part blocked", "prompt part no longer blocked", "spread", "statement not read", "store lost", "store regained",
 	"leading cap", "no reply about a cap", "share lent", "stopping", "suspect", "workspaces changed", "zone on its own share",
 }
 
@@ -177,6 +179,9 @@
 				involved["Backend="+backend] = true
 			}
 		}
+		for _, backend := range withheldBackends(l.get("Withheld")) {
+			involved["Backend="+backend] = true
+		}
 	}
 	if first.IsZero() {
 		return nil
@@ -195,6 +200,16 @@
 	return texts
 }
 
+// withheldBackends returns the backend servers of a list of BACKEND:STATEMENT:AGE.
+func withheldBackends(withheld string) (backends []string) {
+	for _, entry := range strings.Split(withheld, ",") {
+		if parts := strings.Split(entry, ":"); len(parts) > withheldFields {
+			backends = append(backends, strings.Join(parts[:len(parts)-withheldFields], ":"))
+		}
+	}
+	return backends
+}
+
 // isRelated reports whether a line is a related event of the request. An event of one of its backend servers, models or its
 // workspace counts on any host. An event that names none of these counts only on the hosts that logged the request.
 func isRelated(l logLine, first, last time.Time, involved map[string]bool) bool {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// TestExplainStatements guards against a request that went elsewhere, or was refused, without the lines that say which statement
+// of a backend server was the cause and how old it is.
+func TestExplainStatements(t *testing.T) {
+	lines, _ := parseLog(strings.NewReader(`time=2026-10-10T05:44:08Z level=info event="leaving stated" Host=front-2 Backend=i-2 Born=7 Request=q1
+time=2026-10-10T05:44:08Z level=info event="backend server leaving" Host=front-1 Backend=i-2 StatedTo=front-2 StatedFor=120ms
+time=2026-10-10T05:44:09Z level=info event="back-off stated" Host=front-1 Backend=10.0.0.1:80 Stated=12s For=12s Request=q2
+time=2026-10-10T05:44:09Z level=info event="leaving stated" Host=front-2 Backend=i-4 Born=7 Request=q1
+time=2026-10-10T05:44:11Z level=info event=granted Host=front-1 Request=q9 Backend=i-3 Withheld=i-2:leaving:3s,10.0.0.1:80:back-off:2s
+`))
+	got := explain(lines, "q9")
+	if len(got) != 4 || !strings.Contains(got[0], "leaving stated") || !strings.Contains(got[2], "back-off stated") || !strings.Contains(got[3], "i-2:leaving:3s") {
+		t.Errorf("got %q, want the statements of the two backend servers before the grant that names them", got)
+	}
+}
+
 // TestExplainUnauthorized guards against a refusal with 401 without the lines that say which keys its host had.
 func TestExplainUnauthorized(t *testing.T) {
 	lines, _ := parseLog(strings.NewReader(`time=2026-10-10T05:44:09Z level=info event="workspaces changed" Host=front-1 Version=7 Added=0 Removed=0 KeysRemoved=1
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -160,7 +160,7 @@
 		zap.String("Model", r.Model), zap.String("Adapter", r.Adapter), zap.Duration("Waited", grant.Waited),
 		zap.Duration("KnownFor", d.host.Now().Sub(grant.Replica.UpdatedAt)), zap.Strings("Avoid", p.Failed),
 		zap.Int("Own", grant.Load.Own), zap.Float64("Others", grant.Load.Others), zap.Bool("LoadKnown", grant.Load.Known), zap.Duration("LoadAge", grant.Load.Age), zap.Bool("Place", grant.NeedsPlace()),
-		turnFields(grant.Turn))
+		zap.Strings("Withheld", d.Withheld(d.host.Now(), r)), turnFields(grant.Turn))
 	return &Grant{
 		Address:     grant.Replica.Address,
 		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend, Born: grant.Replica.Born},
@@ -231,6 +231,7 @@
 		return nil, err
 	}
 	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.Strings("Avoid", p.Failed),
-		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age))
+		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age),
+		zap.Strings("Withheld", d.Withheld(d.host.Now(), r)))
 	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend, Born: endpoint.Endpoint.Born}, Priority: -1, endpointGrant: endpoint}, nil
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -16,8 +16,9 @@
 	Waiting  int
 	Lines    []TargetQueueState // sorted by target
 	Backends []BackendState
-	Limits   []LimitState // of the backend servers that have stated a limit
-	Shares   []ShareState // of the workspaces that were served most
+	Limits   []LimitState     // of the backend servers that have stated a limit
+	Stated   []StatementState // of the backend servers that are leaving or in back-off
+	Shares   []ShareState     // of the workspaces that were served most
 	Budget   BudgetTotals
 	Suspects SuspectTotals
 }
@@ -88,6 +89,7 @@
 			Backend: name, PerSecond: a.PerSecond, StatedFor: now.Sub(a.StatedAt), Sendable: a.Sendable(now), NextIn: max(0, at.Sub(now)),
 		})
 	}
+	state.Stated = r.statementStates(now)
 	for _, share := range r.queue.Shares.Busiest(now, shareStates) {
 		state.Shares = append(state.Shares, ShareState{Workspace: share.Workspace, Counter: share.Service})
 	}
