caller: reads what engines and plain services state about themselves

Cause: citronspread serve did not read Server-Leaving and the Retry-After of a 503, so it went on sending to backend servers that had stated them.

Change: engine.Call passes the head of a response on, and caller records it in the same view of routing. A call that may run twice goes to another host after a 503 with Retry-After. Without a known start time a departure holds for a minute instead of ten, because a restarted process can't be told from it.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -247,6 +247,9 @@
 		ShouldMove: func() bool {
 			return (c.params.deterministic() || !response.started()) && grant.ShouldMove(time.Now()) && (c.params.deterministic() || response.suspend())
 		},
+		OnHead: func(status int, header http.Header) {
+			s.recordStatements(grant.Replica.Backend, grant.Replica.Born, status, header)
+		},
 	}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,11 @@
 	IdempotentMethods []string             // of plain services; GET, HEAD and OPTIONS when empty
 	Workspaces        *workspace.Directory // nil or empty if callers need no keys
 	Totals            Totals
+	// ReadStatements reads what the head of a response states about its backend server: that it is leaving, and for how long it
+	// wants no requests. Nil if backend servers state nothing.
+	ReadStatements func(status int, header http.Header) (leaving bool, backOff time.Duration, err error)
+
+	invalidStatements sync.Map // backend servers with a statement that could not be read, to log it once
 
 	draining atomic.Bool
 	open     atomic.Int64
--- a/caller/services.go
+++ b/caller/services.go
@@ -26,6 +26,8 @@
 	retryAfter           = time.Second
 )
 
+var errTurnedAway = errors.New("caller: the service wants no calls for some time")
+
 var defaultIdempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
 
 // serviceCall is one call of a plain service and its progress.
@@ -93,6 +95,9 @@
 	e := &serviceSender{server: s, call: c}
 	loop := attempt.Loop{Budget: s.Router.Budget, MaxRuns: math.MaxInt, Now: time.Now}
 	progress, err := loop.Run(ctx, e)
+	if refused := (*routing.RefusedError)(nil); e.turnedAway && (errors.Is(err, errTurnedAway) || errors.As(err, &refused)) {
+		return e.response, nil // the service's own answer, since no other host may be asked
+	}
 	c.ran = err != nil && progress.Runs > 0
 	return e.response, err
 }
@@ -102,6 +107,8 @@
 	server   *Server
 	call     *serviceCall
 	response service.Response
+
+	turnedAway bool // response is a 503 with Retry-After
 }
 
 // endpointGrant is the grant to send one call to a host of a plain service. It implements attempt.Grant.
@@ -132,6 +139,9 @@
 	response, err := e.server.Services.Do(ctx, call, e.call.idempotent)
 	var incomplete *service.IncompleteResponseError
 	switch {
+	case err == nil && e.server.recordStatements(granted.(endpointGrant).grant.Backend(), granted.(endpointGrant).grant.Endpoint.Born, response.Status, response.Header) > 0:
+		e.response, e.turnedAway = response, true
+		return attempt.Outcome{Result: attempt.MayHaveRun, Routing: routing.OutcomeOverloaded, Err: errTurnedAway}
 	case err == nil:
 		e.response = response
 		return attempt.Outcome{Result: attempt.Complete, Routing: routing.OutcomeComplete}
@@ -168,7 +178,7 @@
 	var unsent *httponce.UnsentError
 	var tooLarge *service.ResponseTooLargeError
 	switch {
-	case errors.As(err, &refused) && refused.Reason == routing.ReasonSuspect:
+	case errors.As(err, &refused) && refused.Reason == routing.ReasonSuspect, errors.As(err, &refused) && refused.Reason == routing.ReasonBackOff:
 		return refusal(refused, run)
 	case errors.As(err, &refused) && !c.ran, errors.As(err, &unsent):
 		return failure{status: http.StatusServiceUnavailable, code: codeUnreachable, message: "no host of the service could be reached", run: run, retryAfter: retryAfter}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"citronspread/entryhost"
+	"citronspread/platform"
 	"citronspread/settings"
 )
 
@@ -45,6 +46,7 @@
 // runEntryHost runs an entry host until ctx is cancelled.
 func runEntryHost(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
 	host := entryhost.FromSettings(s, logger)
+	host.ReadStatements = platform.ReadStatements
 	host.Version = version()
 	return host.Run(ctx)
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -53,6 +53,8 @@
 
 	SilenceLimit time.Duration // silence after which ShouldMove is called
 	ShouldMove   func() bool   // whether to cancel so that a faster replica takes over; may be nil
+
+	OnHead func(status int, header http.Header) // called with the head of the response; may be nil
 }
 
 // Progress records the tokens delivered for one request by all its streams.
@@ -150,6 +152,9 @@
 		cancel(nil)
 		return nil, err
 	}
+	if call.OnHead != nil {
+		call.OnHead(response.StatusCode, response.Header)
+	}
 	stream := &Stream{call: call, response: response, cancel: cancel, ctx: ctx, watchdog: watchdog}
 	stream.body.reader = response.Body
 	if response.StatusCode != http.StatusOK {
--- a/entryhost/callerserver.go
+++ b/entryhost/callerserver.go
@@ -40,7 +40,8 @@
 		Log:      h.Log,
 		Limits:   h.Traffic.Limits,
 
-		Workspaces: h.Workspaces,
+		Workspaces:     h.Workspaces,
+		ReadStatements: h.ReadStatements,
 	}
 }
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -39,12 +39,14 @@
 	Policy          Policy
 	Traffic         Traffic
 	Workspaces      *workspace.Directory // nil or empty if callers need no keys
-	StoreTimeout    time.Duration        // of one store call
-	MaxOrderDelay   time.Duration        // time after which an order can no longer reach its engine
-	Store           Store
-	HostList        HostList
-	DialEngine      func(host model.Host) Engine
-	Log             *zap.Logger
+	// ReadStatements reads what the head of a response states about its backend server, see caller.Server. Nil if they state nothing.
+	ReadStatements func(status int, header http.Header) (leaving bool, backOff time.Duration, err error)
+	StoreTimeout   time.Duration // of one store call
+	MaxOrderDelay  time.Duration // time after which an order can no longer reach its engine
+	Store          Store
+	HostList       HostList
+	DialEngine     func(host model.Host) Engine
+	Log            *zap.Logger
 
 	incarnation model.Incarnation
 	metrics     *metrics
--- a/routing/backoff.go
+++ b/routing/backoff.go
@@ -92,15 +92,6 @@
 	return known.until, false
 }
 
-// expireBackOffs removes the back-offs that are over.
-func (s *statements) expireBackOffs(now time.Time) {
-	for backend, b := range s.backOffs {
-		if b.isOver(now) {
-			delete(s.backOffs, backend)
-		}
-	}
-}
-
 // RecordBackOff records that an incarnation of a backend server wants no requests of this host for some time. It reports until
 // when, and whether the incarnation was not in back-off before.
 func (r *Router) RecordBackOff(now time.Time, backend string, born int64, wait time.Duration) (until time.Time, news bool) {
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -199,6 +199,9 @@
 	return e.Address
 }
 
+// Backend returns the name of the backend server: its ID, or its address if it has none.
+func (g *EndpointGrant) Backend() string { return backendOf(g.Endpoint) }
+
 // finish ends a call and reports whether its request may have crashed the backend server. If a trial was running there,
 // the crash is attributed to the trial alone.
 func (c *endpointCalls) finish(now time.Time, g *EndpointGrant, outcome Outcome) (possibleCause bool) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -179,7 +179,7 @@
 	r.steppedAt = now
 	r.reindex(now)
 	r.fleet.sample(now)
-	r.stated.expireBackOffs(now)
+	r.stated.expire(now)
 	r.dispatch(now)
 	if now.Sub(r.lateCheckedAt) >= lateCheckInterval {
 		r.lateCheckedAt = now
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -10,8 +10,8 @@
 
 const (
 	// unknownIncarnationTTL is how long a backend server without a known start time counts as leaving. Another incarnation at
-	// the same address can't be told from it. It is longer than a backend server takes to leave.
-	unknownIncarnationTTL = 10 * time.Minute
+	// the same address can't be told from it, and gets no requests meanwhile.
+	unknownIncarnationTTL = time.Minute
 	// departureRetention is how long it is kept that a backend server is leaving which is not listed. A restored store may list
 	// it again.
 	departureRetention = 2 * time.Minute
@@ -83,7 +83,7 @@
 func (s *statements) retain(now time.Time, exists func(backend string) bool) {
 	s.limits.retain(now, exists)
 	maps.DeleteFunc(s.departures, func(backend string, d departure) bool {
-		return !d.isValid(now, d.born) || now.Sub(d.statedAt) > departureRetention && !exists(backend)
+		return now.Sub(d.statedAt) > departureRetention && !exists(backend)
 	})
 }
 
@@ -170,6 +170,12 @@
 	return states
 }
 
+// expire removes the departures and back-offs that are over.
+func (s *statements) expire(now time.Time) {
+	maps.DeleteFunc(s.departures, func(_ string, d departure) bool { return !d.isValid(now, d.born) })
+	maps.DeleteFunc(s.backOffs, func(_ string, b *backOff) bool { return b.isOver(now) })
+}
+
 // RecordLeaving records that an incarnation of a backend server has stated in a response that it is leaving. It reports whether
 // that is news, of which the other entry hosts are told.
 func (r *Router) RecordLeaving(now time.Time, backend string, born int64) (news bool) {
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -128,6 +128,7 @@
 			}
 			now := testTime.Add(tt.after)
 			r.RetainStatements(now, func(string) bool { return true })
+			r.Step(now)
 			if got := r.IsLeaving(now, "a", tt.born); got != tt.want {
 				t.Errorf("got leaving %v, want %v", got, tt.want)
 			}
