gateway: reports and orders also state what a backend server says of itself

Cause: a backend server states that it is leaving in all responses, and may turn reports and orders away with Retry-After; both were read in responses to callers only.

Change: ReadReport returns whether the response states that the server is leaving, and the error of a 503 for how long it wants nothing. The owner records both in the view of routing.

--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -126,6 +126,7 @@
 		h.post(func(now time.Time) {
 			h.Log.Info("order", zap.String("Backend", id), zap.Stringer("Kind", o.Kind), zap.String("Model", o.Model), zap.String("Adapter", o.Adapter),
 				zap.Int64("Expected", o.Expected), zap.Int64("Term", o.Term), zap.Int("Source", int(source)), zap.Stringer("Answer", answer), zap.Duration("Took", took), zap.Error(err))
+			h.recordControlError(now, listing.Life, err)
 			b.account.Answered(now, o, answer)
 			if answer == residency.Accepted && o.Kind == residency.LoadAdapter {
 				h.stepAfter(residency.AdapterLoad)
@@ -151,9 +152,13 @@
 			b.reportInFlight = false
 			if err != nil {
 				h.Log.Info("no report", zap.String("Backend", id), zap.Error(err))
+				h.recordControlError(now, listing.Life, err)
 				b.account.ReportFailed()
 				return
 			}
+			if report.Leaving {
+				h.recordLeaving(now, report.Life, "")
+			}
 			b.account.ApplyReport(now, report)
 		})
 	})
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,23 +33,49 @@
 
 // RecordLeaving records that a backend server stated in its response to a request that it is leaving.
 func (d *Dispatcher) RecordLeaving(now time.Time, incarnation model.BackendIncarnation, id string) {
-	if !d.host.router.RecordLeaving(now, incarnation.ID, incarnation.Born) {
-		return
+	if d.host.recordLeaving(now, incarnation, id) {
+		d.host.post(func(time.Time) {}) // the next step applies it to the view
 	}
-	d.host.Log.Info("leaving stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", id))
-	d.host.post(func(time.Time) {}) // the next step applies it to the view
+}
+
+// recordLeaving records that a backend server stated in a response that it is leaving, and reports whether that is news. The
+// request is empty if the response was one to this host as the owner.
+func (h *Host) recordLeaving(now time.Time, incarnation model.BackendIncarnation, request string) bool {
+	news := h.router.RecordLeaving(now, incarnation.ID, incarnation.Born)
+	if news {
+		h.Log.Info("leaving stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", request))
+	}
+	return news
 }
 
 // RecordBackOff records that a backend server stated in its response to a request that it wants no requests of this host for some
 // time.
 func (d *Dispatcher) RecordBackOff(now time.Time, incarnation model.BackendIncarnation, id string, wait time.Duration) {
-	until, news := d.host.router.RecordBackOff(now, incarnation.ID, incarnation.Born, wait)
-	if news {
-		d.host.Log.Info("back-off stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", id),
+	d.host.recordBackOff(now, incarnation, id, wait)
+}
+
+// recordBackOff records a back-off, see RecordBackOff and recordLeaving.
+func (h *Host) recordBackOff(now time.Time, incarnation model.BackendIncarnation, request string, wait time.Duration) {
+	if until, news := h.router.RecordBackOff(now, incarnation.ID, incarnation.Born, wait); news {
+		h.Log.Info("back-off stated", zap.String("Backend", incarnation.ID), zap.Int64("Born", incarnation.Born), zap.String("Request", request),
 			zap.Duration("Stated", wait), zap.Duration("For", until.Sub(now)))
 	}
 }
 
+// backOffError is the error of a call for which the backend server stated for how long it wants no further ones.
+type backOffError interface {
+	error
+	BackOff() time.Duration
+}
+
+// recordControlError records the back-off that a backend server stated in its response to a report or an order.
+func (h *Host) recordControlError(now time.Time, incarnation model.BackendIncarnation, err error) {
+	var stated backOffError
+	if errors.As(err, &stated) {
+		h.recordBackOff(now, incarnation, "", stated.BackOff())
+	}
+}
+
 // BackOffWait returns the time until the first of the backend servers that could serve a request wants requests of this host again,
 // 0 if one of them wants requests now.
 func (d *Dispatcher) BackOffWait(now time.Time, r RoutedRequest) time.Duration {
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -109,6 +109,7 @@
 	Pending  []PendingAdapter
 	InMemory []string // models whose weights are cached in the backend server's memory
 	OnDisk   []string // models whose weights are cached on the backend server's disk
+	Leaving  bool     // the response stated that the backend server is leaving
 }
 
 // ReportedModel is a loaded model with its loaded adapters.
