--- a/entryhost/vars.go
+++ b/entryhost/vars.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"time"
 
 	"citronspread/peer"
 )
@@ -9,6 +10,7 @@
 // vars returns the host's counters and totals as one expvar map.
 func (h *Host) vars() *expvar.Map {
 	vars := h.metrics.vars()
+	vars.Set("BackendStatements", expvar.Func(func() any { return h.router.CountStatements(time.Now()) }))
 	vars.Set("PeerBytesReceived", expvar.Func(func() any { return h.peerTraffic.Received.Load() }))
 	vars.Set("PeerBytesSent", expvar.Func(func() any { return h.peerTraffic.Sent.Load() }))
 	vars.Set("PeerCalls", expvar.Func(func() any { return h.peerTraffic.Calls.Load() }))
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -10,26 +10,8 @@
 	"citronspread/routing"
 )
 
-// StatementCounts counts the backend servers by what they state.
-type StatementCounts struct {
-	Limited   int // they take a number of requests per second
-	Leaving   int
-	InBackOff int // they want no requests of this host for some time
-}
-
 // Statements counts the backend servers by what they state.
-func (h *Host) Statements() (counts StatementCounts) {
-	for _, s := range h.router.Statements() {
-		if s.Stated {
-			counts.Limited++
-		}
-		if !s.LeavingAt.IsZero() {
-			counts.Leaving++
-		}
-	}
-	counts.InBackOff = h.router.InBackOff(h.Now())
-	return counts
-}
+func (h *Host) Statements() routing.StatementCounts { return h.router.CountStatements(h.Now()) }
 
 // RecordLeaving records that a backend server stated in its response to a request that it is leaving.
 func (d *Dispatcher) RecordLeaving(now time.Time, incarnation model.BackendIncarnation, id string) {
--- a/routing/backoff.go
+++ b/routing/backoff.go
@@ -115,19 +115,6 @@
 	return r.stated.backOffEnd(now, backend, born)
 }
 
-// InBackOff returns how many backend servers want no requests of this host now.
-func (r *Router) InBackOff(now time.Time) (count int) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, b := range r.stated.backOffs {
-		if now.Before(b.until) {
-			count++
-		}
-	}
-	return count
-}
-
 // allInBackOff returns the backend servers that could serve the target if all of them are in back-off, and the earliest end.
 func (r *Router) allInBackOff(now time.Time, target Target) (backends []string, end time.Time) {
 	routed := r.index.find(target.Key)
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -253,6 +253,32 @@
 	return stated
 }
 
+// StatementCounts counts the backend servers by what they state.
+type StatementCounts struct {
+	Limited   int // they take a number of requests per second
+	Leaving   int
+	InBackOff int // they want no requests of this host for some time
+}
+
+// CountStatements counts the backend servers by what they state now.
+func (r *Router) CountStatements(now time.Time) StatementCounts {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := StatementCounts{Limited: len(r.stated.allowances)}
+	for _, d := range r.stated.departures {
+		if d.isValid(now, d.born) {
+			counts.Leaving++
+		}
+	}
+	for _, b := range r.stated.backOffs {
+		if now.Before(b.until) {
+			counts.InBackOff++
+		}
+	}
+	return counts
+}
+
 // Statement returns what is known of a backend server.
 func (r *Router) Statement(backend string) model.BackendStatement {
 	r.once.Do(r.init)
