--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// learnSuspects asks the relays of all zones what they refuse and what backend servers have stated, if this host is one of them. A host that starts
-// knows none, and as the first relay of its zone it follows no host that would pass them on.
+// learnSuspects asks the relays of all zones what they refuse and what backend servers have stated, if this host is one of them. A
+// host that starts knows none, and as the first relay of its zone it follows no host that would pass them on.
 func (h *Host) learnSuspects() {
 	addresses := h.allRelays()
 	if h.suspectsLearned || len(addresses) == 0 || !h.isRelayCandidate() {
