routing: statements of earlier incarnations are removed

Cause: a departure stayed in the view while its backend server was listed, also after a restart with the same ID, so the gauge and the state dump went on counting a backend server as leaving that gets requests.

Evidence: the case restarted of TestLeavingAppliesToOneIncarnation, which now checks the count.

Change: RetainStatements gets the start times of the listed backend servers.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -249,5 +249,10 @@
 			delete(h.published, backend)
 		}
 	}
-	h.router.RetainStatements(now, func(backend string) bool { return h.view.backends[backend] != nil })
+	h.router.RetainStatements(now, func(backend string) (born int64, found bool) {
+		if b := h.view.backends[backend]; b != nil {
+			return b.listing.Life.Born, true
+		}
+		return 0, false
+	})
 }
--- a/routing/backoff_test.go
+++ b/routing/backoff_test.go
@@ -186,6 +186,10 @@
 				now = testTime.Add(s.after)
 				r.RecordBackOff(now, "a", s.born, s.wait)
 			}
+			r.RetainStatements(now, func(string) (int64, bool) { return tt.born, true })
+			if got := r.CountStatements(now).InBackOff; got > 0 != (tt.want > 0) {
+				t.Errorf("got %d backend servers counted as in back-off, want in back-off %v", got, tt.want > 0)
+			}
 			until, inBackOff := r.BackOffEnd(now, "a", tt.born)
 			if want := testTime.Add(tt.want); inBackOff != (tt.want > 0) || inBackOff && !until.Equal(want) {
 				t.Errorf("got %v, %v, want the end after %v", until.Sub(testTime), inBackOff, tt.want)
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -79,11 +79,20 @@
 	return stated
 }
 
-// retain removes the statements of the backend servers that are gone.
-func (s *statements) retain(now time.Time, exists func(backend string) bool) {
-	s.limits.retain(now, exists)
+// retain removes the statements of the backend servers that are gone, and of earlier incarnations. listed returns the start time of
+// a listed backend server.
+func (s *statements) retain(now time.Time, listed func(backend string) (born int64, found bool)) {
+	s.limits.retain(now, func(backend string) bool {
+		_, found := listed(backend)
+		return found
+	})
 	maps.DeleteFunc(s.departures, func(backend string, d departure) bool {
-		return now.Sub(d.statedAt) > departureRetention && !exists(backend)
+		born, found := listed(backend)
+		return found && d.born < born || !found && now.Sub(d.statedAt) > departureRetention
+	})
+	maps.DeleteFunc(s.backOffs, func(backend string, b *backOff) bool {
+		born, found := listed(backend)
+		return found && b.born < born
 	})
 }
 
@@ -228,12 +237,13 @@
 	return changes
 }
 
-// RetainStatements removes the statements of the backend servers that are gone.
-func (r *Router) RetainStatements(now time.Time, exists func(backend string) bool) {
+// RetainStatements removes the statements of the backend servers that are gone, and of earlier incarnations. listed returns the
+// start time of a listed backend server.
+func (r *Router) RetainStatements(now time.Time, listed func(backend string) (born int64, found bool)) {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stated.retain(now, exists)
+	r.stated.retain(now, listed)
 }
 
 // Statements returns what backend servers state now.
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -127,11 +127,14 @@
 				r.MergeStatements(testTime, []model.BackendStatement{s})
 			}
 			now := testTime.Add(tt.after)
-			r.RetainStatements(now, func(string) bool { return true })
+			r.RetainStatements(now, func(string) (int64, bool) { return tt.born, true })
 			r.Step(now)
 			if got := r.IsLeaving(now, "a", tt.born); got != tt.want {
 				t.Errorf("got leaving %v, want %v", got, tt.want)
 			}
+			if got := r.CountStatements(now).Leaving; got > 0 != tt.want {
+				t.Errorf("got %d backend servers counted as leaving, want leaving %v", got, tt.want)
+			}
 		})
 	}
 }
@@ -142,7 +145,7 @@
 	r := newRouter(DefaultPolicy())
 	r.RecordLeaving(testTime, "a", 5)
 	r.ForgetLimit("a") // its entry was removed
-	gone := func(string) bool { return false }
+	gone := func(string) (int64, bool) { return 0, false }
 	r.RetainStatements(testTime.Add(departureRetention), gone)
 	if !r.IsLeaving(testTime.Add(departureRetention), "a", 5) {
 		t.Error("got a statement that ended with the entry in the list, want it kept")
