--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -95,17 +95,27 @@
 }
 
 // grantEndpoint chooses an endpoint and counts a call to it. It skips leaving endpoints, endpoints with MaxEndpointCalls
-// calls, those whose address is in Avoid and full ones. If all others have stated a limit that allows no call now, or are full,
-// it returns a *allowanceWaitError. In the first case it remembers that the request waits.
+// calls, those whose address is in Avoid, those in back-off and full ones. If all others have stated a limit that allows no call
+// now, or are full, it returns a *allowanceWaitError. In the first case it remembers that the request waits. If all are in
+// back-off it refuses the call.
 func (r *Router) grantEndpoint(now time.Time, request *Request, trial bool) (*EndpointGrant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reindex(now)
 	var usable []model.ServiceEndpoint
-	var limited, full []string
+	var limited, full, inBackOff []string
+	var backOffEnd time.Time
 	roomAt := now.Add(maxFullPause)
 	for _, e := range r.index.endpoints[request.Service] {
-		if e.Leaving || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+		if !r.mayCall(now, e) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+			continue
+		}
+		if until, wantsNone := r.stated.backOffEnd(now, backendOf(e), e.Born); wantsNone {
+			inBackOff, backOffEnd = append(inBackOff, backendOf(e)), earliest(backOffEnd, until)
+			continue
+		}
+		if at := r.stated.rampNextAt(now, backendOf(e), e.Born); !at.IsZero() {
+			full, roomAt = append(full, backendOf(e)), earliest(roomAt, at)
 			continue
 		}
 		if f := r.endpointCalls.fullOf(e.Address); r.isFull(now, f, backendOf(e), r.loadView(now, backendOf(e)).slots) {
@@ -116,27 +126,31 @@
 			continue
 		}
 		usable = append(usable, e)
-		if r.limits.allowances[backendOf(e)] != nil {
+		if r.stated.allowances[backendOf(e)] != nil {
 			limited = append(limited, backendOf(e))
 		}
 	}
 	if len(usable) == 0 && len(full) > 0 {
 		wait := min(roomAt.Sub(now), fullPause)
-		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.limits.changed, backends: full, full: true}
+		return nil, &allowanceWaitError{next: wait, total: wait, changed: r.stated.changed, backends: full, full: true}
+	}
+	if len(usable) == 0 && len(inBackOff) > 0 {
+		return nil, &RefusedError{Reason: ReasonBackOff, RetryAfter: backOffEnd.Sub(now), Backends: inBackOff}
 	}
 	if len(usable) == 0 {
 		return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: minRetryAfter}
 	}
-	if ahead := r.limits.ahead(request); len(limited) == len(usable) && r.limits.sendable(now, limited) <= ahead {
-		return nil, r.limits.wait(now, request, limited, ahead)
+	if ahead := r.stated.ahead(request); len(limited) == len(usable) && r.stated.sendable(now, limited) <= ahead {
+		return nil, r.stated.wait(now, request, limited, ahead)
 	}
-	if len(limited) > 0 && r.limits.sendable(now, limited) == 0 && r.limits.askFor(now, request, limited) && now.Sub(request.askedAt) < maxReplyWait {
-		return nil, &allowanceWaitError{next: maxReplyWait, changed: r.limits.changed}
+	if len(limited) > 0 && r.stated.sendable(now, limited) == 0 && r.stated.askFor(now, request, limited) && now.Sub(request.askedAt) < maxReplyWait {
+		return nil, &allowanceWaitError{next: maxReplyWait, changed: r.stated.changed}
 	}
 	best := r.chooseEndpoint(now, usable, trial)
 	input := r.loadInput(now, backendOf(best))
 	r.endpointCalls.fullOf(best.Address).granted(now, r.random)
-	r.limits.use(now, backendOf(best))
+	r.stated.use(now, backendOf(best))
+	r.stated.recordSent(now, backendOf(best))
 	r.endpointCalls.running[best.Address]++
 	r.endpointCalls.byBackend[backendOf(best)]++
 	if trial {
@@ -156,7 +170,7 @@
 		delete(r.endpointCalls.full, g.Endpoint.Address)
 	}
 	if r.endpointCalls.awaitingRoom > 0 {
-		r.limits.notify()
+		r.stated.notify()
 	}
 	var survived []loss
 	if possibleCause {
@@ -185,6 +199,9 @@
 	return e.Address
 }
 
+// Backend returns the name of the backend server: its ID, or its address if it has none.
+func (g *EndpointGrant) Backend() string { return backendOf(g.Endpoint) }
+
 // finish ends a call and reports whether its request may have crashed the backend server. If a trial was running there,
 // the crash is attributed to the trial alone.
 func (c *endpointCalls) finish(now time.Time, g *EndpointGrant, outcome Outcome) (possibleCause bool) {
@@ -228,7 +245,7 @@
 // trial of those without another trial, then of those in the router's zone unless Policy.AnyZone is set, then of those that
 // are expected to have room. Among the rest the router's picker decides.
 func (r *Router) chooseEndpoint(now time.Time, usable []model.ServiceEndpoint, trial bool) model.ServiceEndpoint {
-	left := slices.DeleteFunc(usable, func(e model.ServiceEndpoint) bool { return !r.limits.allows(now, backendOf(e)) })
+	left := slices.DeleteFunc(usable, func(e model.ServiceEndpoint) bool { return !r.stated.allows(now, backendOf(e)) })
 	left = preferred(left, func(e model.ServiceEndpoint) bool { return !now.Before(r.endpointCalls.pausedUntil[e.Address]) })
 	if trial {
 		left = preferred(left, func(e model.ServiceEndpoint) bool { return r.endpointCalls.trials[e.Address] == 0 })
--- a/routing/router.go
+++ b/routing/router.go
@@ -66,7 +66,7 @@
 	losses        losses
 	endpointCalls endpointCalls
 	usages        usages
-	limits        limits
+	stated        statements
 	loads         loads
 	tokenMean     mean // of the tokens that requests state
 }
@@ -179,13 +179,14 @@
 	r.steppedAt = now
 	r.reindex(now)
 	r.fleet.sample(now)
+	r.stated.expire(now)
 	r.dispatch(now)
 	if now.Sub(r.lateCheckedAt) >= lateCheckInterval {
 		r.lateCheckedAt = now
 		r.refuseLate(now)
 	}
 	demands := r.dueDemands(now)
-	requests := r.limits.take(now)
+	requests := r.stated.take(now)
 	r.mu.Unlock()
 	r.sendDemands(demands)
 	r.requestAllowances(requests)
@@ -212,7 +213,7 @@
 	r.pins = make(map[model.Fingerprint]pin)
 	r.unbegun = make(map[*Grant]bool)
 	r.endpointCalls = newEndpointCalls()
-	r.limits = newLimits()
+	r.stated = newStatements()
 	r.loads = newLoads()
 	if r.Now == nil {
 		r.Now = time.Now
--- a/routing/state.go
+++ b/routing/state.go
@@ -16,8 +16,9 @@
 	Waiting  int
 	Lines    []TargetQueueState // sorted by target
 	Backends []BackendState
-	Limits   []LimitState // of the backend servers that have stated a limit
-	Shares   []ShareState // of the workspaces that were served most
+	Limits   []LimitState     // of the backend servers that have stated a limit
+	Stated   []StatementState // of the backend servers that are leaving or in back-off
+	Shares   []ShareState     // of the workspaces that were served most
 	Budget   BudgetTotals
 	Suspects SuspectTotals
 }
@@ -81,13 +82,14 @@
 		s.Full = r.isFull(now, &r.fleet.backends[name].full, name, r.fleet.backends[name].capacity)
 		state.Backends = append(state.Backends, s)
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.limits.allowances)) {
-		a := r.limits.allowances[name]
+	for _, name := range slices.Sorted(maps.Keys(r.stated.allowances)) {
+		a := r.stated.allowances[name]
 		at, _ := a.NextAt(now)
 		state.Limits = append(state.Limits, LimitState{
 			Backend: name, PerSecond: a.PerSecond, StatedFor: now.Sub(a.StatedAt), Sendable: a.Sendable(now), NextIn: max(0, at.Sub(now)),
 		})
 	}
+	state.Stated = r.statementStates(now)
 	for _, share := range r.queue.Shares.Busiest(now, shareStates) {
 		state.Shares = append(state.Shares, ShareState{Workspace: share.Workspace, Counter: share.Service})
 	}
