--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -19,7 +19,7 @@
 	// arrived through the watch before the next attempt.
 	permitPause = 700 * time.Millisecond
 	// maxPermitPause bounds the pause, which grows fourfold with each attempt in a row that another host has won.
-	maxPermitPause = 8 * permitPause
+	maxPermitPause = 16 * permitPause
 	// permitUsableFor is how long after it was acquired a permit may be used to start a load.
 	permitUsableFor = 500 * time.Millisecond
 	// permitMargin is added to WeightLoadWindow in the lease of a permit, for a load that starts late.
