load, routing: a prompt is refused its turn only if another backend server has room

Cause: turns bound what a server reads to half of its time. Where no other server has the model, refusing the turn makes requests wait and be refused although the server can read more.

Change: such a prompt waits for as long as it may and is sent then, without delaying those behind it.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -279,7 +279,7 @@
 
 // reserve takes a place on a backend server that this host owns.
 func (h *Host) reserve(now time.Time, request *peer.ReserveRequest) *peer.ReserveReply {
-	prompt := load.Prompt{Reading: min(max(0, request.Reading), maxReading), Gap: min(max(0, request.Gap), maxReading), MaxWait: request.MaxWait}
+	prompt := load.Prompt{Reading: min(max(0, request.Reading), maxReading), Gap: min(max(0, request.Gap), maxReading), MaxWait: request.MaxWait, IsOnly: request.IsOnly}
 	sum, known, placed, wait := h.loads.reserve(now, request.Backend, load.Place{Host: request.From, Tokens: request.Tokens}, prompt)
 	if !known {
 		return &peer.ReserveReply{}
@@ -308,7 +308,7 @@
 	if owners := h.ownerAddresses.Load(); owners != nil {
 		owner = (*owners)[backend]
 	}
-	request := &peer.ReserveRequest{From: h.Name, Backend: backend, Tokens: g.Tokens(), Reading: prompt.Reading, Gap: prompt.Gap, MaxWait: prompt.MaxWait}
+	request := &peer.ReserveRequest{From: h.Name, Backend: backend, Tokens: g.Tokens(), Reading: prompt.Reading, Gap: prompt.Gap, MaxWait: prompt.MaxWait, IsOnly: g.IsOnly(h.Now())}
 	reply, err := h.askForPlace(ctx, owner, request)
 	now := h.Now()
 	if err != nil || !reply.Known {
--- a/load/pace.go
+++ b/load/pace.go
@@ -23,9 +23,12 @@
 	Reading time.Duration // expected time of reading it
 	Gap     time.Duration // longest pause that callers accept between events of their streams
 	MaxWait time.Duration // how long it may wait for its turn
+	IsOnly  bool          // no other backend server can serve the request
 }
 
-// Begin returns how long the prompt must wait for its turn, and takes the turn. It reports false if that is too long.
+// Begin returns how long the prompt must wait for its turn, and takes the turn. It reports false if that is too long and another backend
+// server can serve the request. If none can, the prompt goes as late as it may: the server gets more than it can read in time, and
+// refusing some prompts would not make it read the others any sooner than that.
 func (p *Pacer) Begin(now time.Time, prompt Prompt) (wait time.Duration, taken bool) {
 	capacity := time.Duration(burstShare * float64(prompt.Gap))
 	level := min(p.level+time.Duration(readShare*float64(now.Sub(p.at))), capacity)
@@ -37,7 +40,10 @@
 		wait = time.Duration(float64(missing) / readShare)
 	}
 	if wait > prompt.MaxWait {
-		return wait, false
+		if !prompt.IsOnly {
+			return wait, false
+		}
+		return prompt.MaxWait, true // without a debt, which would delay those behind it by more than they may wait
 	}
 	p.level -= prompt.Reading
 	return wait, true
--- a/load/pace_test.go
+++ b/load/pace_test.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// TestPromptThatCantWaitTakesNoTurn guards against a request that goes elsewhere and delays those behind it.
+// TestPromptThatCantWaitTakesNoTurn guards against a request that goes elsewhere and delays those behind it, and against one that can
+// go nowhere else and is refused.
 func TestPromptThatCantWaitTakesNoTurn(t *testing.T) {
 	now, p := time.Unix(1000, 0), Pacer{}
 	prompt := Prompt{Reading: 200 * time.Millisecond, Gap: 300 * time.Millisecond, MaxWait: time.Second}
@@ -141,6 +142,10 @@
 	if taken || want <= 0 {
 		t.Errorf("got a wait of %v and %v for a prompt that can't wait, want a refusal", want, taken)
 	}
+	second.MaxWait, second.IsOnly = want/2, true
+	if got, taken := p.Begin(now, second); got != want/2 || !taken {
+		t.Errorf("got a wait of %v and %v for one that can't go elsewhere, want %v", got, taken, want/2)
+	}
 	if got, taken := p.Begin(now, prompt); got != want || !taken {
 		t.Errorf("got a wait of %v and %v for the next prompt, want %v", got, taken, want)
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -94,6 +94,7 @@
 	Reading time.Duration `cbor:",omitempty"` // expected time of reading the prompt, 0 if it needs no turn
 	Gap     time.Duration `cbor:",omitempty"` // longest pause that callers accept in streams
 	MaxWait time.Duration `cbor:",omitempty"` // how long the prompt may wait for its turn
+	IsOnly  bool          `cbor:",omitempty"` // no other backend server can serve the request
 }
 
 // ReserveReply is the reply to a ReserveRequest.
--- a/routing/room.go
+++ b/routing/room.go
@@ -96,6 +96,21 @@
 // NeedsPlace reports whether the owner of the backend server must be asked for a place before the request is sent.
 func (g *Grant) NeedsPlace() bool { return g.ticket.needsPlace }
 
+// IsOnly reports whether no other backend server has room for the request now.
+func (g *Grant) IsOnly(now time.Time) bool {
+	r := g.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, replicas := range r.usableReplicas(now, g.ticket.Target) {
+		for _, replica := range replicas {
+			if replica.Backend != g.Replica.Backend && r.hasRoom(now, g.ticket, replica) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Tokens returns the tokens that the request may take on its backend server.
 func (g *Grant) Tokens() int { return g.ticket.heldTokens }
 
