--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -205,3 +205,67 @@
 		}
 	}
 }
+
+// TestStalledLargeHoldersAreDroppedAgain guards against a list of stalled holders that is never searched again: the small ones
+// at its end are not dropped for a large holder, and those that stall later are not on it.
+func TestStalledLargeHoldersAreDroppedAgain(t *testing.T) {
+	a := &Account{MaxBytes: testLimit}
+	open(t, a, start, 1000) // an idle connection, which is stalled too
+	now := start
+	for round := range 3 {
+		stalled, dropped := open(t, a, now, 1000)
+		if err := stalled.Reserve(now, Bodies, testLimit/2); err != nil {
+			t.Fatalf("got %v in round %d, want the reservation", err, round)
+		}
+		now = now.Add(time.Second)
+		h, _ := open(t, a, now, 1000)
+		h.Work()
+		if err := h.Reserve(now, Bodies, testLimit/2); err != nil || !*dropped {
+			t.Errorf("got %v and dropped %t in round %d, want the stalled holder dropped", err, *dropped, round)
+		}
+		h.Close()
+		stalled.Close()
+	}
+}
+
+// TestClosedHolderDoesNotHideStalledOnes guards against large holders that are kept because one that was found stalled before
+// them has been closed.
+func TestClosedHolderDoesNotHideStalledOnes(t *testing.T) {
+	a := &Account{MaxBytes: testLimit}
+	var stalled []*Holder
+	var dropped []*bool
+	for _, bytes := range []int64{180 << 10, 200 << 10, 220 << 10} {
+		h, d := open(t, a, start, bytes)
+		stalled, dropped = append(stalled, h), append(dropped, d)
+	}
+	now := start.Add(time.Second)
+	h, _ := open(t, a, now, 200<<10) // drops the one that holds most
+	h.Work()
+	stalled[1].Close()
+	h, _ = open(t, a, now, 1000)
+	h.Work()
+	if err := h.Reserve(now, Bodies, 450<<10); err != nil || !*dropped[0] {
+		t.Errorf("got %v and dropped %t, want the stalled holder dropped", err, *dropped[0])
+	}
+}
+
+// TestRefusedHolderStaysAccounted guards against holders that are no longer accounted for, although their connection stays open,
+// because a reservation of their own was refused.
+func TestRefusedHolderStaysAccounted(t *testing.T) {
+	a := &Account{MaxBytes: testLimit}
+	h, _ := open(t, a, start, testLimit/2)
+	now := start.Add(time.Second)
+	if err := h.Reserve(now, Responses, testLimit); err == nil {
+		t.Fatal("got a reservation over the limit, want a refusal")
+	}
+	if got, want := a.Usage().Total, int64(testLimit/2); got != want {
+		t.Errorf("got %d bytes after the refusal, want %d", got, want)
+	}
+	if err := h.Set(now, Heads, testLimit); err == nil {
+		t.Error("got a holder over the limit, want a refusal")
+	}
+	h.Close()
+	if err := h.Set(now, Heads, 1); err == nil {
+		t.Error("got memory for a closed holder, want a refusal")
+	}
+}
