memory: search again when the stalled holders found last don't help

Cause: the list of stalled holders was searched again only once it was empty. Small ones at its end, such as any idle connection, are not dropped for a large holder, and a closed one was taken for a small one; from then on no large holder was dropped, and the bodies of ordinary callers were refused until the stalled ones timed out. A holder that was the next to drop for its own reservation left the account, although its connection could stay open, and held memory that was not counted. A holder that is refused stays in the account until it is closed, and a closed one reserves nothing.

--- a/memory/account.go
+++ b/memory/account.go
@@ -122,7 +122,7 @@
 	var dropped []*Holder
 	var err error
 	if limit := int(float64(a.MaxDescriptors) * connectionShare); a.MaxDescriptors > 0 && len(a.holders) >= limit || a.lacksDescriptor() {
-		victim := a.nextStalled(now, false)
+		victim := a.nextStalled(now, nil, false)
 		if victim == nil {
 			err = &DescriptorsError{Open: len(a.holders) + a.outgoing, Limit: a.MaxDescriptors}
 		} else {
@@ -156,7 +156,7 @@
 	a.mu.Lock()
 	var dropped []*Holder
 	if a.lacksDescriptor() {
-		victim := a.nextStalled(now, false)
+		victim := a.nextStalled(now, nil, false)
 		if victim == nil {
 			a.undialled++
 			err := &DescriptorsError{Open: len(a.holders) + a.outgoing, Limit: a.MaxDescriptors}
@@ -187,18 +187,12 @@
 func (a *Account) reserve(now time.Time, h *Holder, kind Kind, bytes int64) ([]*Holder, error) {
 	var dropped []*Holder
 	for !a.fits(h, bytes) {
-		victim := a.nextStalled(now, h.total+bytes > smallBytes)
+		victim := a.nextStalled(now, h, h.total+bytes > smallBytes)
 		if victim == nil {
 			a.refusals++
 			return dropped, &RefusedError{Kind: kind, Bytes: bytes, Held: a.total, Limit: a.MaxBytes}
 		}
-		if victim != h {
-			dropped = append(dropped, victim)
-			continue
-		}
-		// The holder that reserves is itself the one to drop, which its caller does after the refusal.
-		a.refusals++
-		return dropped, &RefusedError{Kind: kind, Bytes: bytes, Held: a.total, Limit: a.MaxBytes}
+		dropped = append(dropped, victim)
 	}
 	a.add(h, kind, bytes)
 	return dropped, nil
@@ -246,33 +240,49 @@
 }
 
 // nextStalled removes and returns the next stalled holder to drop, nil if there is none. Those that hold most go first, then
-// those that wait longest. a.mu must be held.
-func (a *Account) nextStalled(now time.Time, onlyLarge bool) *Holder {
-	if len(a.stalled) == 0 && !now.Before(a.searchAt) {
-		a.searchAt = now.Add(searchInterval)
-		for h := range a.holders {
-			if h.isStalled(now) {
-				a.stalled = append(a.stalled, h)
-			}
+// those that wait longest. If the next one is h, which reserves, it returns nil: h is refused and remains in the account until
+// its connection is closed. a.mu must be held.
+func (a *Account) nextStalled(now time.Time, h *Holder, onlyLarge bool) *Holder {
+	victim, isSelf := a.takeStalled(now, h, onlyLarge)
+	if victim != nil || isSelf || now.Before(a.searchAt) {
+		return victim
+	}
+	// What is left of the latest search does not help: it may be too small for this reservation, and others may have stalled.
+	a.searchAt = now.Add(searchInterval)
+	a.stalled = a.stalled[:0]
+	for other := range a.holders {
+		if other.isStalled(now) {
+			a.stalled = append(a.stalled, other)
 		}
-		slices.SortFunc(a.stalled, func(x, y *Holder) int {
-			return cmp.Or(cmp.Compare(x.total, y.total), y.waitsSince.Compare(x.waitsSince))
-		})
 	}
+	slices.SortFunc(a.stalled, func(x, y *Holder) int {
+		return cmp.Or(cmp.Compare(x.total, y.total), y.waitsSince.Compare(x.waitsSince))
+	})
+	victim, _ = a.takeStalled(now, h, onlyLarge)
+	return victim
+}
+
+// takeStalled removes and returns the next holder that the latest search found and that is still stalled. isSelf reports that it
+// is h, which is not removed. a.mu must be held.
+func (a *Account) takeStalled(now time.Time, h *Holder, onlyLarge bool) (victim *Holder, isSelf bool) {
 	for len(a.stalled) > 0 {
-		h := a.stalled[len(a.stalled)-1]
-		if onlyLarge && h.total <= smallBytes {
-			return nil
+		last := a.stalled[len(a.stalled)-1]
+		if !last.isClosed && onlyLarge && last.total <= smallBytes {
+			return nil, false
 		}
 		a.stalled = a.stalled[:len(a.stalled)-1]
-		if !h.isClosed && h.isStalled(now) {
-			h.reason = DropReason{Held: h.held, Total: h.total, Rate: h.rateOf(now), Waited: now.Sub(h.waitsSince), AllHeld: a.total, Limit: a.MaxBytes}
-			a.drops++
-			a.remove(h)
-			return h
+		if last.isClosed || !last.isStalled(now) {
+			continue
 		}
+		if last == h {
+			return nil, true
+		}
+		last.reason = DropReason{Held: last.held, Total: last.total, Rate: last.rateOf(now), Waited: now.Sub(last.waitsSince), AllHeld: a.total, Limit: a.MaxBytes}
+		a.drops++
+		a.remove(last)
+		return last, false
 	}
-	return nil
+	return nil, false
 }
 
 // notify tells dropped holders. It is called without locks held.
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -49,13 +49,15 @@
 func (h *Holder) Set(now time.Time, kind Kind, bytes int64) error {
 	a := h.account
 	a.mu.Lock()
-	if h.isClosed || bytes <= h.held[kind] {
+	if bytes <= h.held[kind] {
 		defer a.mu.Unlock()
-		if !h.isClosed {
-			a.add(h, kind, bytes-h.held[kind])
-		}
+		a.add(h, kind, bytes-h.held[kind])
 		return nil
 	}
+	if h.isClosed {
+		defer a.mu.Unlock()
+		return &RefusedError{Kind: kind, Bytes: bytes, Held: a.total, Limit: a.MaxBytes}
+	}
 	dropped, err := a.reserve(now, h, kind, bytes-h.held[kind])
 	a.mu.Unlock()
 	notify(dropped)
