inbound: a connection waits for its body until it is complete

Cause: a request counted as served once its head had arrived, and only ReadBody waited for its caller, with a deadline. But net/http reads up to 256 KB of the body of a request that is refused before its body is read, or within it, and those of 'OPTIONS *', without a deadline; and the write of '100 Continue' ended the wait. Such connections were not dropped under pressure, and the ones that were refused stayed open for good: callers that kept 100 bytes back took the account of a host. The deadline of a head that ended behind the previous request also stayed in force while the request was served, and cancelled it. Evidence: TestCallersThatKeepBodiesBackAreDropped, TestBodyKeptBackTimesOut and TestPipelinedRequestHasNoDeadline failed and pass. Change: from the end of its head a connection waits for its body, for BodyTimeout at most, until ReadBody has all of it or the next request begins. A write leaves this as it is.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -39,6 +39,9 @@
 	writeStep = 16 << 10
 )
 
+// BodyTimeout is how long a caller may take for the body of a request, also for one that is refused before it is read.
+const BodyTimeout = 10 * time.Second
+
 // Timeouts that apply where the desired state sets none.
 const (
 	defaultHeaderTimeout = 10 * time.Second
@@ -72,6 +75,7 @@
 	isRefused      bool      // a head was refused, and nothing more is read
 	phaseDeadline  time.Time // for reads, by the phase
 	serverDeadline time.Time // for reads, set by net/http
+	isWaiting      bool      // for bytes from the caller, so that it may be dropped also after a write
 
 	// id is that of the request. It is read without the mutex, because another connection may hold its own while it has this
 	// one dropped.
@@ -114,10 +118,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == serving {
-		c.holder.Wait(now)
+		c.wait(now)
 	}
 }
 
+// wait records that the host waits for bytes from the caller. c.mu must be held.
+func (c *Conn) wait(now time.Time) {
+	c.isWaiting = true
+	c.holder.Wait(now)
+}
+
+// work records that the host does not wait for the caller. c.mu must be held.
+func (c *Conn) work() {
+	c.isWaiting = false
+	c.holder.Work()
+}
+
 // scan accounts for the bytes of a head. It returns an error if the head is refused.
 func (c *Conn) scan(now time.Time, p []byte) error {
 	c.mu.Lock()
@@ -126,8 +142,8 @@
 		c.phase, c.head, c.headReserved = heading, headScanner{}, 0
 		c.phaseDeadline = time.Now().Add(c.listener.headerTimeout())
 		c.applyDeadline()
-		c.holder.Work() // the time that the connection was idle does not count for the head
-		c.holder.Wait(now)
+		c.work() // the time that the connection was idle does not count for the head
+		c.wait(now)
 	}
 	if c.phase != heading {
 		return nil
@@ -149,9 +165,9 @@
 		c.headReserved = need
 	}
 	if c.head.isEnded {
-		c.phase, c.phaseDeadline = serving, time.Time{}
+		// The connection waits for a body until beginRequest: net/http answers some requests itself, and reads their bodies.
+		c.phase, c.phaseDeadline = serving, time.Now().Add(BodyTimeout)
 		c.applyDeadline()
-		c.holder.Work()
 	}
 	return nil
 }
@@ -191,7 +207,7 @@
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.idleTimeout())) // fails only on a closed connection, as does the write
 		n, err := c.Conn.Write(part)
 		c.holder.Progress(c.listener.Now(), n)
-		c.holder.Work()
+		c.endWrite()
 		written += n
 		if err != nil {
 			return written, err
@@ -200,6 +216,16 @@
 	return written, nil
 }
 
+// endWrite records that the host no longer waits for the caller to read. It may still wait for a body, for which net/http has
+// written that the caller may send it.
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWaiting {
+		c.holder.Work()
+	}
+}
+
 // unread returns the bytes that were written and that the caller has not acknowledged.
 func (c *Conn) unread() int64 { return c.queued(unix.TIOCOUTQ) }
 
@@ -245,19 +271,34 @@
 }
 
 // beginRequest records the request that net/http has parsed. It returns an error if there is no memory for its head, which can
-// have arrived together with the end of the previous request.
-func (c *Conn) beginRequest(id string, lines, size int64) error {
+// have arrived together with the end of the previous request. A request with a body waits for it until endBody, or until net/http
+// has read it after a response that does not need it.
+func (c *Conn) beginRequest(id string, lines, size int64, hasBody bool) error {
 	now := c.listener.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id.Store(&id)
 	c.phase, c.phaseDeadline = serving, time.Time{}
-	c.holder.Work()
+	c.work()
+	if hasBody {
+		c.phaseDeadline = time.Now().Add(BodyTimeout)
+		c.wait(now)
+	}
+	c.applyDeadline()
 	behind := max(0, c.queued(unix.TIOCINQ)-unreadAllowance) * queuedByteBytes
 	need := max(c.headReserved, requestBytes+unreadAllowance+headBytes(size, lines)) + behind
 	return c.holder.Set(now, memory.Heads, need)
 }
 
+// endBody records that the body of the request is complete.
+func (c *Conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phaseDeadline = time.Time{}
+	c.applyDeadline()
+	c.work()
+}
+
 // endRequest releases what the host held for the request, once its response is written.
 func (c *Conn) endRequest() {
 	now := c.listener.Now()
@@ -269,7 +310,7 @@
 		_ = c.holder.Set(now, kind, 0) // never fails, since it reserves nothing
 	}
 	_ = c.holder.Set(now, memory.Unread, c.unread()) // less than before the latest write
-	c.holder.Wait(now)
+	c.wait(now)
 }
 
 func (c *Conn) requestID() string {
--- a/inbound/request.go
+++ b/inbound/request.go
@@ -24,7 +24,7 @@
 			size += int64(len(name) + len(value))
 		}
 	}
-	return q, q.conn.beginRequest(id, lines, size)
+	return q, q.conn.beginRequest(id, lines, size, r.ContentLength != 0)
 }
 
 // Hold reserves bytes of a response that are buffered. The error is a *memory.RefusedError.
@@ -72,8 +72,6 @@
 	if declared > pieceBytes {
 		restore = c.enlargeReceiveBuffer()
 	}
-	c.holder.Wait(c.listener.Now())
-	defer c.holder.Work()
 	isEnlarged := false
 	err := b.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, func(n int64) error {
 		if declared > 0 {
@@ -85,6 +83,9 @@
 		}
 		return reserve(n)
 	})
+	if err == nil {
+		c.endBody()
+	}
 	return b, err
 }
 
