inbound: end the request of a dropped caller, count what is behind a body, release what is read

Cause: net/http does not notice the end of a connection once a byte has come behind its request, so the request of a dropped caller went on, with a body of up to 4 MB that was no longer accounted for. A byte that came while the body ended was forgotten. Bytes that arrive behind a body through its larger receive buffer (195 KB were seen) counted as nothing afterwards. Trailers of short lines were kept. A response that was just written counted as unread for as long as the connection was idle (86 KB seen), so idle connections of ordinary callers took memory that nobody held and were dropped for it. Change: a connection has a context that ends with it; the end of a body counts what is unread behind it again; the trailer is discarded; idle connections are looked at every 250 ms until their response is read.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -35,6 +36,8 @@
 	backendUnreadBytes = 64 << 10
 	// headStep is the unit in which memory for a head is reserved.
 	headStep = 4 << 10
+	// unreadInterval is the time between two looks at how much of a response an idle caller has not read.
+	unreadInterval = 250 * time.Millisecond
 	// writeStep is how much is written under one deadline.
 	writeStep = 16 << 10
 )
@@ -76,6 +79,11 @@
 	phaseDeadline  time.Time // for reads, by the phase
 	serverDeadline time.Time // for reads, set by net/http
 	isWaiting      bool      // for bytes from the caller, so that it may be dropped also after a write
+	hasBehind      bool      // the caller has sent bytes behind its request
+	headNeed       int64     // reserved for the head of the request that is served, without what is unread behind it
+	unreadTimer    *time.Timer
+
+	cancel atomic.Pointer[context.CancelFunc] // ends the requests of the connection, nil until net/http serves it
 
 	// id is that of the request. It is read without the mutex, because another connection may hold its own while it has this
 	// one dropped.
@@ -117,9 +125,8 @@
 func (c *Conn) recordBehind(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == serving {
-		c.wait(now)
-	}
+	c.hasBehind = true
+	c.wait(now)
 }
 
 // wait records that the host waits for bytes from the caller. c.mu must be held.
@@ -128,10 +135,12 @@
 	c.holder.Wait(now)
 }
 
-// work records that the host does not wait for the caller. c.mu must be held.
+// work records that the host does not wait for the caller, unless that has sent bytes behind its request. c.mu must be held.
 func (c *Conn) work() {
-	c.isWaiting = false
-	c.holder.Work()
+	if !c.hasBehind {
+		c.isWaiting = false
+		c.holder.Work()
+	}
 }
 
 // scan accounts for the bytes of a head. It returns an error if the head is refused.
@@ -285,18 +294,25 @@
 		c.wait(now)
 	}
 	c.applyDeadline()
-	behind := max(0, c.queued(unix.TIOCINQ)-unreadAllowance) * queuedByteBytes
-	need := max(c.headReserved, requestBytes+unreadAllowance+headBytes(size, lines)) + behind
-	return c.holder.Set(now, memory.Heads, need)
+	c.headNeed = max(c.headReserved, requestBytes+unreadAllowance+headBytes(size, lines))
+	return c.holder.Set(now, memory.Heads, c.headNeed+c.behind())
+}
+
+// behind returns the memory of what is unread behind the request, or of what has arrived of its body, without unreadAllowance.
+func (c *Conn) behind() int64 {
+	return max(0, c.queued(unix.TIOCINQ)-unreadAllowance) * queuedByteBytes
 }
 
-// endBody records that the body of the request is complete.
-func (c *Conn) endBody() {
+// endBody records that the body of the request is complete. It returns an error if there is no memory for what has arrived behind
+// it through the larger receive buffer.
+func (c *Conn) endBody() error {
+	now := c.listener.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phaseDeadline = time.Time{}
 	c.applyDeadline()
 	c.work()
+	return c.holder.Set(now, memory.Heads, c.headNeed+c.behind())
 }
 
 // endRequest releases what the host held for the request, once its response is written.
@@ -305,14 +321,35 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id.Store(nil)
-	c.phase, c.phaseDeadline, c.headReserved = idle, time.Time{}, 0
+	c.phase, c.phaseDeadline, c.headReserved, c.hasBehind = idle, time.Time{}, 0, false
 	for _, kind := range []memory.Kind{memory.Heads, memory.Bodies, memory.Responses} {
 		_ = c.holder.Set(now, kind, 0) // never fails, since it reserves nothing
 	}
-	_ = c.holder.Set(now, memory.Unread, c.unread()) // less than before the latest write
+	c.releaseRead(now)
 	c.wait(now)
 }
 
+// releaseRead releases what the caller has read of the latest response, now and every unreadInterval until nothing is left or the
+// next request is served. c.mu must be held.
+func (c *Conn) releaseRead(now time.Time) {
+	unread := c.unread()
+	_ = c.holder.Set(now, memory.Unread, unread) // never fails: less than before the latest write
+	if unread == 0 {
+		return
+	}
+	if c.unreadTimer != nil {
+		c.unreadTimer.Reset(unreadInterval)
+		return
+	}
+	c.unreadTimer = time.AfterFunc(unreadInterval, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.phase != serving {
+			c.releaseRead(c.listener.Now()) // of a closed connection nothing is left
+		}
+	})
+}
+
 func (c *Conn) requestID() string {
 	if id := c.id.Load(); id != nil {
 		return *id
@@ -331,16 +368,26 @@
 // Close closes the connection and releases everything that was held for it.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.endContext()
 	c.holder.Close()
 	return err
 }
 
+// endContext cancels the context of the request. net/http does so only if it reads the end of the connection, not
+// once a byte has come behind the request.
+func (c *Conn) endContext() {
+	if cancel := c.cancel.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // drop ends the connection at once, with what the caller has not read. net/http closes it after that.
 func (c *Conn) drop() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // discards the unread bytes; fails only on a closed connection
 	}
 	_ = c.Conn.Close() // a second close fails
+	c.endContext()
 }
 
 // onDrop ends a connection that the account has dropped.
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -87,7 +87,14 @@
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
 	server.MaxHeaderBytes = maxHeaderBytes
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		ctx = context.WithValue(ctx, connKey{}, conn)
+		c, ok := conn.(*Conn)
+		if !ok {
+			return ctx
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		c.cancel.Store(&cancel)
+		return ctx
 	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
--- a/inbound/request.go
+++ b/inbound/request.go
@@ -68,7 +68,6 @@
 		return b, err
 	}
 	restore := func() {}
-	defer func() { restore() }()
 	if declared > pieceBytes {
 		restore = c.enlargeReceiveBuffer()
 	}
@@ -83,8 +82,10 @@
 		}
 		return reserve(n)
 	})
+	restore()
+	r.Trailer = nil // it is not passed on, and net/http keeps up to 4 KB of short lines
 	if err == nil {
-		c.endBody()
+		err = c.endBody()
 	}
 	return b, err
 }
