--- a/logbuffer/logbuffer_test.go
+++ b/logbuffer/logbuffer_test.go
@@ -93,6 +93,27 @@
 	buffer.Close(time.Second)
 }
 
+// TestWarningsAreLimited guards against callers that have a line written for each request, such as one that is not served.
+func TestWarningsAreLimited(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	buffer, _ := newTestLogger(w)
+	now := time.Unix(1_000_000, 0)
+	for range 3 * maxPerSecond {
+		buffer.put(now, "not served", true, []byte("line\n"))
+	}
+	buffer.put(now, "store lost", true, []byte("other\n"))
+	buffer.put(now.Add(time.Second), "not served", true, []byte("later\n"))
+	buffer.Close(time.Second)
+	text := w.text()
+	if got, want := strings.Count(text, "line\n"), maxPerSecond; got != want {
+		t.Errorf("got %d lines of one event in a second, want %d", got, want)
+	}
+	if !strings.Contains(text, "other\n") || !strings.Contains(text, "later\n") {
+		t.Error("got no line of another event or of the next second, want both")
+	}
+}
+
 func TestLineFormat(t *testing.T) {
 	w := &blockedWriter{release: make(chan struct{})}
 	close(w.release)
