--- a/logbuffer/logbuffer.go
+++ b/logbuffer/logbuffer.go
@@ -1,6 +1,6 @@
 // Package logbuffer writes log lines without blocking the goroutines that log them. It drops and counts lines that
-// exceed the rate limit of their event or arrive faster than the output takes them. Lines of level Warn and above have
-// no rate limit and are dropped last.
+// exceed the rate limit of their event or arrive faster than the output takes them. Lines of level Warn and above are
+// dropped last when the output is too slow. They have the same rate limit, because callers cause some of them.
 package logbuffer
 
 import (
@@ -89,7 +89,7 @@
 		clear(b.counts)
 	}
 	b.counts[event]++
-	if !warning && b.counts[event] > maxPerSecond {
+	if b.counts[event] > maxPerSecond {
 		b.drop(event)
 		return
 	}
