inbound: a grace time for bytes behind a request, no wait for a body that is none

Cause: found by reading while changing recordBehind: a byte behind a request that net/http had read ahead counted from the time that its connection had been idle, so without the grace time. A request whose body is http.NoBody whatever its length never ends its wait for it. Change: the wait starts anew; a body is what is not http.NoBody, as in platform.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -126,6 +126,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasBehind = true
+	c.holder.Work() // the time that the connection was idle does not count
 	c.wait(now)
 }
 
--- a/inbound/request.go
+++ b/inbound/request.go
@@ -24,7 +24,7 @@
 			size += int64(len(name) + len(value))
 		}
 	}
-	return q, q.conn.beginRequest(id, lines, size, r.ContentLength != 0)
+	return q, q.conn.beginRequest(id, lines, size, r.Body != nil && r.Body != http.NoBody)
 }
 
 // Hold reserves bytes of a response that are buffered. The error is a *memory.RefusedError.
