--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -192,11 +192,14 @@
 	ingress.Transport = platform.NewAccountedTransport(account, host.Now, plan.MaxIdle)
 	addAccountGauges(host.Metrics, account)
 	logger.Info("memory for callers", zap.Int64("MemoryBytes", s.MemoryBytes), zap.Int64("AccountBytes", plan.AccountBytes), zap.Int64("HeapBytes", plan.HeapBytes),
-		zap.Int("MaxDescriptors", s.MaxDescriptors), zap.Int("Descriptors", plan.Descriptors), zap.Int("MaxIdle", plan.MaxIdle))
+		zap.Int("MaxDescriptors", s.MaxDescriptors), zap.Int("Descriptors", plan.Descriptors), zap.Int("MaxIdle", plan.MaxIdle), zap.Int("Backlog", plan.Backlog))
 	listener := &inbound.Listener{Account: account, Limits: host.Dispatcher.ConnectionLimits, Log: logger, Now: host.Now}
 	listener.Prepare(callers)
 	return func(l net.Listener) net.Listener {
 		listener.Listener = l
+		if err := listener.LimitBacklog(plan.Backlog); err != nil {
+			logger.Warn("backlog not limited", zap.Error(err))
+		}
 		return listener
 	}
 }
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"citronspread/memory"
 	"citronspread/model"
@@ -50,6 +52,25 @@
 	}
 }
 
+// LimitBacklog bounds the connections that are not accepted yet. The kernel answers no others until there is room. Without it,
+// what their callers send is received although no holder accounts for it.
+func (l *Listener) LimitBacklog(connections int) error {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok || connections <= 0 {
+		return nil
+	}
+	control, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("inbound: backlog: %w", err)
+	}
+	var listenErr error
+	err = control.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), connections) }) // a second call changes the backlog
+	if err := errors.Join(err, listenErr); err != nil {
+		return fmt.Errorf("inbound: backlog: %w", err)
+	}
+	return nil
+}
+
 // logRefusal logs a refusal. The log buffer bounds the lines of one event per second.
 func (l *Listener) logRefusal(c *Conn, id string, err error) {
 	fields := []zap.Field{zap.String("Request", id), zap.Stringer("Remote", c.RemoteAddr())}
--- a/memory/plan.go
+++ b/memory/plan.go
@@ -21,6 +21,11 @@
 	// and to other hosts.
 	minOwnDescriptors  = 32
 	ownDescriptorShare = 0.25
+	// backlogShare is the part of the memory of a process that connections may take which it has not accepted yet, and
+	// unacceptedBytes what each may receive: the default of tcp_rmem. Outside of bursts hardly any wait.
+	backlogShare    = 1.0 / 16
+	unacceptedBytes = 128 << 10
+	minBacklog      = 32
 	// minIdle is the least number of idle connections to backend servers that are kept.
 	minIdle = 4
 )
@@ -31,6 +36,7 @@
 	Descriptors  int   // of callers and to backend servers, for Account.MaxDescriptors
 	HeapBytes    int64 // for debug.SetMemoryLimit
 	MaxIdle      int   // idle connections to backend servers
+	Backlog      int   // connections of callers that are not accepted yet
 }
 
 // NewPlan returns how a process with limits divides its memory and descriptors. A limit of 0 is none, and so are its results.
@@ -42,6 +48,7 @@
 		p.AccountBytes = int64(callers - idle)
 		p.HeapBytes = int64(heapShare * max(float64(memoryBytes-codeBytes), callers))
 		p.MaxIdle = max(minIdle, int(idle)/outgoingBytes)
+		p.Backlog = max(minBacklog, int(backlogShare*float64(memoryBytes))/unacceptedBytes)
 	}
 	if maxDescriptors > 0 {
 		own := max(minOwnDescriptors, int(float64(maxDescriptors)*ownDescriptorShare))
