inbound: an idle connection accounts for what it may receive

The 32 KB for bytes that are received but not read were reserved with the head of a request, and so not before the first of them was read. Change: these 32 KB are reserved with the connection.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -18,11 +18,12 @@
 
 // Memory of a connection and of a request, and sizes of socket buffers. The kernel takes up to twice the size that is set.
 const (
-	connectionBytes = 24 << 10 // buffers and goroutine of an idle connection
-	// requestBytes is the memory of goroutines and of the connection to the backend server, and unreadAllowance for what a
-	// caller may send behind its request while that is served.
-	requestBytes    = 32 << 10
+	// connectionBytes is for the buffers and the goroutine of an idle connection, and for what its caller may send before the
+	// host can read it, or behind a request while that is served.
+	connectionBytes = 24<<10 + unreadAllowance
 	unreadAllowance = 32 << 10
+	// requestBytes is the memory of goroutines and of the connection to the backend server.
+	requestBytes = 32 << 10
 	// receiveBuffer is the receive buffer outside of large bodies. With 16 KB, loopback connections wait for timers of 200 ms.
 	receiveBuffer = 32 << 10
 	sendBuffer    = 64 << 10
@@ -164,7 +165,7 @@
 		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
 		return errRefused
 	}
-	need := requestBytes + unreadAllowance + headBytes(c.head.size, c.head.lines)
+	need := requestBytes + headBytes(c.head.size, c.head.lines)
 	if need > c.headReserved {
 		need = (need + headStep - 1) / headStep * headStep
 		if err := c.holder.Set(now, memory.Heads, need); err != nil {
@@ -295,7 +296,7 @@
 		c.wait(now)
 	}
 	c.applyDeadline()
-	c.headNeed = max(c.headReserved, requestBytes+unreadAllowance+headBytes(size, lines))
+	c.headNeed = max(c.headReserved, requestBytes+headBytes(size, lines))
 	return c.holder.Set(now, memory.Heads, c.headNeed+c.behind())
 }
 
