--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -17,11 +18,12 @@
 
 // Memory of a connection and of a request, and sizes of socket buffers. The kernel takes up to twice the size that is set.
 const (
-	connectionBytes = 24 << 10 // buffers and goroutine of an idle connection
-	// requestBytes is the memory of goroutines and of the connection to the backend server, and unreadAllowance for what a
-	// caller may send behind its request while that is served.
-	requestBytes    = 32 << 10
+	// connectionBytes is for the buffers and the goroutine of an idle connection, and for what its caller may send before the
+	// host can read it, or behind a request while that is served.
+	connectionBytes = 24<<10 + unreadAllowance
 	unreadAllowance = 32 << 10
+	// requestBytes is the memory of goroutines and of the connection to the backend server.
+	requestBytes = 32 << 10
 	// receiveBuffer is the receive buffer outside of large bodies. With 16 KB, loopback connections wait for timers of 200 ms.
 	receiveBuffer = 32 << 10
 	sendBuffer    = 64 << 10
@@ -35,10 +37,15 @@
 	backendUnreadBytes = 64 << 10
 	// headStep is the unit in which memory for a head is reserved.
 	headStep = 4 << 10
+	// unreadInterval is the time between two looks at how much of a response an idle caller has not read.
+	unreadInterval = 250 * time.Millisecond
 	// writeStep is how much is written under one deadline.
 	writeStep = 16 << 10
 )
 
+// BodyTimeout is how long a caller may take for the body of a request, also for one that is refused before it is read.
+const BodyTimeout = 10 * time.Second
+
 // Timeouts that apply where the desired state sets none.
 const (
 	defaultHeaderTimeout = 10 * time.Second
@@ -72,6 +79,12 @@
 	isRefused      bool      // a head was refused, and nothing more is read
 	phaseDeadline  time.Time // for reads, by the phase
 	serverDeadline time.Time // for reads, set by net/http
+	isWaiting      bool      // for bytes from the caller, so that it may be dropped also after a write
+	hasBehind      bool      // the caller has sent bytes behind its request
+	headNeed       int64     // reserved for the head of the request that is served, without what is unread behind it
+	unreadTimer    *time.Timer
+
+	cancel atomic.Pointer[context.CancelFunc] // ends the requests of the connection, nil until net/http serves it
 
 	// id is that of the request. It is read without the mutex, because another connection may hold its own while it has this
 	// one dropped.
@@ -113,8 +126,22 @@
 func (c *Conn) recordBehind(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == serving {
-		c.holder.Wait(now)
+	c.hasBehind = true
+	c.holder.Work() // the time that the connection was idle does not count
+	c.wait(now)
+}
+
+// wait records that the host waits for bytes from the caller. c.mu must be held.
+func (c *Conn) wait(now time.Time) {
+	c.isWaiting = true
+	c.holder.Wait(now)
+}
+
+// work records that the host does not wait for the caller, unless that has sent bytes behind its request. c.mu must be held.
+func (c *Conn) work() {
+	if !c.hasBehind {
+		c.isWaiting = false
+		c.holder.Work()
 	}
 }
 
@@ -126,8 +153,8 @@
 		c.phase, c.head, c.headReserved = heading, headScanner{}, 0
 		c.phaseDeadline = time.Now().Add(c.listener.headerTimeout())
 		c.applyDeadline()
-		c.holder.Work() // the time that the connection was idle does not count for the head
-		c.holder.Wait(now)
+		c.work() // the time that the connection was idle does not count for the head
+		c.wait(now)
 	}
 	if c.phase != heading {
 		return nil
@@ -138,7 +165,7 @@
 		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
 		return errRefused
 	}
-	need := requestBytes + unreadAllowance + headBytes(c.head.size, c.head.lines)
+	need := requestBytes + headBytes(c.head.size, c.head.lines)
 	if need > c.headReserved {
 		need = (need + headStep - 1) / headStep * headStep
 		if err := c.holder.Set(now, memory.Heads, need); err != nil {
@@ -149,9 +176,9 @@
 		c.headReserved = need
 	}
 	if c.head.isEnded {
-		c.phase, c.phaseDeadline = serving, time.Time{}
+		// The connection waits for a body until beginRequest: net/http answers some requests itself, and reads their bodies.
+		c.phase, c.phaseDeadline = serving, time.Now().Add(BodyTimeout)
 		c.applyDeadline()
-		c.holder.Work()
 	}
 	return nil
 }
@@ -191,7 +218,7 @@
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.idleTimeout())) // fails only on a closed connection, as does the write
 		n, err := c.Conn.Write(part)
 		c.holder.Progress(c.listener.Now(), n)
-		c.holder.Work()
+		c.endWrite()
 		written += n
 		if err != nil {
 			return written, err
@@ -200,6 +227,16 @@
 	return written, nil
 }
 
+// endWrite records that the host no longer waits for the caller to read. It may still wait for a body, for which net/http has
+// written that the caller may send it.
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWaiting {
+		c.holder.Work()
+	}
+}
+
 // unread returns the bytes that were written and that the caller has not acknowledged.
 func (c *Conn) unread() int64 { return c.queued(unix.TIOCOUTQ) }
 
@@ -245,17 +282,39 @@
 }
 
 // beginRequest records the request that net/http has parsed. It returns an error if there is no memory for its head, which can
-// have arrived together with the end of the previous request.
-func (c *Conn) beginRequest(id string, lines, size int64) error {
+// have arrived together with the end of the previous request. A request with a body waits for it until endBody, or until net/http
+// has read it after a response that does not need it.
+func (c *Conn) beginRequest(id string, lines, size int64, hasBody bool) error {
 	now := c.listener.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id.Store(&id)
 	c.phase, c.phaseDeadline = serving, time.Time{}
-	c.holder.Work()
-	behind := max(0, c.queued(unix.TIOCINQ)-unreadAllowance) * queuedByteBytes
-	need := max(c.headReserved, requestBytes+unreadAllowance+headBytes(size, lines)) + behind
-	return c.holder.Set(now, memory.Heads, need)
+	c.work()
+	if hasBody {
+		c.phaseDeadline = time.Now().Add(BodyTimeout)
+		c.wait(now)
+	}
+	c.applyDeadline()
+	c.headNeed = max(c.headReserved, requestBytes+headBytes(size, lines))
+	return c.holder.Set(now, memory.Heads, c.headNeed+c.behind())
+}
+
+// behind returns the memory of what is unread behind the request, or of what has arrived of its body, without unreadAllowance.
+func (c *Conn) behind() int64 {
+	return max(0, c.queued(unix.TIOCINQ)-unreadAllowance) * queuedByteBytes
+}
+
+// endBody records that the body of the request is complete. It returns an error if there is no memory for what has arrived behind
+// it through the larger receive buffer.
+func (c *Conn) endBody() error {
+	now := c.listener.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phaseDeadline = time.Time{}
+	c.applyDeadline()
+	c.work()
+	return c.holder.Set(now, memory.Heads, c.headNeed+c.behind())
 }
 
 // endRequest releases what the host held for the request, once its response is written.
@@ -264,12 +323,33 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id.Store(nil)
-	c.phase, c.phaseDeadline, c.headReserved = idle, time.Time{}, 0
+	c.phase, c.phaseDeadline, c.headReserved, c.hasBehind = idle, time.Time{}, 0, false
 	for _, kind := range []memory.Kind{memory.Heads, memory.Bodies, memory.Responses} {
 		_ = c.holder.Set(now, kind, 0) // never fails, since it reserves nothing
 	}
-	_ = c.holder.Set(now, memory.Unread, c.unread()) // less than before the latest write
-	c.holder.Wait(now)
+	c.releaseRead(now)
+	c.wait(now)
+}
+
+// releaseRead releases what the caller has read of the latest response, now and every unreadInterval until nothing is left or the
+// next request is served. c.mu must be held.
+func (c *Conn) releaseRead(now time.Time) {
+	unread := c.unread()
+	_ = c.holder.Set(now, memory.Unread, unread) // never fails: less than before the latest write
+	if unread == 0 {
+		return
+	}
+	if c.unreadTimer != nil {
+		c.unreadTimer.Reset(unreadInterval)
+		return
+	}
+	c.unreadTimer = time.AfterFunc(unreadInterval, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.phase != serving {
+			c.releaseRead(c.listener.Now()) // of a closed connection nothing is left
+		}
+	})
 }
 
 func (c *Conn) requestID() string {
@@ -290,16 +370,26 @@
 // Close closes the connection and releases everything that was held for it.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.endContext()
 	c.holder.Close()
 	return err
 }
 
+// endContext cancels the context of the request. net/http does so only if it reads the end of the connection, not
+// once a byte has come behind the request.
+func (c *Conn) endContext() {
+	if cancel := c.cancel.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // drop ends the connection at once, with what the caller has not read. net/http closes it after that.
 func (c *Conn) drop() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // discards the unread bytes; fails only on a closed connection
 	}
 	_ = c.Conn.Close() // a second close fails
+	c.endContext()
 }
 
 // onDrop ends a connection that the account has dropped.
--- a/inbound/request.go
+++ b/inbound/request.go
@@ -24,7 +24,7 @@
 			size += int64(len(name) + len(value))
 		}
 	}
-	return q, q.conn.beginRequest(id, lines, size)
+	return q, q.conn.beginRequest(id, lines, size, r.Body != nil && r.Body != http.NoBody)
 }
 
 // Hold reserves bytes of a response that are buffered. The error is a *memory.RefusedError.
@@ -68,12 +68,9 @@
 		return b, err
 	}
 	restore := func() {}
-	defer func() { restore() }()
 	if declared > pieceBytes {
 		restore = c.enlargeReceiveBuffer()
 	}
-	c.holder.Wait(c.listener.Now())
-	defer c.holder.Work()
 	isEnlarged := false
 	err := b.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, func(n int64) error {
 		if declared > 0 {
@@ -85,6 +82,11 @@
 		}
 		return reserve(n)
 	})
+	restore()
+	r.Trailer = nil // it is not passed on, and net/http keeps up to 4 KB of short lines
+	if err == nil {
+		err = c.endBody()
+	}
 	return b, err
 }
 
