--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,15 @@
 # RACELESS are the packages in whose tests the runtime of the race detector crashes on arm64, in bubbles of synctest. The
 # last line of test runs them without it.
 RACELESS := $(if $(filter arm64,$(shell go env GOARCH)),citronspread/gateway)
-OTHERS = $(filter-out $(RACELESS) $(patsubst ./%,citronspread/%,$(FUZZED)),$(shell go list ./...))
+# HALF are half of the tests of gateway. On other machines the runtime crashed once, in the 33rd bubble of a process, so the tests run in
+# two processes there.
+HALF := ^Test[A-L]
+OTHERS = $(filter-out citronspread/gateway $(patsubst ./%,citronspread/%,$(FUZZED)),$(shell go list ./...))
 
 test: lint
 	go test -race -count=1 $(OTHERS)
+	$(if $(RACELESS),,go test -race -count=1 ./gateway -run '$(HALF)')
+	$(if $(RACELESS),,go test -race -count=1 ./gateway -skip '$(HALF)')
 	go test -race -count=1 $(FUZZED) -rapid.seed=1
 	go test -count=1 ./gateway
 	go test -count=1 ./ratelimit -rapid.seed=1
