gateway: a relay bounds the loads that it sends to its followers

Cause, by calculation: a relay sends each follower the loads of all backend servers that have changed, 45 bytes each: 100 followers each 2 s, 3,000 servers, 6.7 MB a second. The busiest host sent 3.7 MB a second, and a desired state took 6.9 s (0.45 s at 100 hosts).

Change: 9,000 loads a second for all followers together, the newest first. Fleets of the size of today's deployments are not affected.

Evidence: TestRelayOfLargeFleetSendsFewLoads.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	// largeZone hosts: 256 backend servers take about 11 kB, which the relay sends to each of them.
 	loadsInterval = time.Second
 	largeZone     = 32
+	// relayLoadRecords is how many loads a second a relay sends to all of its followers together, about 400 kB. Links of entry hosts
+	// carry 1.2 MB a second at the least, and changes of the desired state use them too.
+	relayLoadRecords = 9000
 	// reserveTimeout limits the request for a place. The owner replies without its control thread.
 	reserveTimeout = 100 * time.Millisecond
 	// ownerPause is how long an owner that did not reply is not asked for a place again, so that not every request waits for
@@ -274,9 +278,35 @@
 	h.mergeLoads(request.Loads, false)
 	now := h.Now()
 	known, sequence := h.router.LoadsAfter(now, request.LoadsAfter, false)
+	if s := h.snapshot.Load(); s != nil {
+		known = newestLoads(known, relayedLoads(s.Routers))
+	}
 	reply.Loads, reply.LoadSequence = peer.NewLoadRecords(now, load.Receive(now, known)), sequence
 }
 
+// relayedLoads returns how many loads a relay sends to a follower at most in one reply, in a zone of a number of hosts.
+func relayedLoads(hosts int) int {
+	interval := loadsInterval
+	if hosts > largeZone {
+		interval = 2 * loadsInterval
+	}
+	return int(relayLoadRecords * interval.Seconds() / float64(max(1, hosts)))
+}
+
+// newestLoads returns the loads of which the latest is known, at most a number of them. The others are old enough to have little weight.
+func newestLoads(loads []model.BackendLoad, most int) []model.BackendLoad {
+	if len(loads) <= most {
+		return loads
+	}
+	slices.SortStableFunc(loads, func(a, b model.BackendLoad) int { return knownAt(b).Compare(knownAt(a)) })
+	return loads[:most]
+}
+
+// knownAt returns when the latest part of a load was known.
+func knownAt(l model.BackendLoad) time.Time {
+	return slices.MaxFunc([]time.Time{l.Stated.At, l.Held.At, l.FullAt}, time.Time.Compare)
+}
+
 // reserve takes a place on a backend server that this host owns.
 func (h *Host) reserve(now time.Time, request *peer.ReserveRequest) *peer.ReserveReply {
 	prompt := load.Prompt{Reading: min(max(0, request.Reading), maxReading), Gap: min(max(0, request.Gap), maxReading), MaxWait: request.MaxWait, IsOnly: request.IsOnly}
--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -308,3 +308,25 @@
 		}
 	})
 }
+
+// TestRelayOfLargeFleetSendsFewLoads guards against a relay whose link is filled by the loads of thousands of backend servers, so that
+// changes of the desired state reach its followers too late.
+func TestRelayOfLargeFleetSendsFewLoads(t *testing.T) {
+	tests := []struct {
+		hosts, backends int
+		all             bool
+	}{{26, 90, true}, {59, 256, true}, {100, 3000, false}, {400, 760, false}}
+	for _, tt := range tests {
+		var loads []model.BackendLoad
+		for i := range tt.backends {
+			loads = append(loads, model.BackendLoad{Backend: fmt.Sprint("i-", i), Held: model.HeldLoad{Requests: 1, At: time.Unix(int64(i), 0)}})
+		}
+		got := newestLoads(loads, relayedLoads(tt.hosts))
+		if (len(got) == tt.backends) != tt.all || len(got) == 0 {
+			t.Errorf("%d hosts: got %d of %d loads, want all of them: %v", tt.hosts, len(got), tt.backends, tt.all)
+		}
+		if !tt.all && got[0].Held.At != time.Unix(int64(tt.backends-1), 0) {
+			t.Errorf("%d hosts: got a load of %v first, want the newest", tt.hosts, got[0].Held.At)
+		}
+	}
+}
