review: show that a restored store lets resumed streams change their software version

What a caller sees: servers of software v1 and v2 serve side by side. The store comes back from a copy that is 3 s old, and one entry host is killed while it is away. Clients of that host take their streams up elsewhere with Resumes and Last-Event-Id. Streams that began at v2 go on at v1. ORDER allows two such streams.

Code at fault: the version of such a stream stands only in the store and in the memory of the host that wrote it (gateway/stream_recorder.go), which can't write it again once it is dead. Dispatcher.readSoftware takes a missing record for the base version, also in an era of the store in which the record may be lost.

--- /dev/null
+++ b/review/driver2/order.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	copyAge       = 3 * time.Second       // of the copy from which the store is restored
+	awayTime      = time.Second           // for which the store is away
+	orderStreams  = 60                    // that are in progress when the store is restored
+	orderInterval = 45 * time.Millisecond // between the beginnings of two streams
+)
+
+// playOrder restores the store from a copy without the records of streams that an entry host has begun, and kills this host while
+// the store is away. Its callers take their streams up at the other host of their zone.
+func playOrder(dir string, log *record, trouble string) int {
+	d, err := newDeployment(dir, log, modelState(7), 400, 2000)
+	if err != nil {
+		log.Printf("not started: %v", err)
+		return notShown
+	}
+	defer d.stop()
+	if err := d.startWithVersions(3, 3); err != nil {
+		log.Printf("not started: %v", err)
+		return notShown
+	}
+	oldCopy := d.store.Copy()
+	log.Printf("the copy is made, with %d records of streams", d.store.Count(streamKeys))
+	copiedAt := time.Now()
+
+	var clients sync.WaitGroup
+	results := make([]*streamResult, orderStreams)
+	killed := d.hosts[0]
+	for i := range results {
+		c := &streamClient{
+			Name: fmt.Sprintf("client %d", i), Hosts: d.hostsFor(i), Path: "/lohu930/2f", Model: "daka510000", Events: 80, GapMs: 100, Deadline: 12 * time.Second, MaxTries: 4, Log: log,
+		}
+		clients.Go(func() { results[i] = c.Run(context.Background()) })
+		time.Sleep(orderInterval)
+	}
+	time.Sleep(time.Until(copiedAt.Add(copyAge)))
+	log.Printf("the store has %d records of streams", d.store.Count(streamKeys))
+	if trouble != troubleNone && trouble != troubleKill {
+		d.store.Leave()
+		log.Printf("the store is away")
+	}
+	time.Sleep(awayTime / 2)
+	if trouble != troubleNone && trouble != troubleDrill {
+		log.Printf("host %s is killed", killed.Name)
+		killed.Kill()
+	}
+	time.Sleep(awayTime / 2)
+	if trouble != troubleNone && trouble != troubleKill {
+		d.store.Restore(oldCopy)
+		log.Printf("the store is back in its next era, with %d records of streams", d.store.Count(streamKeys))
+	}
+	clients.Wait()
+	return d.checkOrder(results)
+}
+
+// checkOrder checks ORDER: no more than two streams hold events of two software versions.
+func (d *deployment) checkOrder(results []*streamResult) int {
+	joined, complete := 0, 0
+	for _, s := range results {
+		if s.complete {
+			complete++
+		}
+		if len(s.versions()) > 1 {
+			joined++
+			d.log.Printf("%s holds events of %v, tries %v", s.name, s.versions(), s.statuses)
+		}
+	}
+	d.log.Printf("%d of %d streams complete, %d hold events of two software versions; more than 2 break ORDER", complete, len(results), joined)
+	if complete == 0 {
+		return notShown
+	}
+	if joined > 2 {
+		return broken
+	}
+	return held
+}
