--- a/review/driver2/client.go
+++ b/review/driver2/client.go
@@ -46,7 +46,7 @@
 	Name     string
 	Hosts    []*entryHost // in the order of its tries
 	Path     string
-	Model    string
+	Model    string // empty for a service without models
 	Events   int
 	GapMs    int
 	Deadline time.Duration
@@ -85,16 +85,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	id := uuid.NewString()
-	body := fmt.Sprintf("events=%d gap=%d", c.Events, c.GapMs)
+	body := fmt.Sprintf("events=%d gap=%d of %s", c.Events, c.GapMs, c.Name)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.CallerAddress()+c.Path, strings.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
 	request.Host = serviceHost
 	request.Header.Set("Request-Id", id)
-	request.Header.Set("Model", c.Model)
-	request.Header.Set("Token-Count", fmt.Sprintf("350,%d", c.Events*4))
-	request.Header.Set("Prompt-Prefix", "5c1e07a2:200,"+id[:8]+":150")
+	if c.Model != "" {
+		request.Header.Set("Model", c.Model)
+		request.Header.Set("Token-Count", fmt.Sprintf("350,%d", c.Events*4))
+		request.Header.Set("Prompt-Prefix", "5c1e07a2:200,"+id[:8]+":150")
+	}
 	request.Header.Set("Request-Deadline", strconv.FormatInt(left.Milliseconds(), 10))
 	if len(s.pieces) > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(s.pieces[len(s.pieces)-1].id))
--- a/review/driver2/deployment.go
+++ b/review/driver2/deployment.go
@@ -24,11 +24,13 @@
 	storeAddress string
 	hosts        []*entryHost
 	servers      []*modelServer
+	service      string   // of the servers
+	models       []string // that they hold
 }
 
 // newDeployment starts the store and entry hosts, two in each zone, with the desired state in place.
 func newDeployment(dir string, log *record, state map[string]any, writes, reads float64) (*deployment, error) {
-	d := &deployment{dir: dir, log: log, store: newMetadataStore(writes, reads)}
+	d := &deployment{dir: dir, log: log, store: newMetadataStore(writes, reads), service: "link-scribe", models: []string{"daka510000"}}
 	d.store.Put("op/config", state)
 	go d.store.RunLeases(nil)
 	var err error
@@ -73,8 +75,8 @@
 func (d *deployment) addServer(version string) error {
 	n := len(d.servers)
 	m := &modelServer{
-		ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+n*7919), Service: "link-scribe", Address: fmt.Sprintf("%s.%d.%d:0", d.network, 20+n%3, n/3+1), Zone: zones[n%3], Version: version, Slots: 64,
-		Models: []string{"daka510000"}, Store: d.store, Log: d.log,
+		ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+n*7919), Service: d.service, Address: fmt.Sprintf("%s.%d.%d:0", d.network, 20+n%3, n/3+1), Zone: zones[n%3], Version: version, Slots: 64,
+		Models: d.models, Store: d.store, Log: d.log,
 	}
 	if err := m.Start(); err != nil {
 		return err
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(dir string, log *record, trouble string) int{
 	"order":   playOrder,
 	"restart": playRestart,
+	"plain":   playPlain,
 }
 
 func main() {
--- a/review/driver2/order.go
+++ b/review/driver2/order.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	copyAge       = 3 * time.Second       // of the copy from which the store is restored
+	copyAge       = 4 * time.Second       // of the copy from which the store is restored
 	awayTime      = time.Second           // for which the store is away
-	orderStreams  = 60                    // that are in progress when the store is restored
+	orderStreams  = 84                    // that are in progress when the store is restored
 	orderInterval = 45 * time.Millisecond // between the beginnings of two streams
 )
 
@@ -23,7 +23,7 @@
 		return notShown
 	}
 	defer d.stop()
-	if err := d.startWithVersions(3, 3); err != nil {
+	if err := d.startWithVersions(3, 6); err != nil {
 		log.Printf("not started: %v", err)
 		return notShown
 	}
@@ -31,16 +31,8 @@
 	log.Printf("the copy is made, with %d records of streams", d.store.Count(streamKeys))
 	copiedAt := time.Now()
 
-	var clients sync.WaitGroup
-	results := make([]*streamResult, orderStreams)
 	killed := d.hosts[0]
-	for i := range results {
-		c := &streamClient{
-			Name: fmt.Sprintf("client %d", i), Hosts: d.hostsFor(i), Path: "/lohu930/2f", Model: "daka510000", Events: 80, GapMs: 100, Deadline: 12 * time.Second, MaxTries: 4, Log: log,
-		}
-		clients.Go(func() { results[i] = c.Run(context.Background()) })
-		time.Sleep(orderInterval)
-	}
+	results, wait := d.beginStreams(orderStreams, d.models[0])
 	time.Sleep(time.Until(copiedAt.Add(copyAge)))
 	log.Printf("the store has %d records of streams", d.store.Count(streamKeys))
 	if trouble != troubleNone && trouble != troubleKill {
@@ -57,10 +49,22 @@
 		d.store.Restore(oldCopy)
 		log.Printf("the store is back in its next era, with %d records of streams", d.store.Count(streamKeys))
 	}
-	clients.Wait()
+	wait()
 	return d.checkOrder(results)
 }
 
+// beginStreams begins streams one after the other. The results are complete once wait has returned.
+func (d *deployment) beginStreams(count int, model string) (results []*streamResult, wait func()) {
+	var clients sync.WaitGroup
+	results = make([]*streamResult, count)
+	for i := range results {
+		c := &streamClient{Name: fmt.Sprintf("client %d", i), Hosts: d.hostsFor(i), Path: "/lohu930/2f", Model: model, Events: 80, GapMs: 100, Deadline: 12 * time.Second, MaxTries: 4, Log: d.log}
+		clients.Go(func() { results[i] = c.Run(context.Background()) })
+		time.Sleep(orderInterval)
+	}
+	return results, clients.Wait
+}
+
 // checkOrder checks ORDER: no more than two streams hold events of two software versions.
 func (d *deployment) checkOrder(results []*streamResult) int {
 	joined, complete := 0, 0
--- a/review/driver2/server.go
+++ b/review/driver2/server.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// heartbeat is the interval at which servers write to the store.
+const heartbeat = 1200 * time.Millisecond
+
 // run is one run of a request at a server.
 type run struct {
 	Request string
@@ -21,7 +24,8 @@
 	At      time.Time
 }
 
-// modelServer is a stand-in for a replica of a service of language models. It holds its models from its start on.
+// modelServer is a stand-in for a replica of a service of language models, which it holds from its start on, or of a service that
+// has no models.
 type modelServer struct {
 	ID      string
 	Service string
@@ -72,10 +76,11 @@
 	return models
 }
 
-// Stop ends the server at once.
-func (m *modelServer) Stop() {
+// Crash ends the server at once. Its entry is removed after three intervals of silence.
+func (m *modelServer) Crash() {
+	m.Log.Printf("server %s (software %s) crashes", m.ID, m.Version)
 	m.server.Close()
-	m.Store.Remove("servers/" + m.ID)
+	time.AfterFunc(3*heartbeat, func() { m.Store.Remove("servers/" + m.ID) })
 }
 
 // Runs returns the runs so far.
@@ -140,7 +145,7 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if name, _, _ := strings.Cut(r.Header.Get("Model"), "/"); !contains(m.Models, name) {
+	if name, _, _ := strings.Cut(r.Header.Get("Model"), "/"); len(m.Models) > 0 && !contains(m.Models, name) {
 		w.Header().Set("Server-Load", m.load())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
