review: let the clients of the restored store retry once

The site's clients retry once. They do so a second after their channel has ended, and the host is killed 0.2 s before the store returns, so that no try is refused meanwhile.

--- a/review/driver2/client.go
+++ b/review/driver2/client.go
@@ -55,7 +55,7 @@
 }
 
 // retryPause is the pause after a try that failed, unless its answer states a longer one.
-const retryPause = 100 * time.Millisecond
+const retryPause = time.Second
 
 var errBadStatus = errors.New("no success")
 
--- a/review/driver2/order.go
+++ b/review/driver2/order.go
@@ -10,6 +10,7 @@
 const (
 	copyAge       = 4 * time.Second       // of the copy from which the store is restored
 	awayTime      = time.Second           // for which the store is away
+	killedBefore  = awayTime / 5          // from the kill to the return of the store
 	orderStreams  = 84                    // that are in progress when the store is restored
 	orderInterval = 45 * time.Millisecond // between the beginnings of two streams
 )
@@ -39,12 +40,12 @@
 		d.store.Leave()
 		log.Printf("the store is away")
 	}
-	time.Sleep(awayTime / 2)
+	time.Sleep(awayTime - killedBefore)
 	if trouble != troubleNone && trouble != troubleDrill {
 		log.Printf("host %s is killed", killed.Name)
 		killed.Kill()
 	}
-	time.Sleep(awayTime / 2)
+	time.Sleep(killedBefore)
 	if trouble != troubleNone && trouble != troubleKill {
 		d.store.Restore(oldCopy)
 		log.Printf("the store is back in its next era, with %d records of streams", d.store.Count(streamKeys))
@@ -58,7 +59,7 @@
 	var clients sync.WaitGroup
 	results = make([]*streamResult, count)
 	for i := range results {
-		c := &streamClient{Name: fmt.Sprintf("client %d", i), Hosts: d.hostsFor(i), Path: "/lohu930/2f", Model: model, Events: 80, GapMs: 100, Deadline: 12 * time.Second, MaxTries: 4, Log: d.log}
+		c := &streamClient{Name: fmt.Sprintf("client %d", i), Hosts: d.hostsFor(i), Path: "/lohu930/2f", Model: model, Events: 80, GapMs: 100, Deadline: 12 * time.Second, MaxTries: 2, Log: d.log}
 		clients.Go(func() { results[i] = c.Run(context.Background()) })
 		time.Sleep(orderInterval)
 	}
