--- a/review/driver2/order.go
+++ b/review/driver2/order.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	copyAge       = 4 * time.Second       // of the copy from which the store is restored
-	awayTime      = time.Second           // for which the store is away
-	killedBefore  = awayTime / 5          // from the kill to the return of the store
+	copyAge       = 4 * time.Second // of the copy from which the store is restored
+	awayTime      = time.Second     // for which the store is away
+	killedBefore  = awayTime / 5    // from the kill to the return of the store
+	killedFor     = 3500 * time.Millisecond
 	orderStreams  = 84                    // that are in progress when the store is restored
 	orderInterval = 45 * time.Millisecond // between the beginnings of two streams
 )
@@ -50,6 +51,13 @@
 		d.store.Restore(oldCopy)
 		log.Printf("the store is back in its next era, with %d records of streams", d.store.Count(streamKeys))
 	}
+	if trouble != troubleNone && trouble != troubleDrill {
+		time.Sleep(killedFor - killedBefore)
+		if err := killed.Start(); err != nil {
+			log.Printf("not started again: %v", err)
+			return notShown
+		}
+	}
 	wait()
 	return d.checkOrder(results)
 }
