httpconn: a reset that a write has met ends reads with it

Callers: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports the failure of a connection once, to whichever call comes first. If that is the write of the request, it gets ECONNRESET, and the next read sees the end of the connection. A response without a length ends with its connection, so net/http takes it for complete. With a length or chunks the end comes early, and the response fails.

Change: the connection, moved from httponce to a package of its own, keeps the failure of a write. A read that sees the end of the connection ends the write in progress, waits for it and returns its failure instead of io.EOF. Nothing can be received behind the end, so the write is of no further use, and because the read waits, no failure is missed. EPIPE is no failure: Linux returns it for writes behind an end in order, and a server that has ended its half of the connection while the upload goes on is still read in full (TestEndDuringWrite).

--- /dev/null
+++ b/httpconn/conn_test.go
@@ -0,0 +1,165 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// largeBody is longer than what the socket buffers of both ends hold.
+var largeBody = strings.Repeat("upload ", 2<<20)
+
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// serve accepts connections and calls answer for each request, with its number on its connection, when its head has been
+// read. The connection is closed when answer returns false.
+func serve(t *testing.T, answer func(conn *net.TCPConn, request *http.Request, number int) bool) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for number := 1; ; number++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil || !answer(conn.(*net.TCPConn), request, number) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// newHTTPTransport returns a transport with connections of this package.
+func newHTTPTransport(t *testing.T) *http.Transport {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			raw, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return New(raw, nil), nil
+		},
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+// send sends a request and returns the body of the response.
+func send(t *testing.T, transport http.RoundTripper, address, body string) (string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.GetBody = nil
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	received, err := io.ReadAll(response.Body)
+	return string(received), err
+}
+
+// TestResetDuringWrite guards against a response without a length that is cut off by a reset, and that looks complete because
+// the write of the request has taken the reset. The connection is new, or has carried a request before.
+func TestResetDuringWrite(t *testing.T) {
+	const rounds = 100
+	for name, before := range map[string]int{"new connection": 0, "kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(conn *net.TCPConn, request *http.Request, number int) bool {
+				if number <= before {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, err := io.WriteString(conn, wholeResponse)
+					return err == nil
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(5 * time.Millisecond) // until the client has read it
+				_ = conn.SetLinger(0)
+				return false
+			})
+			transport, complete := newHTTPTransport(t), 0
+			for range rounds {
+				for range before {
+					if got, err := send(t, transport, address, "x"); got != "ok" || err != nil {
+						t.Fatalf("got %q, %v for the request before, want ok", got, err)
+					}
+				}
+				if _, err := send(t, transport, address, largeBody); err == nil {
+					complete++
+				}
+			}
+			if complete != 0 {
+				t.Errorf("got %d of %d truncated responses as complete, want 0", complete, rounds)
+			}
+		})
+	}
+}
+
+// TestEndDuringWrite guards against a response that is taken for truncated although its server has ended the connection in
+// order, while the request is still being written.
+func TestEndDuringWrite(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	address := serve(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = conn.CloseWrite()
+		<-done // the server still reads, but has no time for it
+		return false
+	})
+	for range 20 {
+		if got, err := send(t, newHTTPTransport(t), address, largeBody); got != "whole" || err != nil {
+			t.Fatalf("got %q, %v, want the whole response", got, err)
+		}
+	}
+}
+
+// failingConn is a connection whose write fails and whose reads see its end.
+type failingConn struct {
+	net.Conn
+	failure error
+}
+
+func (c failingConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c failingConn) Write([]byte) (int, error)        { return 0, c.failure }
+func (c failingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// TestEndBehindFailedWrite checks which failures of a write make the end of a connection one in disorder.
+func TestEndBehindFailedWrite(t *testing.T) {
+	tests := []struct {
+		failure, want error
+	}{
+		{failure: nil, want: io.EOF},
+		{failure: syscall.EPIPE, want: io.EOF},
+		{failure: net.ErrClosed, want: io.EOF},
+		{failure: syscall.ECONNRESET, want: syscall.ECONNRESET},
+		{failure: syscall.ETIMEDOUT, want: syscall.ETIMEDOUT},
+		{failure: syscall.EHOSTUNREACH, want: syscall.EHOSTUNREACH},
+	}
+	for _, tt := range tests {
+		conn := New(failingConn{failure: tt.failure}, nil)
+		_, _ = conn.Write([]byte("x"))
+		if _, got := conn.Read(make([]byte, 1)); !errors.Is(got, tt.want) {
+			t.Errorf("got %v behind a write that failed with %v, want %v", got, tt.failure, tt.want)
+		}
+	}
+}
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"citronspread/httpconn"
 )
 
 const (
@@ -53,15 +55,15 @@
 // The error is an *UnsentError or a *NoResponseError.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
 	c.once.Do(c.init)
-	var lastConn *conn
+	var lastConn *httpconn.Conn
 	reused := false
 	var beganAfter atomic.Int64
 	start := time.Now()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			lastConn, _ = info.Conn.(*conn)
+			lastConn, _ = info.Conn.(*httpconn.Conn)
 			reused = info.Reused
-			lastConn.reset()
+			lastConn.Begin()
 		},
 		GotFirstResponseByte: func() { beganAfter.Store(int64(max(1, time.Since(start)))) },
 	}
@@ -80,14 +82,14 @@
 	if err == nil {
 		return response, nil
 	}
-	if lastConn == nil || !lastConn.abort() {
+	if lastConn == nil || !lastConn.Abort() {
 		return nil, &UnsentError{Address: request.URL.Host, Err: err}
 	}
 	if c.Cautious && reused && beganAfter.Load() == 0 && request.Context().Err() == nil {
 		c.distrust(time.Now(), request.URL.Host)
 	}
 	return nil, &NoResponseError{
-		Address: request.URL.Host, Reused: reused, BeganAfter: time.Duration(beganAfter.Load()), Truncated: lastConn.isTruncated(), Elapsed: time.Since(start), Err: err,
+		Address: request.URL.Host, Reused: reused, BeganAfter: time.Duration(beganAfter.Load()), Truncated: lastConn.IsTruncated(), Elapsed: time.Since(start), Err: err,
 	}
 }
 
@@ -148,7 +150,7 @@
 				c.countClosed()
 				return nil, err
 			}
-			return &conn{Conn: raw, closed: c.countClosed}, nil
+			return httpconn.New(raw, c.countClosed), nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      fresh,
