httpconn: a status that is not a number from 100 to 999 is no response

Callers: a backend server in trouble sent an answer whose status was 000. As a closed connection it reached callers of this build: the handler panicked in WriteHeader, so that a request that may run twice was not sent again. With a second blank before the status it reached them as a complete response.

Cause: net/http takes for a status what strconv.Atoi takes: 000, 099, +20, -00, 200 behind two blanks. It also returns 101 to a request that asks for no other protocol, and responses of HTTP/2.0 and 9.9 on a connection of HTTP/1.

Change: connections scan the bytes of each head when they are received, and a transport around http.Transport fails the request whose head is malformed, or was received before the request was sent, and closes the connection. Such a request may have run. Heads of sound servers pass, also in single bytes, behind interim responses and without a reason (TestWellFormedHeads).

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -32,6 +32,7 @@
 	lineEnded    bool   // the first line of the response is complete
 	lost         bool   // a read failed
 	writeFailure error  // that shows that the other side did not end the connection in order
+	head         headScanner
 }
 
 // New returns a connection that uses raw. closed is called by the first Close and may be nil.
@@ -47,6 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lost = c.lost || err != nil
+	c.head.scan(p[:n])
 	if !c.lineEnded {
 		c.start = append(c.start, p[:min(n, len(statusLineStart)-len(c.start))]...)
 		c.lineEnded = bytes.IndexByte(p[:n], '\n') >= 0
@@ -114,6 +116,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted, c.lineEnded, c.lost, c.start = false, false, false, c.start[:0]
+	c.head.reset()
+}
+
+// checkHead returns a *MalformedHeadError unless the response to the current request has a well-formed head with this status.
+func (c *Conn) checkHead(address string, status int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.check(address, status)
 }
 
 // Abort closes the connection, prevents further writes and reports whether a write of the current request was started.
--- /dev/null
+++ b/httpconn/head.go
@@ -0,0 +1,124 @@
+package httpconn
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// maxHeadBytes limits the head of a response, and that of each interim response before it.
+	maxHeadBytes = 64 << 10
+	// maxReportedBytes limits how much of a malformed line an error shows.
+	maxReportedBytes = 80
+	// statusLineLength is that of "HTTP/1.1 200", without the reason.
+	statusLineLength = len("HTTP/1.1 200")
+)
+
+// MalformedHeadError means that the bytes that came for a request are no head of an HTTP/1 response as of RFC 9112. The
+// request may have run.
+type MalformedHeadError struct {
+	Address string // of the server
+	Reason  string
+	Line    string // beginning of the malformed line, empty if none is
+}
+
+func (e *MalformedHeadError) Error() string {
+	return fmt.Sprintf("httpconn: malformed response head from %s: %s: %q", e.Address, e.Reason, e.Line)
+}
+
+// headScanner checks the status line of a response while its head is received. It accepts less than net/http, which takes any
+// number for a status.
+type headScanner struct {
+	line   []byte // that is still incomplete
+	size   int    // bytes of the head
+	status int    // 0 before the status line
+	isDone bool   // the head is complete or malformed
+	reason string // why it is malformed, empty if it is not
+	reject string // the beginning of the malformed line
+}
+
+// reset prepares the scanner for the next response.
+func (s *headScanner) reset() { *s = headScanner{line: s.line[:0]} }
+
+// scan checks the next bytes that were received.
+func (s *headScanner) scan(p []byte) {
+	for len(p) > 0 && !s.isDone {
+		end := bytes.IndexByte(p, '\n')
+		rest := p[:0]
+		if end >= 0 {
+			p, rest = p[:end+1], p[end+1:]
+		}
+		s.size += len(p)
+		switch {
+		case s.size > maxHeadBytes:
+			s.fail("longer than the limit", p)
+		case end < 0:
+			s.line = append(s.line, p...)
+		case len(s.line) == 0:
+			s.checkLine(p)
+		default:
+			s.checkLine(append(s.line, p...))
+			s.line = s.line[:0]
+		}
+		p = rest
+	}
+}
+
+// checkLine checks a line with its end.
+func (s *headScanner) checkLine(line []byte) {
+	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+	switch {
+	case s.status == 0:
+		s.checkStatusLine(line)
+	case len(line) > 0:
+	case s.status < http.StatusOK:
+		s.status, s.size = 0, 0 // the final response follows an interim one
+	default:
+		s.isDone = true
+	}
+}
+
+// checkStatusLine checks a line such as "HTTP/1.1 200 OK".
+func (s *headScanner) checkStatusLine(line []byte) {
+	if len(line) < statusLineLength || string(line[:len(statusLineStart)]) != statusLineStart || line[8] != ' ' {
+		s.fail("not the status line of HTTP/1", line)
+		return
+	}
+	minor, status, reason := line[7], line[9:statusLineLength], line[statusLineLength:]
+	switch {
+	case minor < '0' || minor > '9':
+		s.fail("invalid version", line)
+	case status[0] < '1' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]):
+		s.fail("status is not a number from 100 to 999", line)
+	case len(reason) > 0 && reason[0] != ' ':
+		s.fail("status is not a number from 100 to 999", line)
+	case !httpguts.ValidHeaderFieldValue(string(reason)):
+		s.fail("control byte in the reason", line)
+	default:
+		s.status = 100*int(status[0]-'0') + 10*int(status[1]-'0') + int(status[2]-'0')
+		if s.status == http.StatusSwitchingProtocols {
+			s.fail("switch of protocols that was not requested", line)
+		}
+	}
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// fail records that the head is malformed.
+func (s *headScanner) fail(reason string, line []byte) {
+	s.isDone, s.reason, s.reject = true, reason, string(line[:min(len(line), maxReportedBytes)])
+}
+
+// check returns a *MalformedHeadError unless a well-formed head of a final response with this status was received.
+func (s *headScanner) check(address string, status int) error {
+	switch {
+	case s.reason != "":
+		return &MalformedHeadError{Address: address, Reason: s.reason, Line: s.reject}
+	case !s.isDone || s.status != status:
+		return &MalformedHeadError{Address: address, Reason: "received before the request was sent"}
+	}
+	return nil
+}
--- /dev/null
+++ b/httpconn/transport.go
@@ -0,0 +1,58 @@
+package httpconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport sends HTTP/1 requests through an http.Transport and fails those whose response has a malformed head or belongs
+// to no request.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that uses base, with connections that base opens. Base must not be used otherwise.
+// closed is called when a connection is closed and may be nil.
+func NewTransport(base *http.Transport, closed func()) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(raw, closed), nil
+	}
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip sends the request and returns the response, or a *MalformedHeadError besides the errors of http.Transport.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn.(*Conn)
+			conn.Begin()
+		},
+	}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.checkHead(request.URL.Host, response.StatusCode); err != nil {
+		conn.Close()
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -44,8 +44,8 @@
 	Closed       func()       // called once for each admitted connection, when it is closed or could not be opened
 
 	once      sync.Once
-	transport *http.Transport
-	fresh     *http.Transport // without reuse, for servers that are distrusted
+	transport *httpconn.Transport
+	fresh     *httpconn.Transport // without reuse, for servers that are distrusted
 
 	mu         sync.Mutex
 	distrusted map[string]time.Time // by address: until when
@@ -63,7 +63,6 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			lastConn, _ = info.Conn.(*httpconn.Conn)
 			reused = info.Reused
-			lastConn.Begin()
 		},
 		GotFirstResponseByte: func() { beganAfter.Store(int64(max(1, time.Since(start)))) },
 	}
@@ -126,7 +125,7 @@
 	}
 }
 
-func (c *Client) newTransport(fresh bool) *http.Transport {
+func (c *Client) newTransport(fresh bool) *httpconn.Transport {
 	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: c.KeepAlive}
 	if dialer.Timeout == 0 {
 		dialer.Timeout = defaultDialTimeout
@@ -138,19 +137,18 @@
 	if c.SocketBuffer > 0 {
 		dialer.Control = c.setBuffers
 	}
-	return &http.Transport{
+	base := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if c.Admit != nil {
 				if err := c.Admit(); err != nil {
 					return nil, err
 				}
 			}
-			raw, err := dialer.DialContext(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				c.countClosed()
-				return nil, err
 			}
-			return httpconn.New(raw, c.countClosed), nil
+			return conn, err
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      fresh,
@@ -159,6 +157,7 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
+	return httpconn.NewTransport(base, c.countClosed)
 }
 
 // countClosed reports that an admitted connection is closed.
--- a/httponce/errors.go
+++ b/httponce/errors.go
@@ -18,8 +18,8 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Err }
 
-// NoResponseError means that a write of the request was started and no complete head of a response came. The request may
-// have run.
+// NoResponseError means that a write of the request was started and no complete and well-formed head of a response came. The
+// request may have run.
 type NoResponseError struct {
 	Address    string
 	Reused     bool          // the connection had carried earlier requests
