httpconn: a malformed field makes a head none

Callers: a backend server in trouble sent an answer in whose head the name of a field held a blank. They got it as an answer, with that line passed on, or with a body that was not the backend server's: in "Transfer-Encoding : chunked" and "Content-Length : 4" the blank hides how long the body is.

Cause: net/http takes names with blanks as they are and joins folded lines with the line before. In HTTP/1.0 it ignores Transfer-Encoding, so that the body holds the framing of the chunks.

Control bytes in a name or value, a field without a name or colon, CR and NUL were rejected before by net/http; their cases stay.

Change: the scan of heads checks each field as RFC 9112 has it, with the checks of names and values of golang.org/x/net/http/httpguts.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -29,12 +30,13 @@
 	return fmt.Sprintf("httpconn: malformed response head from %s: %s: %q", e.Address, e.Reason, e.Line)
 }
 
-// headScanner checks the status line of a response while its head is received. It accepts less than net/http, which takes any
-// number for a status.
+// headScanner checks the head of a response while it is received. It accepts less than net/http, which joins folded lines,
+// takes names with blanks and any number for a status.
 type headScanner struct {
 	line   []byte // that is still incomplete
 	size   int    // bytes of the head
 	status int    // 0 before the status line
+	minor  byte   // version of HTTP/1, a digit
 	isDone bool   // the head is complete or malformed
 	reason string // why it is malformed, empty if it is not
 	reject string // the beginning of the malformed line
@@ -74,6 +76,7 @@
 	case s.status == 0:
 		s.checkStatusLine(line)
 	case len(line) > 0:
+		s.checkField(line)
 	case s.status < http.StatusOK:
 		s.status, s.size = 0, 0 // the final response follows an interim one
 	default:
@@ -98,6 +101,7 @@
 	case !httpguts.ValidHeaderFieldValue(string(reason)):
 		s.fail("control byte in the reason", line)
 	default:
+		s.minor = minor
 		s.status = 100*int(status[0]-'0') + 10*int(status[1]-'0') + int(status[2]-'0')
 		if s.status == http.StatusSwitchingProtocols {
 			s.fail("switch of protocols that was not requested", line)
@@ -107,6 +111,25 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
+// checkField checks a line such as "Name: value".
+func (s *headScanner) checkField(line []byte) {
+	if line[0] == ' ' || line[0] == '\t' {
+		s.fail("folded line", line)
+		return
+	}
+	name, value, hasColon := strings.Cut(string(line), ":")
+	switch {
+	case !hasColon:
+		s.fail("field without a colon", line)
+	case !httpguts.ValidHeaderFieldName(name):
+		s.fail("invalid name of a field", line)
+	case !httpguts.ValidHeaderFieldValue(value):
+		s.fail("control byte in the value of a field", line)
+	case s.minor == '0' && strings.EqualFold(name, "Transfer-Encoding"):
+		s.fail("chunks in HTTP/1.0, whose end net/http does not find", line)
+	}
+}
+
 // fail records that the head is malformed.
 func (s *headScanner) fail(reason string, line []byte) {
 	s.isDone, s.reason, s.reject = true, reason, string(line[:min(len(line), maxReportedBytes)])
--- a/httpconn/head_test.go
+++ b/httpconn/head_test.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// TestMalformedField guards against fields that net/http skips, joins or passes on although they are malformed. Some hide how
+// long the body is.
+func TestMalformedField(t *testing.T) {
+	for _, line := range []string{
+		"X Spam: 1", "X-Spam : 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X-Spam\t: 1", "X\tSpam: 1", " X-Spam: 1", "\tX-Spam: 1",
+		": 1", " : 1", ":", "Spam", "X-\x00Spam: 1", "X-\x01Spam: 1", "X-\x7fSpam: 1", "X-\rSpam: 1", "X-Spam\r: 1", "X-Späm: 1", "X(Spam): 1",
+		"X-Spam: 1\x00", "X-Spam: \r1", "X-Spam: 1\r", "X-Spam: 1\x0b", "X-Spam: \x7f", "X-Spam: 1\r\n 2", "X-Spam: 1\r\n\t2", "X-Spam: 1\r\n ",
+		"X-Spam:\r\n Content-Length: 400",
+	} {
+		const status = "HTTP/1.1 200 OK\r\n"
+		checkMalformed(t, status+line+"\r\nContent-Length: 4\r\n\r\nspam")
+		checkMalformed(t, status+"Content-Length: 4\r\n"+line+"\r\n\r\nspam")
+		checkMalformed(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+status+"Content-Length: 4\r\n\r\nspam")
+	}
+	checkMalformed(t, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nspam\r\n0\r\n\r\n")
+	checkMalformed(t, "HTTP/1.1 200 OK\r\nX-Spam: "+strings.Repeat("x", maxHeadBytes)+"\r\nContent-Length: 4\r\n\r\nspam")
+}
+
 // TestWellFormedHeads guards against heads of sound servers that are rejected, received as a whole or in single bytes.
 func TestWellFormedHeads(t *testing.T) {
 	const body = "whole"
