httpconn: check the heads of control calls as those of responses to callers

What happened: no caller saw it. With the answers of the incident as responses of the platform's store, of the host list, of engines and of backend servers, a malformed head brought a page of the store, a lease, a host list, a report and the outcome of transactions and orders.

Cause: as for responses to callers. These calls used http.Client with a transport of net/http.

Change: the store, the host list, the control calls of engines and of backend servers and the record commands use the checked transport; an order that an engine gets on a connection of its own is checked on that. A transaction or an order with such a response may have taken effect: its outcome is unknown, and it is not sent again.

--- a/cli/record.go
+++ b/cli/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"citronspread/httpconn"
 	"citronspread/record"
 	"citronspread/store"
 )
@@ -33,7 +34,7 @@
 	if err := checkAddress("--store", f.address); err != nil {
 		return nil, err
 	}
-	client := &http.Client{Timeout: callTimeout}
+	client := &http.Client{Transport: httpconn.DefaultClient.Transport, Timeout: callTimeout}
 	return &record.Repository{Store: &store.Client{Address: f.address, HTTP: client}}, nil
 }
 
--- a/engine/control.go
+++ b/engine/control.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"citronspread/httpconn"
 	"citronspread/model"
 
 	"github.com/cockroachdb/errors"
@@ -59,7 +60,7 @@
 	Address    string // IP:port
 	Backend    string
 	Zone       string        // of this entry host
-	HTTP       *http.Client  // for all calls except orders; http.DefaultClient if nil
+	HTTP       *http.Client  // for all calls except orders; httpconn.DefaultClient if nil
 	OrderDelay time.Duration // longest delay of an order; MaxOrderDelay if 0
 }
 
@@ -148,7 +149,7 @@
 
 func (c *Control) httpClient() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return httpconn.DefaultClient
 	}
 	return c.HTTP
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"citronspread/httpconn"
 	"citronspread/model"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,7 @@
 	return response, nil
 }
 
-func (c *Control) roundTrip(conn net.Conn, req *http.Request) (OrderResponse, error) {
+func (c *Control) roundTrip(conn *httpconn.Conn, req *http.Request) (OrderResponse, error) {
 	req.Close = true
 	if err := conn.SetWriteDeadline(time.Now().Add(c.orderDelay() / writeDivisor)); err != nil {
 		return OrderResponse{}, errors.Wrap(err, "engine: set write deadline")
@@ -91,6 +92,9 @@
 		return OrderResponse{}, errors.Wrap(err, "engine: read response to order")
 	}
 	defer resp.Body.Close()
+	if err := conn.CheckHead(c.Address, resp.StatusCode); err != nil {
+		return OrderResponse{}, errors.Wrap(err, "engine: read response to order")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return OrderResponse{}, &ControlStatusError{Backend: c.Backend, Status: resp.StatusCode}
 	}
@@ -101,15 +105,18 @@
 
 // dialOrder opens a connection that discards its unsent data when it is closed or when data stays unacknowledged,
 // so that an order does not reach the engine after its delay.
-func (c *Control) dialOrder(ctx context.Context) (net.Conn, error) {
+func (c *Control) dialOrder(ctx context.Context) (*httpconn.Conn, error) {
 	d := net.Dialer{
 		Timeout: c.orderDelay() / dialDivisor,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setOrderOptions(raw, c.orderDelay()/userTimeoutDivisor)
 		},
 	}
-	conn, err := d.DialContext(ctx, "tcp", c.Address)
-	return conn, errors.Wrap(err, "engine: connect")
+	raw, err := d.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "engine: connect")
+	}
+	return httpconn.New(raw, nil), nil
 }
 
 func setOrderOptions(raw syscall.RawConn, userTimeout time.Duration) error {
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"citronspread/httpconn"
 	"citronspread/model"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,7 @@
 type Client struct {
 	Address         string // IP:port
 	Zone            string
-	HTTP            *http.Client // http.DefaultClient if nil
+	HTTP            *http.Client // httpconn.DefaultClient if nil
 	ReadCount       atomic.Int64 // including failed reads
 	FailedReadCount atomic.Int64
 }
@@ -95,7 +96,7 @@
 
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return httpconn.DefaultClient
 	}
 	return c.HTTP
 }
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -119,8 +119,8 @@
 	c.head.reset()
 }
 
-// checkHead returns a *MalformedHeadError unless the response to the current request has a well-formed head with this status.
-func (c *Conn) checkHead(address string, status int) error {
+// CheckHead returns a *MalformedHeadError unless the response to the current request has a well-formed head with this status.
+func (c *Conn) CheckHead(address string, status int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.check(address, status)
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"citronspread/rawserver"
 )
 
 // largeBody is longer than what the socket buffers of both ends hold.
@@ -18,36 +19,6 @@
 
 const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// serve accepts connections and calls answer for each request, with its number on its connection, when its head has been
-// read. The connection is closed when answer returns false.
-func serve(t *testing.T, answer func(conn *net.TCPConn, request *http.Request, number int) bool) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for number := 1; ; number++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil || !answer(conn.(*net.TCPConn), request, number) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // newHTTPTransport returns a transport with connections of this package.
 func newHTTPTransport(t *testing.T) *http.Transport {
 	transport := &http.Transport{
@@ -86,7 +57,7 @@
 	const rounds = 100
 	for name, before := range map[string]int{"new connection": 0, "kept connection": 1} {
 		t.Run(name, func(t *testing.T) {
-			address := serve(t, func(conn *net.TCPConn, request *http.Request, number int) bool {
+			address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request, number int) bool {
 				if number <= before {
 					_, _ = io.Copy(io.Discard, request.Body)
 					_, err := io.WriteString(conn, wholeResponse)
@@ -120,7 +91,7 @@
 func TestEndDuringWrite(t *testing.T) {
 	done := make(chan struct{})
 	defer close(done)
-	address := serve(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
+	address := rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
 		_ = conn.CloseWrite()
 		<-done // the server still reads, but has no time for it
--- a/httpconn/head_test.go
+++ b/httpconn/head_test.go
@@ -7,13 +7,15 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"citronspread/rawserver"
 )
 
 // sendTo sends a request to a server that writes the given bytes in response and ends the connection. If kept is true, the
 // connection has carried a request before. The bytes are written one by one if single is true.
 func sendTo(t *testing.T, written string, kept, single bool) (*http.Response, string, error) {
 	t.Helper()
-	address := serve(t, func(conn *net.TCPConn, request *http.Request, number int) bool {
+	address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request, number int) bool {
 		_, _ = io.Copy(io.Discard, request.Body)
 		if kept && number == 1 {
 			_, err := io.WriteString(conn, wholeResponse)
@@ -138,12 +140,12 @@
 	if _, err := conn.Read(make([]byte, 2*len(wholeResponse))); err != nil {
 		t.Fatal(err)
 	}
-	if err := conn.checkHead("a", http.StatusOK); err != nil {
+	if err := conn.CheckHead("a", http.StatusOK); err != nil {
 		t.Errorf("got %v for the response to the request, want none", err)
 	}
 	conn.Begin()
 	var malformed *MalformedHeadError
-	if err := conn.checkHead("a", http.StatusOK); !errors.As(err, &malformed) {
+	if err := conn.CheckHead("a", http.StatusOK); !errors.As(err, &malformed) {
 		t.Errorf("got %v for a response that came before the request, want a *MalformedHeadError", err)
 	}
 }
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -7,7 +7,7 @@
 	"net/http/httptrace"
 )
 
-// Transport sends HTTP/1 requests through an http.Transport and fails those whose response has a malformed head or belongs
+// Transport sends HTTP/1 requests without TLS through an http.Transport and fails those whose response has a malformed head or belongs
 // to no request.
 type Transport struct {
 	base *http.Transport
@@ -33,6 +33,9 @@
 	return &Transport{base: base}
 }
 
+// DefaultClient is an http.Client with a Transport and the defaults of net/http otherwise.
+var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil)}
+
 // RoundTrip sends the request and returns the response, or a *MalformedHeadError besides the errors of http.Transport.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *Conn
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := conn.checkHead(request.URL.Host, response.StatusCode); err != nil {
+	if err := conn.CheckHead(request.URL.Host, response.StatusCode); err != nil {
 		conn.Close()
 		response.Body.Close()
 		return nil, err
--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"sync/atomic"
+
+	"citronspread/httpconn"
 )
 
 // zoneHeader is the header with the availability zone of the client.
@@ -56,13 +58,13 @@
 type Client struct {
 	Address string // IP:port
 	Zone    string
-	HTTP    *http.Client // nil means http.DefaultClient
+	HTTP    *http.Client // nil means httpconn.DefaultClient
 	Counts  Counts
 }
 
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return httpconn.DefaultClient
 	}
 	return c.HTTP
 }
