control calls: a truncated response is none

What happened: no caller saw it. With the body of a response cut off, an order to a backend server counted as accepted or refused by its status alone; a host list and the state and orders of engines were taken from a response in chunks without its last chunk.

Cause: the error of the read of the body was ignored, or only the first JSON value was decoded.

Evidence: on TestBrokenControlResponses of platform failed in 56 cases (14 forms of truncation or reset of answers of four statuses), that of engine and TestBrokenResponses of hostlist for a response that lacks its last chunk.

Change: the whole body is read before anything in the response counts.

Result: the tests pass, with the race detector too.

--- a/engine/control.go
+++ b/engine/control.go
@@ -120,11 +120,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return &ControlStatusError{Backend: c.Backend, Status: resp.StatusCode}
 	}
+	received, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes))
+	if err != nil {
+		return errors.Wrapf(err, "engine: %s: read response", c.Backend)
+	}
 	if out == nil {
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlResponseBytes)).Decode(out)
-	return errors.Wrapf(err, "engine: %s: decode response", c.Backend)
+	return errors.Wrapf(json.Unmarshal(received, out), "engine: %s: decode response", c.Backend)
 }
 
 func (c *Control) newRequest(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
--- a/engine/order.go
+++ b/engine/order.go
@@ -98,8 +98,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return OrderResponse{}, &ControlStatusError{Backend: c.Backend, Status: resp.StatusCode}
 	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes))
+	if err != nil {
+		return OrderResponse{}, errors.Wrap(err, "engine: read response to order")
+	}
 	var response OrderResponse
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlResponseBytes)).Decode(&response)
+	err = json.Unmarshal(body, &response)
 	return response, errors.Wrap(err, "engine: decode response to order")
 }
 
--- a/hostlist/broken_response_test.go
+++ b/hostlist/broken_response_test.go
@@ -12,7 +12,7 @@
 
 // TestBrokenResponses guards against a broken response that is taken for a host list.
 func TestBrokenResponses(t *testing.T) {
-	for _, broken := range rawserver.MalformedHeads("200 OK", "", `{"Revision":3,"Hosts":[{"Name":"a"}]}`) {
+	for _, broken := range rawserver.BrokenResponses("200 OK", "", `{"Revision":3,"Hosts":[{"Name":"a"}]}`) {
 		address := rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
 			broken.Write(conn)
 			return false
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -89,8 +89,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return HostList{}, &StatusError{Status: resp.StatusCode}
 	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return HostList{}, errors.Wrap(err, "hostlist: read response")
+	}
 	var hosts HostList
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&hosts)
+	err = json.Unmarshal(body, &hosts)
 	return hosts, errors.Wrap(err, "hostlist: decode response")
 }
 
--- a/store/broken_response_test.go
+++ b/store/broken_response_test.go
@@ -14,7 +14,7 @@
 // outcome of a write.
 func TestBrokenResponses(t *testing.T) {
 	const entry = `{"Key":"k","Value":"dg==","Revision":7,"Entries":[{"Key":"k","Value":"dg==","Revision":7}]}`
-	for _, broken := range rawserver.MalformedHeads("200 OK", "Content-Type: application/json\r\n", entry) {
+	for _, broken := range rawserver.BrokenResponses("200 OK", "Content-Type: application/json\r\n", entry) {
 		address := rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
 			broken.Write(conn)
 			return false
