--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -186,7 +186,12 @@
 
 func (e *testEnv) post(t testing.TB, path, body string, header ...string) reply {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+path, strings.NewReader(body))
+	return e.send(t, http.MethodPost, path, body, header...)
+}
+
+func (e *testEnv) send(t testing.TB, method, path, body string, header ...string) reply {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, e.url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rawserver/rawserver.go
+++ b/rawserver/rawserver.go
@@ -54,14 +54,18 @@
 
 // Broken is a broken response.
 type Broken struct {
-	Name    string
-	Bytes   string
-	IsReset bool // the connection is reset behind the bytes instead of ended
+	Name     string
+	Bytes    string
+	IsReset  bool // the connection is reset behind the bytes instead of ended
+	IsSilent bool // nothing comes behind the bytes until the client closes the connection
 }
 
 // Write writes the response and closes the connection.
 func (b Broken) Write(conn *net.TCPConn) {
 	_, _ = io.WriteString(conn, b.Bytes) // the client may have closed the connection
+	if b.IsSilent {
+		_, _ = io.Copy(io.Discard, conn)
+	}
 	if b.IsReset {
 		Reset(conn)
 	}
@@ -122,3 +126,22 @@
 		Broken{Name: "without a length, reset in the body", Bytes: head + "\r\n" + part, IsReset: true},
 	)
 }
+
+// SilentResponses returns forms of a response whose server goes silent.
+func SilentResponses(status, fields, body string) []Broken {
+	head := "HTTP/1.1 " + status + "\r\n" + fields
+	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Transfer-Encoding: chunked\r\n"
+	part := body[:len(body)/2]
+	return []Broken{
+		{Name: "silent before the response", IsSilent: true},
+		{Name: "silent in the head", Bytes: head, IsSilent: true},
+		{Name: "silent behind the head, with a length", Bytes: head + length + "\r\n", IsSilent: true},
+		{Name: "silent behind the head, in chunks", Bytes: head + chunked + "\r\n", IsSilent: true},
+		{Name: "silent behind the head, without a length", Bytes: head + "\r\n", IsSilent: true},
+		{Name: "silent in the body, with a length", Bytes: head + length + "\r\n" + part, IsSilent: true},
+		{Name: "silent between chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(part), part), IsSilent: true},
+		{Name: "silent in the body, without a length", Bytes: head + "\r\n" + part, IsSilent: true},
+		{Name: "silent behind the body, in chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(body), body), IsSilent: true},
+		{Name: "silent behind the body, without a length", Bytes: head + "\r\n" + body, IsSilent: true},
+	}
+}
