engine: a truncated error response is no refusal

Callers: an engine that broke off its 400 or 404 within the body refused their completion, with an empty message and marked maybe-run, instead of another engine serving it.

Cause: the error of the read of an error response was ignored, and its status counted.

Evidence: with the fix taken out, TestBrokenEngineResponses failed for 26 of the 28 forms of both that are cut off behind the head: 400 or 404 where a complete response was due. The two others hold the whole error object.

Change: an error response that cannot be read in full is an incomplete response, as a stream is.

Result: all forms pass, with malformed, truncated and silent responses of streams; the text is complete or looks incomplete, in at most two sends.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -230,8 +230,12 @@
 	return &IncompleteResponseError{Backend: s.call.Backend, Tokens: len(s.call.Progress.Hashes), ConnectionLost: connectionLost, Err: err}
 }
 
+// responseError returns the error that the engine states, or an *IncompleteResponseError if its response is truncated.
 func (s *Stream) responseError() error {
-	raw, _ := io.ReadAll(io.LimitReader(s.response.Body, maxErrorBytes))
+	raw, err := io.ReadAll(io.LimitReader(&s.body, maxErrorBytes))
+	if err != nil {
+		return s.interrupted(err)
+	}
 	var body errorBodyWire
 	// If the body is not an error object, the code stays empty.
 	_ = json.Unmarshal(raw, &body)
