inbound: a broken off response to an HTTP/1.0 caller ends with a reset

Callers: one that speaks HTTP/1.0 got a part of a response as complete when a backend server broke off a response without a length of more than 256 KB, or a stream.

Cause: such a caller understands no chunks, so net/http sends it a response without a length that ends with its connection. A handler that panics with http.ErrAbortHandler closes the connection in order.

Change: a response that has neither a length nor chunks is broken off by a reset. Others are closed as before, without the last chunk or before the declared length.

--- a/inbound/request.go
+++ b/inbound/request.go
@@ -3,17 +3,22 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 
 	"citronspread/memory"
 )
 
 // Request is what a host holds for one request. Its methods reserve nothing if the request does not come from a Listener.
-type Request struct{ conn *Conn }
+type Request struct {
+	conn *Conn
+	// isUnchunked means that its caller understands no chunks: a response without a length ends with the connection.
+	isUnchunked bool
+}
 
 // Begin returns the Request of a request whose head has been parsed. The error is a *memory.RefusedError.
 func Begin(r *http.Request, id string) (*Request, error) {
-	q := &Request{conn: connOf(r)}
+	q := &Request{conn: connOf(r), isUnchunked: !r.ProtoAtLeast(1, 1)}
 	if q.conn == nil {
 		return q, nil
 	}
@@ -27,6 +32,29 @@
 	return q, q.conn.beginRequest(id, lines, size, r.Body != nil && r.Body != http.NoBody)
 }
 
+// Abort breaks off a response whose head has been sent, so that its caller sees that it is incomplete. It does not return.
+func (q *Request) Abort(w http.ResponseWriter) {
+	if q.isUnchunked && w.Header().Get("Content-Length") == "" {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler) // net/http closes the connection, in front of the declared length or the last chunk
+}
+
+// reset resets the connection of a response. net/http closes it without a reset if it can't be taken over.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	switch c := conn.(type) {
+	case *Conn:
+		c.drop()
+	case *net.TCPConn:
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+	_ = conn.Close()
+}
+
 // Hold reserves bytes of a response that are buffered. The error is a *memory.RefusedError.
 func (q *Request) Hold(bytes int64) error {
 	if q.conn == nil {
