httpconn: a write behind the end of a connection fails with the end

A read at the end of the connection ends the write in progress by a deadline, so that a server that crashed during an upload looked like a write that took too long. Such a write fails with io.ErrUnexpectedEOF (TestWriteBehindEnd). The line buffer of an idle connection is freed.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -31,6 +31,7 @@
 	start        []byte // of the response, no longer than statusLineStart
 	lineEnded    bool   // the first line of the response is complete
 	lost         bool   // a read failed
+	isEnded      bool   // reads have seen the end of the connection
 	writeFailure error  // that shows that the other side did not end the connection in order
 	head         headScanner
 }
@@ -59,6 +60,9 @@
 // endOfReads returns io.EOF, or the failure of a write that makes the end of the connection one in disorder. Nothing can
 // be received on the connection any more, so a write in progress is ended.
 func (c *Conn) endOfReads() error {
+	c.mu.Lock()
+	c.isEnded = true
+	c.mu.Unlock()
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, whose writes end as well
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -77,7 +81,7 @@
 	return c.lost && !c.lineEnded && len(c.start) > 0 && strings.HasPrefix(statusLineStart, string(c.start))
 }
 
-// Write fails once the connection is aborted.
+// Write fails once the connection is aborted, and with io.ErrUnexpectedEOF once the other side has ended it.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -85,10 +89,13 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Write(p)
-	if isConnectionFailure(err) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case isConnectionFailure(err):
 		c.writeFailure = err
+	case c.isEnded && errors.Is(err, os.ErrDeadlineExceeded):
+		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -134,3 +134,34 @@
 		}
 	}
 }
+
+// TestWriteBehindEnd guards against a write that fails as one that took too long when the server has ended the connection.
+func TestWriteBehindEnd(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	address := rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
+		_ = conn.CloseWrite()
+		<-done
+		return false
+	})
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := New(raw, nil)
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(conn, largeBody)
+		written <- err
+	}()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v from a read at the end, want EOF", err)
+	}
+	if err := <-written; !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %v from the write in progress, want an unexpected EOF", err)
+	}
+}
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -43,7 +43,7 @@
 }
 
 // reset prepares the scanner for the next response.
-func (s *headScanner) reset() { *s = headScanner{line: s.line[:0]} }
+func (s *headScanner) reset() { *s = headScanner{} }
 
 // scan checks the next bytes that were received.
 func (s *headScanner) scan(p []byte) {
@@ -63,7 +63,7 @@
 			s.checkLine(p)
 		default:
 			s.checkLine(append(s.line, p...))
-			s.line = s.line[:0]
+			s.line = nil
 		}
 		p = rest
 	}
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -41,7 +41,7 @@
 	var conn *Conn
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn.(*Conn)
+			conn = info.Conn.(*Conn) // base has no TLS
 			conn.Begin()
 		},
 	}
