--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -17,8 +17,9 @@
 // statusLineStart begins each response. The version that follows does not matter here.
 const statusLineStart = "HTTP/1."
 
-// Conn is a client's connection. It records whether a write of the current request was started, and whether the connection
-// was lost within the first line of the response. net/http reports such a line as malformed, like bytes that are no response.
+// Conn is a client's connection that carries one request at a time. It checks the head of each response, tells a reset from an
+// end in order, and records whether a write of the current request was started and whether the connection was lost within the
+// first line of the response, which net/http reports as malformed, like bytes that are no response.
 type Conn struct {
 	net.Conn
 	closed    func()
@@ -32,7 +33,7 @@
 	lineEnded    bool   // the first line of the response is complete
 	lost         bool   // a read failed
 	isEnded      bool   // reads have seen the end of the connection
-	writeFailure error  // that shows that the other side did not end the connection in order
+	writeFailure error  // shows that the connection was not ended in order, nil if no write has met one
 	head         headScanner
 }
 
@@ -57,8 +58,8 @@
 	return n, err
 }
 
-// endOfReads returns io.EOF, or the failure of a write that makes the end of the connection one in disorder. Nothing can
-// be received on the connection any more, so a write in progress is ended.
+// endOfReads returns io.EOF if the other side has ended the connection in order, otherwise the failure that a write has met.
+// Nothing can be received on the connection any more, so a write in progress is ended.
 func (c *Conn) endOfReads() error {
 	c.mu.Lock()
 	c.isEnded = true
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -114,7 +114,7 @@
 func (c failingConn) Write([]byte) (int, error)        { return 0, c.failure }
 func (c failingConn) SetWriteDeadline(time.Time) error { return nil }
 
-// TestEndBehindFailedWrite checks which failures of a write make the end of a connection one in disorder.
+// TestEndBehindFailedWrite checks which failures of a write a read returns in place of the end of the connection.
 func TestEndBehindFailedWrite(t *testing.T) {
 	tests := []struct {
 		failure, want error
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -7,8 +7,8 @@
 	"net/http/httptrace"
 )
 
-// Transport sends HTTP/1 requests without TLS through an http.Transport and fails those whose response has a malformed head or belongs
-// to no request.
+// Transport sends HTTP/1 requests without TLS through an http.Transport, and fails those whose response has a malformed head
+// or came before they were sent.
 type Transport struct {
 	base *http.Transport
 }
