--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -1,25 +1,19 @@
-// Package httpconn has connections and transports of HTTP/1 clients that detect what net/http passes on as a response
-// although it is none: one that was cut off by a reset, and one with a malformed head.
+// Package httpconn provides connections and transports for HTTP/1 clients. They reject responses that net/http accepts: those
+// truncated by a connection reset and those with a malformed head.
 package httpconn
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// statusLineStart begins each response. The version that follows does not matter here.
-const statusLineStart = "HTTP/1."
-
-// Conn is a client's connection that carries one request at a time. It checks the head of each response, tells a reset from an
-// end in order, and records whether a write of the current request was started and whether the connection was lost within the
-// first line of the response, which net/http reports as malformed, like bytes that are no response.
+// Conn is a client's connection that carries one request at a time. It checks the head of each response, distinguishes a reset
+// from a graceful close, and records whether a write of the current request was started.
 type Conn struct {
 	net.Conn
 	closed    func()
@@ -29,19 +23,17 @@
 	mu           sync.Mutex
 	writeStarted bool
 	aborted      bool
-	start        []byte // of the response, no longer than statusLineStart
-	lineEnded    bool   // the first line of the response is complete
-	lost         bool   // a read failed
-	isEnded      bool   // reads have seen the end of the connection
-	writeFailure error  // shows that the connection was not ended in order, nil if no write has met one
+	lost         bool  // a read failed
+	readsEnded   bool  // a read has returned the end of the connection
+	writeFailure error // of the connection, reported by a write; nil after a graceful close
 	head         headScanner
 }
 
 // New returns a connection that uses raw. closed is called by the first Close and may be nil.
 func New(raw net.Conn, closed func()) *Conn { return &Conn{Conn: raw, closed: closed} }
 
-// Read returns io.EOF only if the other side has ended the connection. If a write has met a reset or another failure of the
-// connection, the kernel reports the failure to that write alone, and reads see the end of the connection.
+// Read returns io.EOF only if the server has closed the connection gracefully. The kernel reports a reset or another failure of
+// the connection to one call only: if that is a write, a read sees the end of the connection, and returns the error of the write.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
@@ -51,20 +43,16 @@
 	defer c.mu.Unlock()
 	c.lost = c.lost || err != nil
 	c.head.scan(p[:n])
-	if !c.lineEnded {
-		c.start = append(c.start, p[:min(n, len(statusLineStart)-len(c.start))]...)
-		c.lineEnded = bytes.IndexByte(p[:n], '\n') >= 0
-	}
 	return n, err
 }
 
-// endOfReads returns io.EOF if the other side has ended the connection in order, otherwise the failure that a write has met.
-// Nothing can be received on the connection any more, so a write in progress is ended.
+// endOfReads returns io.EOF after a graceful close, otherwise the error that a write got. It ends a write in progress and waits
+// for it, because that write may have got the error just now. No response can follow any more.
 func (c *Conn) endOfReads() error {
 	c.mu.Lock()
-	c.isEnded = true
+	c.readsEnded = true
 	c.mu.Unlock()
-	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, whose writes end as well
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, whose writes fail anyway
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.mu.Lock()
@@ -75,14 +63,15 @@
 	return io.EOF
 }
 
-// IsTruncated reports whether the connection was lost within the first line of a response.
+// IsTruncated reports whether the connection was lost within the status line of a response. net/http reports such a line as
+// malformed, like bytes that are not a response.
 func (c *Conn) IsTruncated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lost && !c.lineEnded && len(c.start) > 0 && strings.HasPrefix(statusLineStart, string(c.start))
+	return c.lost && c.head.isInStatusLine()
 }
 
-// Write fails once the connection is aborted, and with io.ErrUnexpectedEOF once the other side has ended it.
+// Write fails once the connection is aborted, and with io.ErrUnexpectedEOF once a read has returned the end of the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -95,7 +84,7 @@
 	switch {
 	case isConnectionFailure(err):
 		c.writeFailure = err
-	case c.isEnded && errors.Is(err, os.ErrDeadlineExceeded):
+	case c.readsEnded && errors.Is(err, os.ErrDeadlineExceeded):
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -109,8 +98,8 @@
 	return !c.aborted
 }
 
-// isConnectionFailure reports whether a write failed because the other side did not end the connection in order. After an
-// end in order, writes fail with EPIPE.
+// isConnectionFailure reports whether a write failed because of a reset or another failure of the connection. After a graceful
+// close of the server, writes fail with EPIPE, also if a reset follows.
 func isConnectionFailure(err error) bool {
 	switch {
 	case err == nil, errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
@@ -123,11 +112,11 @@
 func (c *Conn) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeStarted, c.lineEnded, c.lost, c.start = false, false, false, c.start[:0]
+	c.writeStarted, c.lost = false, false
 	c.head.reset()
 }
 
-// CheckHead returns a *MalformedHeadError unless the response to the current request has a well-formed head with this status.
+// CheckHead returns a *MalformedHeadError unless a well-formed head with this status was received since Begin.
 func (c *Conn) CheckHead(address string, status int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -9,42 +9,51 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// statusLineStart begins each response, followed by the minor version.
+const statusLineStart = "HTTP/1."
+
 const (
 	// maxHeadBytes limits the head of a response, and that of each interim response before it.
 	maxHeadBytes = 64 << 10
 	// maxReportedBytes limits how much of a malformed line an error shows.
 	maxReportedBytes = 80
-	// statusLineLength is that of "HTTP/1.1 200", without the reason.
+	// statusLineLength is the length of a status line without its reason phrase.
 	statusLineLength = len("HTTP/1.1 200")
 )
 
-// MalformedHeadError means that the bytes that came for a request are no head of an HTTP/1 response as of RFC 9112. The
-// request may have run.
+// MalformedHeadError means that the bytes received for a request are not the head of an HTTP/1 response as defined by RFC 9112.
+// The request may have run.
 type MalformedHeadError struct {
 	Address string // of the server
 	Reason  string
-	Line    string // beginning of the malformed line, empty if none is
+	Line    string // beginning of the malformed line, empty if the error concerns no line
 }
 
 func (e *MalformedHeadError) Error() string {
 	return fmt.Sprintf("httpconn: malformed response head from %s: %s: %q", e.Address, e.Reason, e.Line)
 }
 
-// headScanner checks the head of a response while it is received. It accepts less than net/http, which joins folded lines,
-// takes names with blanks and any number for a status.
+// headScanner checks the head of a response while it is received. It is stricter than net/http, which joins folded lines and
+// accepts field names with spaces and any number of three characters as a status.
 type headScanner struct {
-	line   []byte // that is still incomplete
-	size   int    // bytes of the head
-	status int    // 0 before the status line
-	minor  byte   // version of HTTP/1, a digit
-	isDone bool   // the head is complete or malformed
-	reason string // why it is malformed, empty if it is not
-	reject string // the beginning of the malformed line
+	line      []byte // the current line as far as it is received
+	size      int    // bytes of the head
+	status    int    // 0 before the status line
+	minor     byte   // minor version of HTTP/1, a digit
+	isDone    bool   // the head is complete or malformed
+	reason    string // why it is malformed, empty if it is well-formed
+	malformed string // beginning of the malformed line
 }
 
 // reset prepares the scanner for the next response.
 func (s *headScanner) reset() { *s = headScanner{} }
 
+// isInStatusLine reports whether the beginning of a status line was received, but not its end.
+func (s *headScanner) isInStatusLine() bool {
+	start := s.line[:min(len(s.line), len(statusLineStart))]
+	return !s.isDone && s.status == 0 && len(start) > 0 && strings.HasPrefix(statusLineStart, string(start))
+}
+
 // scan checks the next bytes that were received.
 func (s *headScanner) scan(p []byte) {
 	for len(p) > 0 && !s.isDone {
@@ -69,7 +78,7 @@
 	}
 }
 
-// checkLine checks a line with its end.
+// checkLine checks a complete line, which includes its line feed.
 func (s *headScanner) checkLine(line []byte) {
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 	switch {
@@ -99,12 +108,12 @@
 	case len(reason) > 0 && reason[0] != ' ':
 		s.fail("status is not a number from 100 to 999", line)
 	case !httpguts.ValidHeaderFieldValue(string(reason)):
-		s.fail("control byte in the reason", line)
+		s.fail("control byte in the reason phrase", line)
 	default:
 		s.minor = minor
 		s.status = 100*int(status[0]-'0') + 10*int(status[1]-'0') + int(status[2]-'0')
 		if s.status == http.StatusSwitchingProtocols {
-			s.fail("switch of protocols that was not requested", line)
+			s.fail("protocol switch that was not requested", line)
 		}
 	}
 }
@@ -120,28 +129,28 @@
 	name, value, hasColon := strings.Cut(string(line), ":")
 	switch {
 	case !hasColon:
-		s.fail("field without a colon", line)
+		s.fail("field without colon", line)
 	case !httpguts.ValidHeaderFieldName(name):
-		s.fail("invalid name of a field", line)
+		s.fail("invalid field name", line)
 	case !httpguts.ValidHeaderFieldValue(value):
-		s.fail("control byte in the value of a field", line)
+		s.fail("control byte in a field value", line)
 	case s.minor == '0' && strings.EqualFold(name, "Transfer-Encoding"):
-		s.fail("chunks in HTTP/1.0, whose end net/http does not find", line)
+		s.fail("transfer encoding in HTTP/1.0", line) // net/http ignores it and would return the chunks undecoded
 	}
 }
 
 // fail records that the head is malformed.
 func (s *headScanner) fail(reason string, line []byte) {
-	s.isDone, s.reason, s.reject = true, reason, string(line[:min(len(line), maxReportedBytes)])
+	s.isDone, s.reason, s.malformed = true, reason, string(line[:min(len(line), maxReportedBytes)])
 }
 
 // check returns a *MalformedHeadError unless a well-formed head of a final response with this status was received.
 func (s *headScanner) check(address string, status int) error {
 	switch {
 	case s.reason != "":
-		return &MalformedHeadError{Address: address, Reason: s.reason, Line: s.reject}
+		return &MalformedHeadError{Address: address, Reason: s.reason, Line: s.malformed}
 	case !s.isDone || s.status != status:
-		return &MalformedHeadError{Address: address, Reason: "received before the request was sent"}
+		return &MalformedHeadError{Address: address, Reason: "received before the request"}
 	}
 	return nil
 }
--- a/httpconn/head_test.go
+++ b/httpconn/head_test.go
@@ -11,7 +11,7 @@
 	"citronspread/rawserver"
 )
 
-// sendTo sends a request to a server that writes the given bytes in response and ends the connection. If kept is true, the
+// sendTo sends a request to a server that writes the given bytes in response and closes the connection. If kept is true, the
 // connection has carried a request before. The bytes are written one by one if single is true.
 func sendTo(t *testing.T, written string, kept, single bool) (*http.Response, string, error) {
 	t.Helper()
@@ -28,26 +28,13 @@
 		_, _ = io.WriteString(conn, written)
 		return false
 	})
-	base := &http.Transport{}
-	transport := NewTransport(base, nil)
-	t.Cleanup(transport.CloseIdleConnections)
+	transport := newTransport(t)
 	if kept {
-		if got, err := send(t, transport, address, "x"); got != "ok" || err != nil {
+		if _, got, err := send(t, transport, address, "x"); got != "ok" || err != nil {
 			t.Fatalf("got %q, %v for the request before, want ok", got, err)
 		}
 	}
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, strings.NewReader("x"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.GetBody = nil
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return nil, "", err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	return send(t, transport, address, "x")
 }
 
 // checkMalformed checks that the bytes are not taken for a response, on new and kept connections.
@@ -61,7 +48,7 @@
 	}
 }
 
-// TestMalformedStatusLine guards against a status line that net/http accepts although it is none.
+// TestMalformedStatusLine guards against malformed status lines that net/http accepts.
 func TestMalformedStatusLine(t *testing.T) {
 	for _, line := range []string{
 		"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 99 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK",
@@ -75,8 +62,7 @@
 	}
 }
 
-// TestMalformedField guards against fields that net/http skips, joins or passes on although they are malformed. Some hide how
-// long the body is.
+// TestMalformedField guards against malformed fields that net/http accepts. Some of them hide the length of the body.
 func TestMalformedField(t *testing.T) {
 	for _, line := range []string{
 		"X Spam: 1", "X-Spam : 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X-Spam\t: 1", "X\tSpam: 1", " X-Spam: 1", "\tX-Spam: 1",
@@ -93,7 +79,7 @@
 	checkMalformed(t, "HTTP/1.1 200 OK\r\nX-Spam: "+strings.Repeat("x", maxHeadBytes)+"\r\nContent-Length: 4\r\n\r\nspam")
 }
 
-// TestWellFormedHeads guards against heads of sound servers that are rejected, received as a whole or in single bytes.
+// TestWellFormedHeads guards against valid heads that are rejected, received as a whole or in single bytes.
 func TestWellFormedHeads(t *testing.T) {
 	const body = "whole"
 	tests := []struct {
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -7,14 +7,14 @@
 	"net/http/httptrace"
 )
 
-// Transport sends HTTP/1 requests without TLS through an http.Transport, and fails those whose response has a malformed head
-// or came before they were sent.
+// Transport sends HTTP/1 requests without TLS through an http.Transport. It fails a request if the head of its response is
+// malformed or was received before the request was sent.
 type Transport struct {
 	base *http.Transport
 }
 
-// NewTransport returns a transport that uses base, with connections that base opens. Base must not be used otherwise.
-// closed is called when a connection is closed and may be nil.
+// NewTransport returns a transport that takes over base: its dialer is wrapped, and heads are limited to 64 KB unless base
+// limits them. closed is called once for each connection that is closed and may be nil.
 func NewTransport(base *http.Transport, closed func()) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -33,7 +33,7 @@
 	return &Transport{base: base}
 }
 
-// DefaultClient is an http.Client with a Transport and the defaults of net/http otherwise.
+// DefaultClient is an http.Client with a Transport that has the settings of http.DefaultTransport otherwise.
 var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil)}
 
 // RoundTrip sends the request and returns the response, or a *MalformedHeadError besides the errors of http.Transport.
--- a/httponce/client.go
+++ b/httponce/client.go
@@ -21,7 +21,6 @@
 const (
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 30 * time.Second
-	maxHeaderBytes     = 64 << 10
 	// distrustFor is how long a server that closed a reused connection without a response gets a connection for each request
 	// of a cautious client. Such a server closes idle connections sooner than the client.
 	distrustFor  = 10 * time.Minute
@@ -150,12 +149,11 @@
 			}
 			return conn, err
 		},
-		DisableCompression:     true,
-		DisableKeepAlives:      fresh,
-		MaxIdleConns:           c.IdleTotal,
-		MaxIdleConnsPerHost:    c.IdlePerHost,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+		MaxIdleConns:        c.IdleTotal,
+		MaxIdleConnsPerHost: c.IdlePerHost,
+		IdleConnTimeout:     idleTimeout,
 	}
 	return httpconn.NewTransport(base, c.countClosed)
 }
--- a/inbound/request.go
+++ b/inbound/request.go
@@ -12,13 +12,13 @@
 // Request is what a host holds for one request. Its methods reserve nothing if the request does not come from a Listener.
 type Request struct {
 	conn *Conn
-	// isUnchunked means that its caller understands no chunks: a response without a length ends with the connection.
-	isUnchunked bool
+	// isHTTP10 means that the caller does not understand chunks. A response without a length then ends with the connection.
+	isHTTP10 bool
 }
 
 // Begin returns the Request of a request whose head has been parsed. The error is a *memory.RefusedError.
 func Begin(r *http.Request, id string) (*Request, error) {
-	q := &Request{conn: connOf(r), isUnchunked: !r.ProtoAtLeast(1, 1)}
+	q := &Request{conn: connOf(r), isHTTP10: !r.ProtoAtLeast(1, 1)}
 	if q.conn == nil {
 		return q, nil
 	}
@@ -32,15 +32,15 @@
 	return q, q.conn.beginRequest(id, lines, size, r.Body != nil && r.Body != http.NoBody)
 }
 
-// Abort breaks off a response whose head has been sent, so that its caller sees that it is incomplete. It does not return.
+// Abort aborts a response whose head has been sent, in a way that shows the caller that it is incomplete. It does not return.
 func (q *Request) Abort(w http.ResponseWriter) {
-	if q.isUnchunked && w.Header().Get("Content-Length") == "" {
+	if q.isHTTP10 && w.Header().Get("Content-Length") == "" {
 		reset(w)
 	}
-	panic(http.ErrAbortHandler) // net/http closes the connection, in front of the declared length or the last chunk
+	panic(http.ErrAbortHandler) // net/http closes the connection before the declared length or the last chunk is sent
 }
 
-// reset resets the connection of a response. net/http closes it without a reset if it can't be taken over.
+// reset resets the connection of a response. If it can't be hijacked, net/http closes it without a reset.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/peer/truncated_reply_test.go
+++ b/peer/truncated_reply_test.go
@@ -11,8 +11,8 @@
 	"citronspread/gossip"
 )
 
-// truncatingProxy forwards one connection to a server and of the bytes that come back the first limit only, in front of
-// which it may put others. Then it ends the connection, or resets it.
+// truncatingProxy forwards one connection to a server. Back to the client it sends prefix and the first limit bytes of the server,
+// and then closes or resets the connection.
 func truncatingProxy(t *testing.T, server, prefix string, limit int64, isReset bool) (address string, forwarded chan int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -46,8 +46,8 @@
 	return listener.Addr().String(), forwarded
 }
 
-// TestTruncatedReplies guards against a reply of another host that is cut off, or that comes behind bytes that are none, and
-// that is taken for a whole one.
+// TestTruncatedReplies guards against a reply of another host that is truncated or follows other bytes, and that is taken for a
+// complete one.
 func TestTruncatedReplies(t *testing.T) {
 	server := startServer(t)
 	item := gossip.Item{ID: gossip.ItemID{Kind: gossip.KindConfig, Key: "catalogue"}, Value: []byte(strings.Repeat("value", 20))}
@@ -86,7 +86,7 @@
 	}
 	for _, prefix := range []string{"HTTP/1.1 200 OK\r\n\r\n", "\x00", strings.Repeat("\xff", 64)} {
 		if reply, _, err := push(prefix, 1<<20, false); err == nil && !isWhole(reply) {
-			t.Errorf("got %+v behind %q, want an error or the whole reply", reply, prefix)
+			t.Errorf("got %+v after %q, want an error or the whole reply", reply, prefix)
 		}
 	}
 }
--- a/rawserver/rawserver.go
+++ b/rawserver/rawserver.go
@@ -1,5 +1,4 @@
-// Package rawserver has servers for tests that write the bytes of their responses themselves. net/http's server can't send
-// broken ones.
+// Package rawserver provides servers for tests that send broken responses, which the server of net/http can't send.
 package rawserver
 
 import (
@@ -46,7 +45,7 @@
 	}
 }
 
-// Reset closes a connection with a reset instead of an end.
+// Reset closes a connection with a reset.
 func Reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0) // fails only on a closed connection
 	_ = conn.Close()
@@ -56,8 +55,8 @@
 type Broken struct {
 	Name     string
 	Bytes    string
-	IsReset  bool // the connection is reset behind the bytes instead of ended
-	IsSilent bool // nothing comes behind the bytes until the client closes the connection
+	IsReset  bool // the connection is reset after the bytes
+	IsSilent bool // nothing is sent after the bytes until the client closes the connection
 }
 
 // Write writes the response and closes the connection.
@@ -85,10 +84,10 @@
 	return []Broken{
 		{Name: "status 000", Bytes: "HTTP/1.1 000 OK\r\n" + fields + whole},
 		{Name: "status of two digits", Bytes: "HTTP/1.1 +20 OK\r\n" + fields + whole},
-		{Name: "two blanks before the status", Bytes: "HTTP/1.1  " + status + "\r\n" + fields + whole},
+		{Name: "two spaces before the status", Bytes: "HTTP/1.1  " + status + "\r\n" + fields + whole},
 		{Name: "no response", Bytes: body + "\r\n\r\n"},
-		{Name: "blank in a name", Bytes: head + "X Spam: 1\r\n" + whole},
-		{Name: "blank before a colon", Bytes: head + "X-Spam : 1\r\n" + whole},
+		{Name: "space in a name", Bytes: head + "X Spam: 1\r\n" + whole},
+		{Name: "space before a colon", Bytes: head + "X-Spam : 1\r\n" + whole},
 		{Name: "control byte in a name", Bytes: head + "X-\x01Spam: 1\r\n" + whole},
 		{Name: "NUL in a value", Bytes: head + "X-Spam: \x00\r\n" + whole},
 		{Name: "CR in a value", Bytes: head + "X-Spam: \r1\r\n" + whole},
@@ -98,8 +97,8 @@
 	}
 }
 
-// TruncatedResponses returns forms of a response that are cut off, by the end of the connection and by its reset. Without a
-// length or chunks an end is that of the response, so only a reset cuts it off.
+// TruncatedResponses returns forms of a response that are truncated, by a graceful close and by a reset of the connection.
+// Without a length or chunks a graceful close ends the response, so only a reset truncates it.
 func TruncatedResponses(status, fields, body string) []Broken {
 	head := "HTTP/1.1 " + status + "\r\n" + fields
 	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Transfer-Encoding: chunked\r\n"
@@ -109,25 +108,25 @@
 		{Name: "no byte"},
 		{Name: "cut in the status line", Bytes: head[:len("HTTP/1.1 2")]},
 		{Name: "cut in the head", Bytes: head + "X-Spam"},
-		{Name: "cut behind the head, with a length", Bytes: head + length + "\r\n"},
-		{Name: "cut behind the head, in chunks", Bytes: head + chunked + "\r\n"},
+		{Name: "cut after the head, with a length", Bytes: head + length + "\r\n"},
+		{Name: "cut after the head, in chunks", Bytes: head + chunked + "\r\n"},
 		{Name: "cut in the body, with a length", Bytes: head + length + "\r\n" + part},
 		{Name: "cut in a chunk", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s", len(body), part)},
 		{Name: "cut between chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(part), part)},
 		{Name: "cut before the end of the chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\n", len(body), body)},
 	} {
 		reset := cut
-		cut.Name, reset.Name = cut.Name+", ended", cut.Name+", reset"
+		cut.Name, reset.Name = cut.Name+", closed", cut.Name+", reset"
 		reset.IsReset = true
 		responses = append(responses, cut, reset)
 	}
 	return append(responses,
-		Broken{Name: "without a length, reset behind the head", Bytes: head + "\r\n", IsReset: true},
+		Broken{Name: "without a length, reset after the head", Bytes: head + "\r\n", IsReset: true},
 		Broken{Name: "without a length, reset in the body", Bytes: head + "\r\n" + part, IsReset: true},
 	)
 }
 
-// SilentResponses returns forms of a response whose server goes silent.
+// SilentResponses returns forms of a response whose server stops sending without closing the connection.
 func SilentResponses(status, fields, body string) []Broken {
 	head := "HTTP/1.1 " + status + "\r\n" + fields
 	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Transfer-Encoding: chunked\r\n"
@@ -135,13 +134,13 @@
 	return []Broken{
 		{Name: "silent before the response", IsSilent: true},
 		{Name: "silent in the head", Bytes: head, IsSilent: true},
-		{Name: "silent behind the head, with a length", Bytes: head + length + "\r\n", IsSilent: true},
-		{Name: "silent behind the head, in chunks", Bytes: head + chunked + "\r\n", IsSilent: true},
-		{Name: "silent behind the head, without a length", Bytes: head + "\r\n", IsSilent: true},
+		{Name: "silent after the head, with a length", Bytes: head + length + "\r\n", IsSilent: true},
+		{Name: "silent after the head, in chunks", Bytes: head + chunked + "\r\n", IsSilent: true},
+		{Name: "silent after the head, without a length", Bytes: head + "\r\n", IsSilent: true},
 		{Name: "silent in the body, with a length", Bytes: head + length + "\r\n" + part, IsSilent: true},
 		{Name: "silent between chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(part), part), IsSilent: true},
 		{Name: "silent in the body, without a length", Bytes: head + "\r\n" + part, IsSilent: true},
-		{Name: "silent behind the body, in chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(body), body), IsSilent: true},
-		{Name: "silent behind the body, without a length", Bytes: head + "\r\n" + body, IsSilent: true},
+		{Name: "silent after the body, in chunks", Bytes: head + chunked + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(body), body), IsSilent: true},
+		{Name: "silent after the body, without a length", Bytes: head + "\r\n" + body, IsSilent: true},
 	}
 }
