gateway, routing: keep streams of plain services at their software version

Cause: software versions were followed for services with an engine only. Endpoints of plain services had no version, so that the attempts of a stream chose among all of them, and nothing was recorded for callers that take a stream up at another host.

Change: the versions of all services are followed, endpoints carry theirs, and a stream that goes on gets an endpoint of its own version or is refused at once. The time at which a refused request may come back counts only the backend servers that could serve it. "granted" names the version.

Ruled out: a backend server that is listed at another version than its own; the one that crashed had been listed for 14 s.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -107,9 +107,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.host.admission, cancel)()
-	if r.Model == "" {
-		return d.acquireEndpoint(ctx, r, p)
-	}
 	if r.beginsResumableStream(p) && r.Software == "" {
 		version, err := d.softwareToBegin(r)
 		if err != nil {
@@ -120,6 +117,9 @@
 	if r.Software != "" && d.softwareOfService(r.Service).Serving[r.Software] == 0 {
 		return nil, &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareRetryAfter}
 	}
+	if r.Model == "" {
+		return d.acquireEndpoint(ctx, r, p)
+	}
 	isResumed := r.TakenUp || p.Resuming
 	priority, enginePriority := priorities(r, isResumed)
 	request := routing.Request{
@@ -220,7 +220,9 @@
 }
 
 func (d *Dispatcher) acquireEndpoint(ctx context.Context, r RoutedRequest, p *attempt.Progress) (*Grant, error) {
-	request := routing.Request{ID: r.ID, Service: r.Service, Fingerprint: r.Fingerprint, Deadline: r.Deadline, Avoid: p.Failed}
+	request := routing.Request{
+		ID: r.ID, Target: routing.Target{Software: r.Software}, Service: r.Service, Fingerprint: r.Fingerprint, Deadline: r.Deadline, Avoid: p.Failed,
+	}
 	if err := d.beginTokens(ctx, r, p); err != nil {
 		return nil, err
 	}
@@ -234,8 +236,14 @@
 		endpoint.Done(d.host.Now(), routing.OutcomeAbandoned)
 		return nil, err
 	}
-	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.Strings("Avoid", p.Failed),
+	d.host.Log.Info("granted", zap.String("Request", r.ID), zap.String("Backend", endpoint.Endpoint.Backend), zap.String("Address", endpoint.Endpoint.Address), zap.String("Software", endpoint.Endpoint.Software), zap.Strings("Avoid", p.Failed),
 		zap.Int("Own", endpoint.Load.Own), zap.Float64("Others", endpoint.Load.Others), zap.Bool("LoadKnown", endpoint.Load.Known), zap.Duration("LoadAge", endpoint.Load.Age),
 		zap.Strings("Withheld", d.Withheld(d.host.Now(), r)))
-	return &Grant{Address: endpoint.Endpoint.Address, Incarnation: model.BackendIncarnation{ID: endpoint.Endpoint.Backend, Born: endpoint.Endpoint.Born}, Priority: -1, endpointGrant: endpoint}, nil
+	return &Grant{
+		Address:       endpoint.Endpoint.Address,
+		Incarnation:   model.BackendIncarnation{ID: endpoint.Endpoint.Backend, Born: endpoint.Endpoint.Born},
+		Software:      endpoint.Endpoint.Software,
+		Priority:      -1,
+		endpointGrant: endpoint,
+	}, nil
 }
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -58,6 +58,7 @@
 		if c.services[b.listing.Service].Engine == nil {
 			c.endpoints[id] = model.ServiceEndpoint{
 				Service: b.listing.Service, Backend: id, Born: b.listing.Life.Born, Zone: b.listing.Zone, Address: b.listing.Address, Leaving: b.listing.Draining,
+				Software: b.listing.Software,
 			}
 			continue
 		}
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -176,13 +176,12 @@
 }
 
 // listedSoftware returns the number of backend servers by service and version, of all that are listed and of those that
-// take new requests. Plain services and backend servers that state no version are left out.
+// take new requests. Backend servers that state no version are left out.
 func (h *Host) listedSoftware() (listed, serving map[string]map[string]int) {
 	listed, serving = make(map[string]map[string]int), make(map[string]map[string]int)
-	table := h.routes.Load()
 	for _, b := range h.view.backends {
 		l := b.listing
-		if l.Software == "" || table == nil || table.state.Services[l.Service].Engine == nil {
+		if l.Software == "" {
 			continue
 		}
 		if listed[l.Service] == nil {
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -72,10 +72,10 @@
 	return withheld
 }
 
-// modelTargetOf returns the target of a request, an empty one if it is for a plain service.
+// modelTargetOf returns the target of a request, one without a model if it is for a plain service.
 func modelTargetOf(r RoutedRequest) routing.Target {
 	if r.Model == "" {
-		return routing.Target{}
+		return routing.Target{Software: r.Software}
 	}
 	return targetOf(r)
 }
--- a/model/replica.go
+++ b/model/replica.go
@@ -29,6 +29,8 @@
 	Zone    string
 	Address string
 	Leaving bool
+
+	Software string // version of the backend server's software, empty if it states none
 }
 
 // Snapshot is an immutable view of the replicas and endpoints to which requests can be routed. Request handlers read it
--- a/routing/backoff.go
+++ b/routing/backoff.go
@@ -136,10 +136,10 @@
 	return backends, end
 }
 
-// allEndpointsInBackOff is allInBackOff for a plain service.
-func (r *Router) allEndpointsInBackOff(now time.Time, service string) (backends []string, end time.Time) {
+// allEndpointsInBackOff is allInBackOff for a plain service, whose targets name a software version at most.
+func (r *Router) allEndpointsInBackOff(now time.Time, target Target, service string) (backends []string, end time.Time) {
 	for _, e := range r.index.endpoints[service] {
-		if !r.mayCall(now, e) {
+		if !target.allows(e) || !r.mayCall(now, e) {
 			continue
 		}
 		until, inBackOff := r.stated.backOffEnd(now, backendOf(e), e.Born)
@@ -164,7 +164,7 @@
 	defer r.mu.Unlock()
 	backends, end := r.allInBackOff(now, target)
 	if target.Key.Model == "" {
-		backends, end = r.allEndpointsInBackOff(now, service)
+		backends, end = r.allEndpointsInBackOff(now, target, service)
 	}
 	if len(backends) == 0 {
 		return 0
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -94,10 +94,15 @@
 	r.endpointCalls.awaitingRoom += n
 }
 
-// grantEndpoint chooses an endpoint and counts a call to it. It skips leaving endpoints, endpoints with MaxEndpointCalls
-// calls, those whose address is in Avoid, those in back-off and full ones. If all others have stated a limit that allows no call
-// now, or are full, it returns a *allowanceWaitError. In the first case it remembers that the request waits. If all are in
-// back-off it refuses the call.
+// allows reports whether an endpoint has the software version of the target.
+func (t Target) allows(e model.ServiceEndpoint) bool {
+	return t.Software == "" || t.Software == e.Software
+}
+
+// grantEndpoint chooses an endpoint and counts a call to it. It skips endpoints of other software versions than the target's,
+// leaving endpoints, endpoints with MaxEndpointCalls calls, those whose address is in Avoid, those in back-off and full ones.
+// If all others have stated a limit that allows no call now, or are full, it returns a *allowanceWaitError. In the first case
+// it remembers that the request waits. If all are in back-off it refuses the call.
 func (r *Router) grantEndpoint(now time.Time, request *Request, trial bool) (*EndpointGrant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,7 +112,7 @@
 	var backOffEnd time.Time
 	roomAt := now.Add(maxFullPause)
 	for _, e := range r.index.endpoints[request.Service] {
-		if !r.mayCall(now, e) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
+		if !request.Target.allows(e) || !r.mayCall(now, e) || request.avoids(e.Address) || r.endpointCalls.running[e.Address] >= r.Policy.MaxEndpointCalls {
 			continue
 		}
 		if until, wantsNone := r.stated.backOffEnd(now, backendOf(e), e.Born); wantsNone {
--- a/routing/endpoints_test.go
+++ b/routing/endpoints_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -64,3 +65,33 @@
 		t.Errorf("got trials %v after all have ended, want none", r.endpointCalls.trials)
 	}
 }
+
+// TestEndpointOfSoftwareVersion guards against a stream of a plain service that goes on at another software version.
+func TestEndpointOfSoftwareVersion(t *testing.T) {
+	r := newRouter(DefaultPolicy())
+	r.Snapshot.Store(&model.Snapshot{Services: []model.ServiceEndpoint{
+		{Service: "desk", Backend: "a", Zone: "muenchen", Address: "a:1", Software: "v1"},
+		{Service: "desk", Backend: "b", Zone: "augsburg", Address: "b:1", Software: "v2"},
+	}})
+	tests := []struct {
+		software string
+		want     string // empty if the call must be refused
+	}{
+		{"v1", "a"},
+		{"v2", "b"},
+		{"v3", ""},
+	}
+	for _, tt := range tests {
+		for range 5 {
+			got := ""
+			grant, err := r.grantEndpoint(testTime, &Request{Service: "desk", Target: Target{Software: tt.software}}, false)
+			if err == nil {
+				got = grant.Endpoint.Backend
+			}
+			var refused *RefusedError
+			if got != tt.want || err != nil && !errors.As(err, &refused) {
+				t.Errorf("%s: got endpoint %q and error %v, want %q", tt.software, got, err, tt.want)
+			}
+		}
+	}
+}
