--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -166,6 +166,7 @@
 		Incarnation: model.BackendIncarnation{ID: grant.Replica.Backend, Born: grant.Replica.Born},
 		Software:    grant.Replica.Software,
 		Priority:    enginePriority,
+		delivered:   d.deliveryOf(r),
 		grant:       grant,
 	}, nil
 }
@@ -244,6 +245,7 @@
 		Incarnation:   model.BackendIncarnation{ID: endpoint.Endpoint.Backend, Born: endpoint.Endpoint.Born},
 		Software:      endpoint.Endpoint.Software,
 		Priority:      -1,
+		delivered:     d.deliveryOf(r),
 		endpointGrant: endpoint,
 	}, nil
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -273,6 +273,12 @@
 	return nil
 }
 
+func (s hostStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return store.Era(s.revision)
+}
+
 // testFleet is a fleet of entry hosts in one process and in virtual time, without a network.
 type testFleet struct {
 	mu           sync.Mutex // guards hosts while hosts are started
--- a/gateway/grant.go
+++ b/gateway/grant.go
@@ -14,6 +14,7 @@
 	Software    string // version of the backend server's software, empty if it states none
 	Priority    int    // for the engine, 0 (most urgent) to 9; -1 for a plain service
 
+	delivered     func(now time.Time)    // called when the response was delivered completely, nil for none
 	grant         *routing.Grant         // for a model
 	endpointGrant *routing.EndpointGrant // for a plain service, which has no engine
 }
@@ -38,6 +39,9 @@
 
 // Done reports the outcome of the attempt and releases the grant.
 func (g *Grant) Done(now time.Time, outcome routing.Outcome) {
+	if outcome == routing.OutcomeComplete && g.delivered != nil {
+		g.delivered(now)
+	}
 	if g.endpointGrant != nil {
 		g.endpointGrant.Done(now, outcome)
 		return
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -84,22 +84,24 @@
 	snapshot atomic.Pointer[model.Snapshot]
 	// serviceSoftware holds the software versions by service.
 	serviceSoftware atomic.Pointer[map[string]serviceSoftware]
-	streams         *streamRecorder
-	caps            *capDesk
-	stopping        atomic.Bool
-	backendsListed  atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
-	caughtUp        atomic.Bool // the changes since that list have been applied
-	hosts           hostCount
-	startedAt       time.Time // when Prepare was called
-	loads           *loadBook
-	ownerAddresses  atomic.Pointer[map[string]string] // peer addresses of the owners, by backend server
-	events          chan func(now time.Time)
-	ctx             context.Context // done when the host stops
-	cancel          context.CancelFunc
-	tasks           sync.WaitGroup
-	admission       context.Context // done when waiting requests are refused
-	endAdmission    context.CancelFunc
-	history         *history
+	// settledEra is the era of the store if it is settled, and noEra otherwise, see storeEra.
+	settledEra     atomic.Int64
+	streams        *streamRecorder
+	caps           *capDesk
+	stopping       atomic.Bool
+	backendsListed atomic.Bool // the list of backend servers was read from the store, perhaps some seconds old
+	caughtUp       atomic.Bool // the changes since that list have been applied
+	hosts          hostCount
+	startedAt      time.Time // when Prepare was called
+	loads          *loadBook
+	ownerAddresses atomic.Pointer[map[string]string] // peer addresses of the owners, by backend server
+	events         chan func(now time.Time)
+	ctx            context.Context // done when the host stops
+	cancel         context.CancelFunc
+	tasks          sync.WaitGroup
+	admission      context.Context // done when waiting requests are refused
+	endAdmission   context.CancelFunc
+	history        *history
 
 	relayMu   sync.Mutex // guards the fields below, which the watch and the hosts that follow this one use
 	relays    relayChoice
@@ -166,7 +168,7 @@
 	h.allocators = make(map[string]*ratelimit.Allocator)
 	h.published = make(map[string]published)
 	h.software = newSoftwareTracker()
-	h.streams = &streamRecorder{host: h}
+	h.streams = newStreamRecorder(h)
 	h.caps = newCapDesk(h)
 	h.permits.taken = make(map[string]bool)
 	h.registerPause = registerPause
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -25,6 +25,9 @@
 	Commit(ctx context.Context, t store.Transaction) (int64, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	RenewLease(ctx context.Context, lease, era int64) error
+	// Era returns the latest era that a response stated, as of store.Era. It has risen before the first response of an era
+	// is returned.
+	Era() int64
 }
 
 // Peers calls other entry hosts by their peer addresses.
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"citronspread/membership"
+	"citronspread/model"
 	"citronspread/peer"
 	"citronspread/routing"
 	"citronspread/store"
@@ -91,6 +92,7 @@
 	isNew     map[string]bool                 // services that had no base when this host first saw them, and so no streams before
 	writing   bool
 	changed   bool
+	era       storeEra
 }
 
 // storedBase is what the store contains of a base version.
@@ -125,7 +127,7 @@
 	for service, versions := range listed {
 		if t.servedAt[service] == nil {
 			t.servedAt[service] = make(map[string]time.Time)
-			t.isNew[service] = t.bases[service].Term == 0
+			t.isNew[service] = t.bases[service].Term == 0 && t.era.isSettled(now)
 		}
 		for version := range versions {
 			t.servedAt[service][version] = now
@@ -208,11 +210,16 @@
 		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service), Stated: true}
 	}
 	h.serviceSoftware.Store(&published)
+	h.settledEra.Store(t.era.settled(now))
 	t.changed = false
 	if t.writing || !h.registered || now.Sub(t.checkedAt) < softwareInterval {
 		return
 	}
 	t.checkedAt = now
+	if leader, found := membership.Leader(h.table.Live(), settledEraKey); found && leader.Name == h.Name && t.era.isDue(now) {
+		h.writeSettledEra(t.era.current)
+		return
+	}
 	for service, versions := range listed {
 		leader, found := membership.Leader(h.table.Live(), "software/"+service)
 		if !found || leader.Name != h.Name {
@@ -271,7 +278,8 @@
 		version, source, err = d.lookUpSoftware(ctx, r, isOutdated)
 	}
 	var unknown *softwareUnknownError
-	if !s.Mixed && errors.As(err, &unknown) {
+	var lost *recordLostError
+	if !s.Mixed && errors.As(err, &unknown) && !errors.As(err, &lost) {
 		version, source, err = "", "outage", nil // no host has learned of another version since the store failed
 	}
 	h.Log.Info("software version of a stream", zap.String("Request", r.ID), zap.String("Resumes", r.Resumes), zap.String("Service", r.Service),
@@ -293,6 +301,16 @@
 	return fmt.Sprintf("gateway: the host at %s does not know the software version of a stream of %s", e.Address, e.Service)
 }
 
+// recordLostError reports that a stream has no record, but may have had one before the store was restored.
+type recordLostError struct {
+	Service string
+	Era     int64 // of the store
+}
+
+func (e *recordLostError) Error() string {
+	return fmt.Sprintf("gateway: the record of a stream of %s may have been lost before era %d of the store", e.Service, e.Era)
+}
+
 // lookUpSoftware reads the software version of a stream from the store, or asks other hosts for it if the store does not
 // respond to this host. isOutdated reports that this host may not know what the service serves now.
 func (d *Dispatcher) lookUpSoftware(ctx context.Context, r RoutedRequest, isOutdated bool) (version, source string, err error) {
@@ -307,10 +325,13 @@
 	}, func(ctx context.Context) (*peer.FindSoftwareReply, error) {
 		return callHelpers(ctx, d.host, func(ctx context.Context, address string) (*peer.FindSoftwareReply, error) {
 			reply, err := d.host.Peers.FindSoftware(ctx, address, request)
-			if err == nil && !reply.Known {
-				return nil, &softwareUnknownError{Service: r.Service, Address: address}
+			switch {
+			case err != nil || reply.Known:
+				return reply, err
+			case reply.RecordLost:
+				return nil, &recordLostError{Service: r.Service, Era: d.host.Store.Era()}
 			}
-			return reply, err
+			return nil, &softwareUnknownError{Service: r.Service, Address: address}
 		})
 	})
 	if err != nil {
@@ -319,15 +340,24 @@
 	return reply.Version, reply.Source, nil
 }
 
-// readSoftware reads the software version of a stream from the store.
+// readSoftware reads the software version of a stream from the store. It returns a *recordLostError for a stream without a
+// record that may have begun before the store was restored.
 func (d *Dispatcher) readSoftware(ctx context.Context, request *peer.FindSoftwareRequest) (*peer.FindSoftwareReply, error) {
+	settled := d.host.settledEra.Load()
 	d.host.Metrics.CountStoreCall("key", "stream")
 	entry, err := d.host.Store.Get(ctx, request.Key)
+	if restored := err; isRestored(restored) {
+		d.host.post(func(now time.Time) { d.host.enterEraOf(now, restored) })
+		entry, err = d.host.Store.Get(ctx, request.Key)
+	}
 	if err != nil {
 		return nil, err
 	}
 	reply := &peer.FindSoftwareReply{Known: true, Version: string(entry.Value), Source: "record"}
 	if entry.Revision == 0 {
+		if era := d.host.Store.Era(); settled != era {
+			return nil, &recordLostError{Service: request.Service, Era: era}
+		}
 		reply.Version, reply.Source = d.softwareOfService(request.Service).unrecorded(), "base"
 	}
 	if reply.Version == "" {
@@ -351,6 +381,10 @@
 	if err != nil {
 		d.host.Log.Info("software version of a stream not found for another host", zap.String("Service", request.Service), zap.Error(err))
 	}
+	var lost *recordLostError
+	if errors.As(err, &lost) {
+		return &peer.FindSoftwareReply{RecordLost: true}, nil
+	}
 	return reply, err
 }
 
@@ -387,9 +421,9 @@
 
 func (e *UnrecordedError) Unwrap() error { return e.Cause }
 
-// RecordStream records the software version that begins a stream, unless it is the base version of the service. It returns
-// when the record is written, and an *UnrecordedError if that takes longer than recordTimeout and the stream could then be
-// continued at the base version.
+// RecordStream records the software version that begins a stream. It returns when the record is written, and an
+// *UnrecordedError if that takes longer than recordTimeout and the stream could then be continued at the base version. A
+// stream of the base version is recorded only while the store's era is not settled, and does not wait for that.
 func (d *Dispatcher) RecordStream(ctx context.Context, r RoutedRequest, version string) error {
 	s := d.softwareOfService(r.Service)
 	if version != "" && s.Base.Term == 0 {
@@ -397,7 +431,11 @@
 			s.Base = base
 		}
 	}
+	if version == "" {
+		return nil
+	}
 	if !s.needsRecord(version) {
+		d.host.streams.begin(streamKey(r.ID), version, !d.host.isEraSettled())
 		return nil
 	}
 	startedAt := d.host.Now()
@@ -415,6 +453,18 @@
 	return &UnrecordedError{Version: version, Withdrawn: withdrawn, Cause: err}
 }
 
+// deliveryOf returns the function that records that a stream was delivered completely, nil if no record names it.
+func (d *Dispatcher) deliveryOf(r RoutedRequest) func(now time.Time) {
+	if r.Route.Kind != model.RouteStream || !r.Route.Resumable {
+		return nil
+	}
+	key := streamKey(r.ID)
+	if r.TakenUp {
+		key = streamKey(r.Resumes)
+	}
+	return func(now time.Time) { d.host.streams.deliver(now, key) }
+}
+
 // streamKey returns the key of a stream's record by the ID of the request that brought its first event.
 func streamKey(id string) string {
 	return streamPrefix + strconv.FormatUint(xxhash.Sum64String(id), 16)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -250,7 +250,9 @@
 		return
 	}
 	h.registered = false
-	h.streams.repeat()
+	h.software.era.enter(now, era)
+	h.settledEra.Store(h.software.era.settled(now))
+	h.streams.repeat(era)
 	continued := 0
 	for id := range h.owned {
 		if h.table.Continues(id) {
@@ -305,6 +307,7 @@
 	keyOwner
 	keyPermit
 	keyBaseSoftware
+	keySettledEra
 	keyStream
 )
 
@@ -331,6 +334,9 @@
 	if strings.HasPrefix(key, streamPrefix) {
 		return keyStream, ""
 	}
+	if key == settledEraKey {
+		return keySettledEra, ""
+	}
 	if strings.HasPrefix(key, h.Decoder.ListingPrefix) {
 		return keyListing, h.Decoder.ListingID(key)
 	}
@@ -358,6 +364,11 @@
 		if record, ok := decodeRecord[BaseSoftware](h, e); ok {
 			h.software.apply(name, record, e.Revision)
 		}
+	case keySettledEra:
+		if record, ok := decodeRecord[SettledEra](h, e); ok {
+			h.software.era.recorded = record.Era
+			h.software.changed = true
+		}
 	}
 }
 
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -214,6 +214,9 @@
 	Known   bool   // the view of the replying host is not outdated
 	Version string // empty for any
 	Source  string // of the version, for the log
+
+	// RecordLost reports that the stream has no record, but may have had one before the store was restored.
+	RecordLost bool
 }
 
 // DesiredStateRequest requests the desired state in force at another host, for a host that cannot have it from the store: the
