--- a/gateway/software.go
+++ b/gateway/software.go
@@ -31,6 +31,8 @@
 	softwareInterval = 500 * time.Millisecond
 	// streamRetention is how long the version of a stream is known after it began. Callers wait half as long at most.
 	streamRetention = time.Minute
+	// baseRepeatDelay is how long hosts wait until they write a base version in place of its leader.
+	baseRepeatDelay = 2 * time.Second
 	// softwareLookUpTimeout limits the read of a stream's record.
 	softwareLookUpTimeout = time.Second
 )
@@ -105,10 +107,11 @@
 	return &softwareTracker{bases: make(map[string]BaseSoftware), stored: make(map[string]storedBase), servedAt: make(map[string]map[string]time.Time), isNew: make(map[string]bool)}
 }
 
-// apply applies a record of the store.
+// apply applies a record of the store. If a restored store has lost a record, two hosts may have written the same term: then
+// the record that the store has is valid.
 func (t *softwareTracker) apply(service string, record BaseSoftware, revision int64) {
 	t.stored[service] = storedBase{term: record.Term, revision: revision}
-	if record.Term > t.bases[service].Term {
+	if record.Term >= t.bases[service].Term && record != t.bases[service] {
 		t.bases[service] = record
 		t.changed = true
 	}
@@ -159,6 +162,12 @@
 	return BaseSoftware{Version: common, Term: base.Term + 1}, true
 }
 
+// isLost reports whether a restored store has an earlier base version than this host knows, and its leader has not written it
+// for baseRepeatDelay. The leader may have started since and not know it.
+func (t *softwareTracker) isLost(now time.Time, service string) bool {
+	return t.bases[service].Term > t.stored[service].term && now.Sub(t.era.since) > baseRepeatDelay
+}
+
 // isMixed reports whether a stream of the service that began within streamRetention may have begun at another version than
 // the base, or than the only one.
 func (t *softwareTracker) isMixed(now time.Time, service string) bool {
@@ -222,7 +231,7 @@
 	}
 	for service, versions := range listed {
 		leader, found := membership.Leader(h.table.Live(), "software/"+service)
-		if !found || leader.Name != h.Name {
+		if !found || leader.Name != h.Name && !t.isLost(now, service) {
 			continue
 		}
 		if base, due := t.due(now, service, versions); due {
