--- a/gateway/software.go
+++ b/gateway/software.go
@@ -277,9 +277,12 @@
 func (d *Dispatcher) FindSoftware(ctx context.Context, r RoutedRequest) (version string, err error) {
 	h, s := d.host, d.softwareOfService(r.Service)
 	isOutdated := h.history.isOutdated(h.Now())
-	if !s.Stated || s.isOnlyVersion() && !isOutdated {
+	if !s.Stated {
 		return "", nil
 	}
+	if s.isOnlyVersion() && !isOutdated {
+		return s.Base.Version, nil // another version may begin to serve while the request waits
+	}
 	source := ""
 	if r.Resumes == "" {
 		err = &routing.RefusedError{Reason: routing.ReasonSoftware}
@@ -289,7 +292,10 @@
 	var unknown *softwareUnknownError
 	var lost *recordLostError
 	if !s.Mixed && errors.As(err, &unknown) && !errors.As(err, &lost) {
-		version, source, err = "", "outage", nil // no host has learned of another version since the store failed
+		// No host has learned of another version since the store failed.
+		if version = s.unrecorded(); version != "" {
+			source, err = "outage", nil
+		}
 	}
 	h.Log.Info("software version of a stream", zap.String("Request", r.ID), zap.String("Resumes", r.Resumes), zap.String("Service", r.Service),
 		zap.String("Software", version), zap.String("Source", source), zap.Int64("Term", s.Base.Term), zap.Int("Serving", s.Serving[version]),
@@ -381,8 +387,8 @@
 	if d.host.history.isOutdated(d.host.Now()) {
 		return &peer.FindSoftwareReply{}, nil
 	}
-	if d.softwareOfService(request.Service).isOnlyVersion() {
-		return &peer.FindSoftwareReply{Known: true, Source: "only version"}, nil
+	if s := d.softwareOfService(request.Service); s.isOnlyVersion() {
+		return &peer.FindSoftwareReply{Known: true, Version: s.Base.Version, Source: "only version"}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, softwareLookUpTimeout)
 	defer cancel()
