--- a/gateway/software.go
+++ b/gateway/software.go
@@ -122,7 +122,7 @@
 	maps.DeleteFunc(t.stored, func(service string, _ storedBase) bool { return !listed[service] })
 }
 
-// observe records the versions that are listed now.
+// observe records the versions that are listed now, and forgets those that were not within streamRetention.
 func (t *softwareTracker) observe(now time.Time, listed map[string]map[string]int) {
 	if t.startedAt.IsZero() {
 		t.startedAt = now
@@ -136,6 +136,13 @@
 			t.servedAt[service][version] = now
 		}
 	}
+	for service, versions := range t.servedAt {
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > streamRetention })
+		if len(versions) == 0 && listed[service] == nil {
+			delete(t.servedAt, service)
+			delete(t.isNew, service)
+		}
+	}
 }
 
 // due returns the base version to write for a service, if any: the most common version when there is no base, or none of
@@ -187,17 +194,17 @@
 }
 
 // listedSoftware returns the number of backend servers by service and version, of all that are listed and of those that
-// take new requests. Backend servers that state no version are left out.
+// take new requests. Backend servers that state no version are not counted.
 func (h *Host) listedSoftware() (listed, serving map[string]map[string]int) {
 	listed, serving = make(map[string]map[string]int), make(map[string]map[string]int)
 	for _, b := range h.view.backends {
 		l := b.listing
-		if l.Software == "" {
-			continue
-		}
 		if listed[l.Service] == nil {
 			listed[l.Service], serving[l.Service] = make(map[string]int), make(map[string]int)
 		}
+		if l.Software == "" {
+			continue
+		}
 		listed[l.Service][l.Software]++
 		if b.isUsable() {
 			serving[l.Service][l.Software]++
@@ -215,8 +222,8 @@
 	listed, serving := h.listedSoftware()
 	t.observe(now, listed)
 	published := make(map[string]serviceSoftware, len(listed))
-	for service := range t.servedAt {
-		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service), Stated: true}
+	for service, versions := range t.servedAt {
+		published[service] = serviceSoftware{Base: t.bases[service], Serving: serving[service], Mixed: t.isMixed(now, service), Stated: len(versions) > 0}
 	}
 	h.serviceSoftware.Store(&published)
 	h.settledEra.Store(t.era.settled(now))
@@ -263,6 +270,16 @@
 	})
 }
 
+// isServiceListed reports whether some backend server of a service has been listed within streamRetention.
+func (d *Dispatcher) isServiceListed(service string) bool {
+	published := d.host.serviceSoftware.Load()
+	if published == nil {
+		return false
+	}
+	_, listed := (*published)[service]
+	return listed
+}
+
 // softwareOfService returns the software versions of a service as last published.
 func (d *Dispatcher) softwareOfService(service string) serviceSoftware {
 	published := d.host.serviceSoftware.Load()
@@ -277,6 +294,10 @@
 func (d *Dispatcher) FindSoftware(ctx context.Context, r RoutedRequest) (version string, err error) {
 	h, s := d.host, d.softwareOfService(r.Service)
 	isOutdated := h.history.isOutdated(h.Now())
+	if !d.isServiceListed(r.Service) {
+		h.Log.Info("software version of a stream not known, no backend server is listed", zap.String("Request", r.ID), zap.String("Service", r.Service))
+		return "", &routing.RefusedError{Reason: routing.ReasonSoftware, RetryAfter: softwareInterval}
+	}
 	if !s.Stated {
 		return "", nil
 	}
