--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// unseenFor returns the time up to now whose changes of the store are not known, 0 if none were ever known.
+func (h *history) unseenFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.completeAt.IsZero() {
+		return 0
+	}
+	return now.Sub(h.completeAt)
+}
+
 // addSuspect retains a suspect.
 func (h *history) addSuspect(s model.Suspect) {
 	h.mu.Lock()
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -31,6 +31,9 @@
 	softwareInterval = 500 * time.Millisecond
 	// streamRetention is how long the version of a stream is known after it began. Callers wait half as long at most.
 	streamRetention = time.Minute
+	// maxUnseenTime is how long a host may be without the changes of the store and still know which versions have served: it
+	// takes longer until a backend server has joined, begun streams and left the list.
+	maxUnseenTime = 5 * time.Second
 	// baseRepeatDelay is how long hosts wait until they write a base version in place of its leader.
 	baseRepeatDelay = 2 * time.Second
 	// softwareLookUpTimeout limits the read of a stream's record.
@@ -122,6 +125,13 @@
 	maps.DeleteFunc(t.stored, func(service string, _ storedBase) bool { return !listed[service] })
 }
 
+// forget records that versions may have served until now that this host has not seen.
+func (t *softwareTracker) forget(now time.Time) {
+	t.startedAt = now
+	clear(t.isNew)
+	t.changed = true
+}
+
 // observe records the versions that are listed now, and forgets those that were not within streamRetention.
 func (t *softwareTracker) observe(now time.Time, listed map[string]map[string]int) {
 	if t.startedAt.IsZero() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -137,12 +137,19 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	readAt := time.Time{}
+	readAt, unseenFor := time.Time{}, time.Duration(0)
 	if consistency == store.Linearizable {
 		readAt = h.Now()
+		unseenFor = h.history.unseenFor(startedAt)
 	}
 	h.history.reset(readAt, listing.Revision)
-	h.post(func(now time.Time) { h.applyStoreContent(now, listing) })
+	h.post(func(now time.Time) {
+		if unseenFor > maxUnseenTime {
+			h.Log.Info("software versions may have served unseen", zap.Duration("For", unseenFor))
+			h.software.forget(now)
+		}
+		h.applyStoreContent(now, listing)
+	})
 	if consistency == store.Linearizable {
 		h.completeUpTo(startedAt)
 		h.completeCatchUp(ctx, listing.Revision)
@@ -232,6 +239,9 @@
 		case keyOwner:
 			delete(h.table.Owners, name)
 		case keyListing:
+			if h.view.backends[name] == nil {
+				h.software.forget(now) // it has joined and left since the last change
+			}
 			h.removeBackend(now, name)
 		case keyPermit:
 			delete(h.permits.taken, key)
