--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -23,8 +23,9 @@
 type scenario func(w *world) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"limit": playLimit,
-	"twice": playTwice,
+	"limit":   playLimit,
+	"backoff": playBackOff,
+	"twice":   playTwice,
 }
 
 // init keeps the main goroutine on the main thread. The hosts are started from there and end with that thread.
