--- a/review/driver3/case_twice.go
+++ b/review/driver3/case_twice.go
@@ -20,19 +20,30 @@
 	bookingWork    = 60 * time.Millisecond
 	bookingPause   = 20 * time.Millisecond // of a caller between two bookings, at most
 	bookingsFor    = 60 * time.Second
+
+	bookingsPerStatus = 20 // of a caller
 )
 
-// playTwice lets a backend server of bookings send some of its answers a second time, late: when the next request of the
+// playTwice lets one of two backend servers, that of bookings, send some of its answers a second time, late: when the next request of the
 // connection has been read. It counts how often each booking runs.
 func playTwice(w *world) (broken bool, err error) {
 	w.store.put(configurationID, map[string]any{
 		"version": 2,
-		"routes": []any{map[string]any{
-			"name": "r-booking", "hostname": hostname, "prefix": "/puxa403/", "kind": "unsafe", "timeoutMs": 3000, "latencyTargetMs": 300, "priority": 2,
-			"service": "dispatch-app", "maxAttempts": 1,
-		}},
-		"services": []any{map[string]any{"name": "dispatch-app", "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false}},
-		"limits":   limits,
+		"routes": []any{
+			map[string]any{
+				"name": "r-booking", "hostname": hostname, "prefix": "/puxa403/", "kind": "unsafe", "timeoutMs": 3000, "latencyTargetMs": 300, "priority": 2,
+				"service": "dispatch-app", "maxAttempts": 1,
+			},
+			map[string]any{
+				"name": "r-status", "hostname": hostname, "prefix": "/cufi504/", "kind": "safe", "timeoutMs": 3000, "latencyTargetMs": 300, "priority": 2,
+				"service": "status-app", "maxAttempts": 2,
+			},
+		},
+		"services": []any{
+			map[string]any{"name": "dispatch-app", "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false},
+			map[string]any{"name": "status-app", "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false},
+		},
+		"limits": limits,
 	})
 	zones := []string{"muenchen", "rosenheim", "augsburg"}
 	s := &server{id: "i-dispatch", service: "dispatch-app", zone: zones[0], isSilent: true, slots: 4, queue: 2, work: bookingWork}
@@ -42,6 +53,10 @@
 	if err := w.addServer(s); err != nil {
 		return false, err
 	}
+	sound := &server{id: "i-status", service: "status-app", zone: zones[1], slots: 6, queue: 24, work: bookingWork}
+	if err := w.addServer(sound); err != nil {
+		return false, err
+	}
 	for i := range 8 {
 		if _, err := w.addHost(fmt.Sprintf("front-%s-%d", zones[i/3], i%3+1), zones[i/3]); err != nil {
 			return false, err
@@ -57,7 +72,7 @@
 		ended.Go(func() { b.book(h) })
 	}
 	ended.Wait()
-	w.recordTraffic(slices.Collect(maps.Values(b.calls)))
+	w.recordTraffic(append(slices.Collect(maps.Values(b.calls)), b.checks...))
 	return b.check(w, s), nil
 }
 
@@ -75,13 +90,21 @@
 type bookings struct {
 	mu       sync.Mutex
 	calls    map[string]call // by request
+	checks   []call          // of the status
 	statuses map[int]int
 }
 
-// book sends one booking after another to a host.
+// book sends one booking after another to a host, and now and then a status check, which another server answers.
 func (b *bookings) book(h *host) {
 	c := newCaller(h.name + "-")
-	for end := time.Now().Add(bookingsFor); time.Now().Before(end); time.Sleep(rand.N(bookingPause)) {
+	for end, n := time.Now().Add(bookingsFor), 1; time.Now().Before(end); n++ {
+		time.Sleep(rand.N(bookingPause))
+		if n%bookingsPerStatus == 0 {
+			check := c.send(h, http.MethodGet, "/cufi504/2f", nil, bookingTimeout, nil)
+			b.mu.Lock()
+			b.checks = append(b.checks, check)
+			b.mu.Unlock()
+		}
 		result := c.send(h, http.MethodPost, "/puxa403/2f", []byte("a van"), bookingTimeout, nil)
 		b.mu.Lock()
 		b.calls[result.id] = result
