review: case 13, a steady rate in place of bursts

24 requests at once are more than the largest burst of the site. Callers send 12 requests a second to one host at a time, and no burst is part of the case any more.

--- a/review/driver3/case_backoff.go
+++ b/review/driver3/case_backoff.go
@@ -11,18 +11,20 @@
 
 // Figures of the case and of the rule on back-offs.
 const (
-	reviewCallers  = 24 // that send a request to the host at the same time
+	reviewsPerS    = 12 // of all callers, all at one host at a time
+	reviewsFor     = 6 * time.Second
+	turnAwayAfter  = 4 * time.Second
+	turnAwayFor    = 2 * time.Second
 	reviewEvents   = 20
 	reviewPause    = 60 * time.Millisecond
 	reviewDeadline = 30 * time.Second
 	statedWait     = 5 * time.Second // Retry-After of the server
 	backOffGrace   = 500 * time.Millisecond
 	maxInBackOff   = 2 // requests that may reach the server from a machine within a back-off
-	turnAwayFor    = 2 * time.Second
 )
 
-// playBackOff lets an engine turn the requests of a burst away with 503 and Retry-After. It counts what reaches it from each host
-// from half a second after the first of these answers on.
+// playBackOff lets an engine turn requests away with 503 and Retry-After for a while. It counts what reaches it from a host from half a
+// second after the first of these answers on.
 func playBackOff(w *world) (broken bool, err error) {
 	w.store.put(configurationID, map[string]any{
 		"version": 2,
@@ -54,10 +56,10 @@
 	var calls []call
 	for _, h := range w.hosts[:3] {
 		c := newCaller(h.name + "-")
-		w.note("%d callers send a request to %s at the same time", reviewCallers, h.name)
-		isTurningAway.Store(w.trouble)
-		time.AfterFunc(turnAwayFor, func() { isTurningAway.Store(false) })
-		sent := sendAtOnce(c, h)
+		w.note("callers send %d requests a second to %s", reviewsPerS, h.name)
+		time.AfterFunc(turnAwayAfter, func() { isTurningAway.Store(w.trouble) })
+		time.AfterFunc(turnAwayAfter+turnAwayFor, func() { isTurningAway.Store(false) })
+		sent := sendReviews(c, h)
 		calls = append(calls, sent...)
 		broken = w.checkBackOff(e, h, sent) || broken
 		time.Sleep(statedWait + 2*time.Second)
@@ -66,11 +68,14 @@
 	return broken, nil
 }
 
-// sendAtOnce sends the requests of all callers to a host and waits for the answers.
-func sendAtOnce(c *caller, h *host) []call {
-	calls := make([]call, reviewCallers)
+// sendReviews sends requests to a host at a steady rate and waits for the answers.
+func sendReviews(c *caller, h *host) []call {
+	calls := make([]call, int(reviewsPerS*reviewsFor.Seconds()))
+	ticker := time.NewTicker(time.Second / reviewsPerS)
+	defer ticker.Stop()
 	var ended sync.WaitGroup
 	for i := range calls {
+		<-ticker.C
 		ended.Go(func() {
 			part := strconv.Itoa(i)
 			calls[i] = c.send(h, http.MethodPost, "/pufi791/2f", []byte("a warranty claim "+part), reviewDeadline, map[string]string{
