--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]scenario{
 	"limit":   playLimit,
 	"backoff": playBackOff,
+	"path":    playPath,
 	"twice":   playTwice,
 }
 
