--- a/review/driver3/case_limit.go
+++ b/review/driver3/case_limit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -69,7 +70,7 @@
 	w.recordTraffic(passed.calls)
 	passed.summarize(w)
 	for _, s := range w.servers {
-		broken = passed.check(w, s) || broken
+		broken = passed.check(w, s, limitPerSecond) || broken
 	}
 	return broken, nil
 }
@@ -114,8 +115,8 @@
 		p.statuses[c.host.name] = make(map[int]int)
 	}
 	p.statuses[c.host.name][c.status]++
-	var id string
-	if _, err := fmt.Sscanf(string(c.body), "ran "+c.id+" at %s", &id); err != nil || c.header.Get("Server-Limit") == "" {
+	id, _, isSealed := strings.Cut(c.header.Get("Server-Seal"), ".")
+	if !isSealed || c.header.Get("Server-Limit") == "" {
 		return
 	}
 	if p.since[id] == nil {
@@ -132,8 +133,8 @@
 	}
 }
 
-// check applies the rule to one backend server.
-func (p *passedOn) check(w *world, s *server) (broken bool) {
+// check applies the rule to one backend server, which has stated its limit in requests per second.
+func (p *passedOn) check(w *world, s *server, limit float64) (broken bool) {
 	var counted []arrival
 	for _, a := range s.arrived() {
 		since, passed := p.since[s.id][p.hostOf[a.id]]
@@ -141,7 +142,7 @@
 			counted = append(counted, a)
 		}
 	}
-	most, mostAt, allowed := 0, time.Time{}, limitFactor*limitPerSecond*limitWindow.Seconds()+limitSlack
+	most, mostAt, allowed := 0, time.Time{}, limitFactor*limit*limitWindow.Seconds()+limitSlack
 	for from, to := 0, 0; to < len(counted); to++ {
 		for counted[to].at.Sub(counted[from].at) > limitWindow {
 			from++
@@ -150,6 +151,6 @@
 			most, mostAt = n, counted[from].at
 		}
 	}
-	w.note("%s: limit %g a second; %d requests at most within %s, from %.3f on; allowed are %g", s.id, limitPerSecond, most, limitWindow, mostAt.Sub(w.started).Seconds(), allowed)
+	w.note("%s: limit %g a second; %d requests at most within %s, from %.3f on; allowed are %g", s.id, limit, most, limitWindow, mostAt.Sub(w.started).Seconds(), allowed)
 	return float64(most) > allowed
 }
--- a/review/driver3/engine.go
+++ b/review/driver3/engine.go
@@ -95,7 +95,7 @@
 	defer func() { <-e.places }()
 	e.arrive(id, true)
 	time.Sleep(streamGrip)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nServer-Seal: %s.%s\r\nWeight-Versions: 1\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, e.id, id, e.loadField())
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nServer-Seal: %s.%s\r\nWeight-Versions: 1\r\n%s%sTransfer-Encoding: chunked\r\n\r\n", id, e.id, id, e.limitField(), e.loadField())
 	if _, err := conn.Write([]byte(head)); err != nil {
 		return false
 	}
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -23,6 +23,7 @@
 type scenario func(w *world) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"lapse":   playLapse,
 	"limit":   playLimit,
 	"backoff": playBackOff,
 	"path":    playPath,
--- a/review/driver3/server.go
+++ b/review/driver3/server.go
@@ -31,7 +31,7 @@
 	// answerStream answers the requests of an engine. It returns false if the connection can't be used again.
 	answerStream func(conn net.Conn, request *http.Request, body []byte, id string) bool
 
-	// limit returns the requests per second that the server states, 0 for none.
+	// limit returns the requests per second that the server states, nil if it states none.
 	limit func() float64
 	// after is called when a response was written and returns bytes that are written when the next request has been read.
 	after func(id string, status int, response []byte) []byte
@@ -208,15 +208,16 @@
 
 // head returns a complete response.
 func (s *server) head(status int, id, fields, body string) []byte {
-	fields = s.loadField() + fields
-	limit := ""
-	if s.limit != nil {
-		if perSecond := s.limit(); perSecond > 0 {
-			limit = fmt.Sprintf("Server-Limit: %g\r\n", perSecond)
-		}
+	return []byte(fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%s%s%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, s.limitField(), s.loadField(), fields, len(body), body))
+}
+
+// limitField returns the header line that states the limit, unless the server states none.
+func (s *server) limitField() string {
+	if s.limit == nil {
+		return ""
 	}
-	return []byte(fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%s%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), id, limit, fields, len(body), body))
+	return fmt.Sprintf("Server-Limit: %g\r\n", s.limit())
 }
 
 // loadField returns the header line that tells the load, unless the server does not tell it.
--- a/review/driver3/store.go
+++ b/review/driver3/store.go
@@ -57,6 +57,7 @@
 	nextLease int64
 	era       int64
 	gates     map[string]gate
+	pausedAt  time.Time // when the leases were paused, zero if they run
 	changed   chan struct{}
 	servers   []*http.Server
 	done      chan struct{}
@@ -210,7 +211,7 @@
 		s.mu.Lock()
 		now := time.Now()
 		for id, l := range s.leases {
-			if now.After(l.endAt) {
+			if s.pausedAt.IsZero() && now.After(l.endAt) {
 				s.endLease(id)
 			}
 		}
@@ -222,6 +223,31 @@
 	}
 }
 
+// pauseLeases keeps leases from ending until resumeLeases.
+func (s *store) pauseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pausedAt = time.Now()
+}
+
+func (s *store) resumeLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.endAt = l.endAt.Add(time.Since(s.pausedAt))
+	}
+	s.pausedAt = time.Time{}
+}
+
+// unlist removes the entry of a backend server.
+func (s *store) unlist(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove("servers/" + id)
+	s.notify()
+}
+
 // endLease removes a lease with its keys. The caller holds the mutex.
 func (s *store) endLease(id int64) {
 	delete(s.leases, id)
